--- /dev/null
+++ b/include/citron/base/log.h
@@ -0,0 +1,34 @@
+#ifndef CITRON_BASE_LOG_H_
+#define CITRON_BASE_LOG_H_
+
+#include <fmt/format.h>
+
+#include <string_view>
+#include <utility>
+
+namespace citron {
+
+// Writes "part: sentence" as one line to standard error, in one write.
+void WriteLogLine(std::string_view part, std::string_view sentence);
+
+template <class... Args>
+void Log(std::string_view part, fmt::format_string<Args...> format,
+         Args&&... args) {
+  WriteLogLine(part, fmt::format(format, std::forward<Args>(args)...));
+}
+
+// Switches the lines for each decision on or off; errors and state changes are
+// always written.
+void SetDecisionLog(bool enabled);
+bool DecisionLogEnabled();
+
+template <class... Args>
+void LogDecision(std::string_view part, fmt::format_string<Args...> format,
+                 Args&&... args) {
+  if (!DecisionLogEnabled()) return;
+  WriteLogLine(part, fmt::format(format, std::forward<Args>(args)...));
+}
+
+}  // namespace citron
+
+#endif  // CITRON_BASE_LOG_H_
