--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,296 @@
+#include "citron/net/http_client.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace citron {
+
+namespace {
+
+// Idle connections kept for all servers together.
+constexpr std::size_t kMaxIdleConnections = 512;
+// An idle connection older than this is closed rather than used: the far side
+// may be about to close it, and a request that crosses the close is lost.
+constexpr duration kMaxIdleAge = std::chrono::seconds(8);
+// libevent's own timeout must never come before a call's deadline.
+constexpr int kLibraryTimeoutSeconds = 24 * 3600;
+constexpr std::size_t kMaxAnswerHeaderBytes = 64 * 1024;
+
+evhttp_cmd_type Command(const std::string& method) {
+  if (method == "POST") return EVHTTP_REQ_POST;
+  if (method == "PUT") return EVHTTP_REQ_PUT;
+  if (method == "DELETE") return EVHTTP_REQ_DELETE;
+  if (method == "HEAD") return EVHTTP_REQ_HEAD;
+  if (method == "PATCH") return EVHTTP_REQ_PATCH;
+  if (method == "OPTIONS") return EVHTTP_REQ_OPTIONS;
+  return EVHTTP_REQ_GET;
+}
+
+http_response_head CopyHead(evhttp_request* request) {
+  http_response_head head;
+  head.status = evhttp_request_get_response_code(request);
+  const evkeyvalq* headers = evhttp_request_get_input_headers(request);
+  for (const evkeyval* h = headers->tqh_first; h != nullptr;
+       h = h->next.tqe_next) {
+    head.headers.push_back({h->key, h->value});
+  }
+  return head;
+}
+
+// Whether the end of the body can be told from a lost connection.
+bool IsDelimited(const http_response_head& head) {
+  return head.status == 204 || head.status == 304 ||
+         FindHeader(head.headers, "Content-Length").has_value() ||
+         FindHeader(head.headers, "Transfer-Encoding").has_value();
+}
+
+}  // namespace
+
+std::string_view CallProblemName(call_problem problem) {
+  switch (problem) {
+    case call_problem::kConnectFailed:
+      return "connect failed";
+    case call_problem::kConnectionLost:
+      return "connection lost";
+    case call_problem::kIncomplete:
+      return "incomplete answer";
+    case call_problem::kTimedOut:
+      return "timed out";
+    case call_problem::kCancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+struct http_connection::callbacks {
+  static int Head(evhttp_request* request, void* self) {
+    auto* that = static_cast<http_connection*>(self);
+    that->in_head_callback_ = true;
+    that->OnHeadReceived(request);
+    that->in_head_callback_ = false;
+    const bool cancelled = that->handler_ == nullptr;
+    return cancelled ? -1 : 0;
+  }
+  static void Body(evhttp_request* request, void* self) {
+    static_cast<http_connection*>(self)->OnBodyReceived(request);
+  }
+  static void Complete(evhttp_request* request, void* self) {
+    static_cast<http_connection*>(self)->OnComplete(request);
+  }
+  static void Sent(evbuffer*, const evbuffer_cb_info* info, void* self) {
+    static_cast<http_connection*>(self)->bytes_out_ += info->n_deleted;
+  }
+};
+
+http_connection::http_connection(event_loop& loop, const endpoint& server)
+    : loop_(loop),
+      server_(server),
+      deadline_timer_(loop, [this] { Fail(timer_problem_); }) {
+  connection_ = evhttp_connection_base_new(
+      loop_.Base(), nullptr, server_.address.c_str(), server_.port);
+  evhttp_connection_set_timeout(connection_, kLibraryTimeoutSeconds);
+  evhttp_connection_set_retries(connection_, 0);
+  evhttp_connection_set_max_headers_size(
+      connection_, static_cast<ev_ssize_t>(kMaxAnswerHeaderBytes));
+  evbuffer_add_cb(
+      bufferevent_get_output(evhttp_connection_get_bufferevent(connection_)),
+      callbacks::Sent, this);
+}
+
+http_connection::~http_connection() {
+  Cancel();
+  evhttp_connection_free(connection_);
+}
+
+void http_connection::Start(const http_request& request,
+                            monotonic_time deadline,
+                            http_call_handler& handler) {
+  assert(IsReusable());
+  ResumeReading();
+  handler_ = &handler;
+  timer_problem_ = call_problem::kTimedOut;
+  head_seen_ = false;
+  body_is_delimited_ = false;
+  bytes_out_at_start_ = bytes_out_;
+  request_ = evhttp_request_new(callbacks::Complete, this);
+  evhttp_request_set_header_cb(request_, callbacks::Head);
+  evhttp_request_set_chunked_cb(request_, callbacks::Body);
+  evkeyvalq* headers = evhttp_request_get_output_headers(request_);
+  evhttp_add_header(headers, "Host", server_.Str().c_str());
+  for (const http_header& header : request.headers) {
+    evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+  }
+  evbuffer_add(evhttp_request_get_output_buffer(request_), request.body.data(),
+               request.body.size());
+  deadline_timer_.Arm(deadline);
+  if (evhttp_make_request(connection_, request_, Command(request.method),
+                          request.target.c_str()) != 0) {
+    // The library has freed the request.
+    request_ = nullptr;
+    timer_problem_ = call_problem::kConnectFailed;
+    deadline_timer_.Arm(MonotonicNow());
+  }
+}
+
+void http_connection::Cancel() {
+  deadline_timer_.Disarm();
+  if (handler_ == nullptr) return;
+  handler_ = nullptr;
+  broken_ = true;
+  evhttp_request* cancelled = std::exchange(request_, nullptr);
+  // Inside the head's callback the library still uses the request; there the
+  // callback's answer makes the library cancel it.
+  if (cancelled != nullptr && !in_head_callback_) {
+    evhttp_cancel_request(cancelled);
+  }
+}
+
+void http_connection::PauseReading() {
+  if (paused_) return;
+  paused_ = true;
+  bufferevent_disable(evhttp_connection_get_bufferevent(connection_), EV_READ);
+}
+
+void http_connection::ResumeReading() {
+  if (!paused_) return;
+  paused_ = false;
+  bufferevent_enable(evhttp_connection_get_bufferevent(connection_), EV_READ);
+}
+
+void http_connection::OnHeadReceived(evhttp_request* request) {
+  if (handler_ == nullptr) return;
+  const http_response_head head = CopyHead(request);
+  head_seen_ = true;
+  body_is_delimited_ = IsDelimited(head);
+  if (body_is_delimited_) handler_->OnHead(head);
+}
+
+void http_connection::OnBodyReceived(evhttp_request* request) {
+  if (handler_ == nullptr || !body_is_delimited_) return;
+  evbuffer* input = evhttp_request_get_input_buffer(request);
+  const std::size_t size = evbuffer_get_length(input);
+  if (size == 0) return;
+  const unsigned char* bytes = evbuffer_pullup(input, -1);
+  handler_->OnBody({reinterpret_cast<const char*>(bytes), size});
+}
+
+void http_connection::OnComplete(evhttp_request* request) {
+  request_ = nullptr;
+  if (handler_ == nullptr) return;
+  const bool answered =
+      request != nullptr && evhttp_request_get_response_code(request) != 0;
+  if (!answered) {
+    const bool sent = bytes_out_ > bytes_out_at_start_;
+    if (head_seen_) {
+      Fail(call_problem::kIncomplete);
+    } else {
+      Fail(sent ? call_problem::kConnectionLost : call_problem::kConnectFailed);
+    }
+    return;
+  }
+  if (!body_is_delimited_) {
+    // Such a body ends with the connection, and a cut one looks whole.
+    Fail(call_problem::kIncomplete);
+    return;
+  }
+  deadline_timer_.Disarm();
+  idle_since_ = MonotonicNow();
+  std::exchange(handler_, nullptr)->OnDone();
+}
+
+void http_connection::Fail(call_problem problem) {
+  const call_failure failure{problem, bytes_out_ > bytes_out_at_start_};
+  http_call_handler* handler = handler_;
+  Cancel();
+  broken_ = true;
+  if (handler != nullptr) handler->OnFailed(failure);
+}
+
+// Gathers the whole answer of one call, then leaves the client's list.
+class http_client::whole_call final : public http_call_handler {
+ public:
+  whole_call(http_client& client, std::unique_ptr<http_connection> connection,
+             on_response done)
+      : client_(client),
+        connection_(std::move(connection)),
+        done_(std::move(done)) {}
+
+  void Start(const http_request& request, monotonic_time deadline) {
+    connection_->Start(request, deadline, *this);
+  }
+
+  void OnHead(const http_response_head& head) override {
+    response_.head = head;
+  }
+  void OnBody(std::string_view bytes) override { response_.body.append(bytes); }
+  void OnDone() override { Finish(&response_, {}); }
+  void OnFailed(const call_failure& failure) override {
+    Finish(nullptr, failure);
+  }
+
+ private:
+  void Finish(const http_response* response, const call_failure& failure) {
+    // Kept until the callback has returned; then it takes the connection back.
+    client_.loop_.Defer([&client = client_, this] { client.Retire(this); });
+    done_(response, failure);
+  }
+
+  friend class http_client;
+  http_client& client_;
+  std::unique_ptr<http_connection> connection_;
+  on_response done_;
+  http_response response_;
+};
+
+http_client::http_client(event_loop& loop) : loop_(loop) {}
+
+http_client::~http_client() = default;
+
+std::unique_ptr<http_connection> http_client::Take(const endpoint& server) {
+  const monotonic_time now = MonotonicNow();
+  // The youngest first: old ones then age out.
+  for (std::size_t i = idle_.size(); i-- > 0;) {
+    if (idle_[i]->Server() != server) continue;
+    std::unique_ptr<http_connection> taken = std::move(idle_[i]);
+    idle_.erase(idle_.begin() + static_cast<std::ptrdiff_t>(i));
+    if (now - taken->IdleSince() <= kMaxIdleAge) return taken;
+  }
+  return std::make_unique<http_connection>(loop_, server);
+}
+
+void http_client::Give(std::unique_ptr<http_connection> connection) {
+  if (!connection->IsReusable()) {
+    loop_.Defer([held = std::make_shared<std::unique_ptr<http_connection>>(
+                     std::move(connection))] { held->reset(); });
+    return;
+  }
+  if (idle_.size() >= kMaxIdleConnections) idle_.erase(idle_.begin());
+  idle_.push_back(std::move(connection));
+}
+
+void http_client::Call(const endpoint& server, const http_request& request,
+                       monotonic_time deadline, on_response done) {
+  calls_.push_back(
+      std::make_unique<whole_call>(*this, Take(server), std::move(done)));
+  calls_.back()->Start(request, deadline);
+}
+
+void http_client::CloseIdle() { idle_.clear(); }
+
+void http_client::Retire(whole_call* call) {
+  const auto found = std::find_if(
+      calls_.begin(), calls_.end(),
+      [call](const auto& candidate) { return candidate.get() == call; });
+  if (found == calls_.end()) return;
+  Give(std::move((*found)->connection_));
+  calls_.erase(found);
+}
+
+}  // namespace citron
--- /dev/null
+++ b/src/net/http_types.cc
@@ -0,0 +1,42 @@
+#include "citron/net/http_types.h"
+
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <strings.h>
+
+namespace citron {
+
+bool HeaderNameIs(std::string_view name, std::string_view wanted) {
+  return name.size() == wanted.size() &&
+         strncasecmp(name.data(), wanted.data(), name.size()) == 0;
+}
+
+std::optional<std::string_view> FindHeader(const http_headers& headers,
+                                           std::string_view name) {
+  for (const http_header& header : headers) {
+    if (HeaderNameIs(header.name, name)) return header.value;
+  }
+  return std::nullopt;
+}
+
+std::string_view http_request::Path() const {
+  return std::string_view(target).substr(0, target.find('?'));
+}
+
+std::optional<std::string> http_request::Query(std::string_view name) const {
+  const std::size_t mark = target.find('?');
+  if (mark == std::string::npos) return std::nullopt;
+  evkeyvalq parameters;
+  const std::string query = target.substr(mark + 1);
+  if (evhttp_parse_query_str(query.c_str(), &parameters) != 0) {
+    return std::nullopt;
+  }
+  const char* value =
+      evhttp_find_header(&parameters, std::string(name).c_str());
+  std::optional<std::string> found;
+  if (value != nullptr) found = value;
+  evhttp_clear_headers(&parameters);
+  return found;
+}
+
+}  // namespace citron
--- /dev/null
+++ b/tests/net/http_test.cc
@@ -0,0 +1,324 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+#include "citron/net/http_client.h"
+#include "citron/net/http_server.h"
+#include "net/loop_fixture.h"
+
+namespace citron {
+namespace {
+
+const endpoint kAnyPort{"127.0.0.1", 0};
+
+class http_fixture : public loop_fixture {
+ public:
+  std::unique_ptr<http_server> Serve(http_handler handler,
+                                     http_server_limits limits = {}) {
+    auto made = http_server::Make(Loop(), kAnyPort, limits, std::move(handler));
+    BOOST_REQUIRE(IsOk(made));
+    return std::move(ValueOf(made));
+  }
+
+  static monotonic_time Soon() {
+    return MonotonicNow() + std::chrono::seconds(10);
+  }
+};
+
+// Keeps what a call reported.
+class recorded_call : public http_call_handler {
+ public:
+  void OnHead(const http_response_head& head) override {
+    status = head.status;
+    if (on_head) on_head();
+  }
+  void OnBody(std::string_view bytes) override {
+    body.append(bytes);
+    if (on_body) on_body();
+  }
+  void OnDone() override { done = true; }
+  void OnFailed(const call_failure& reported) override {
+    failed = true;
+    failure = reported;
+  }
+
+  int status = 0;
+  std::string body;
+  bool done = false;
+  bool failed = false;
+  call_failure failure;
+  std::function<void()> on_head;
+  std::function<void()> on_body;
+};
+
+// A caller that writes bytes of its own choice.
+class raw_caller {
+ public:
+  explicit raw_caller(const endpoint& server) {
+    fd_ = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(server.port);
+    inet_pton(AF_INET, server.address.c_str(), &address.sin_addr);
+    BOOST_REQUIRE(connect(fd_, reinterpret_cast<sockaddr*>(&address),
+                          sizeof(address)) == 0);
+  }
+  ~raw_caller() { close(fd_); }
+  raw_caller(const raw_caller&) = delete;
+  raw_caller& operator=(const raw_caller&) = delete;
+
+  void Send(std::string_view bytes) const {
+    BOOST_REQUIRE(write(fd_, bytes.data(), bytes.size()) ==
+                  static_cast<ssize_t>(bytes.size()));
+  }
+
+  const std::string& Received() {
+    char buffer[4096];
+    const ssize_t got = recv(fd_, buffer, sizeof(buffer), MSG_DONTWAIT);
+    if (got > 0) received_.append(buffer, static_cast<std::size_t>(got));
+    return received_;
+  }
+
+ private:
+  int fd_ = -1;
+  std::string received_;
+};
+
+BOOST_FIXTURE_TEST_SUITE(http, http_fixture)
+
+BOOST_AUTO_TEST_CASE(RequestAndAnswerArriveWhole) {
+  auto server = Serve([](http_exchange& exchange) {
+    const http_request& request = exchange.Request();
+    exchange.Reply({{200, {{"X-Method", request.method}}},
+                    request.body + "|" + request.Query("a").value_or("none")});
+  });
+  http_client client(Loop());
+  http_response got;
+  bool done = false;
+  client.Call(server->Address(), {"POST", "/p?a=b%20c", {}, "hello"}, Soon(),
+              [&](const http_response* response, call_failure) {
+                BOOST_REQUIRE(response != nullptr);
+                got = *response;
+                done = true;
+              });
+  BOOST_REQUIRE(RunUntil([&] { return done; }));
+  BOOST_TEST(got.head.status == 200);
+  BOOST_TEST(got.body == "hello|b c");
+  BOOST_TEST((FindHeader(got.head.headers, "x-method") == "POST"));
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionIsReused) {
+  int requests = 0;
+  auto server = Serve([&](http_exchange& exchange) {
+    ++requests;
+    exchange.Reply({{200, {}}, "ok"});
+  });
+  http_connection connection(Loop(), server->Address());
+  for (int i = 0; i < 3; ++i) {
+    recorded_call call;
+    connection.Start({"GET", "/", {}, ""}, Soon(), call);
+    BOOST_REQUIRE(RunUntil([&] { return call.done; }));
+    BOOST_TEST(connection.IsReusable());
+  }
+  BOOST_TEST(requests == 3);
+  BOOST_TEST(server->OpenConnections() == 1);
+}
+
+// Nobody listens at the address. The caller may be told that its request did
+// not run, since no byte of it left.
+BOOST_AUTO_TEST_CASE(RefusedConnectSendsNothing) {
+  endpoint nobody;
+  {
+    auto server = Serve([](http_exchange&) {});
+    nobody = server->Address();
+  }
+  http_connection connection(Loop(), nobody);
+  recorded_call call;
+  connection.Start({"POST", "/", {}, "body"}, Soon(), call);
+  BOOST_REQUIRE(RunUntil([&] { return call.failed; }));
+  BOOST_TEST((call.failure.problem == call_problem::kConnectFailed));
+  BOOST_TEST(!call.failure.bytes_sent);
+  BOOST_TEST(!connection.IsReusable());
+}
+
+// The far side takes the request and then goes away. A caller who was told
+// "not run" would book twice.
+BOOST_AUTO_TEST_CASE(LostAnswerCountsAsSent) {
+  auto server = Serve([](http_exchange& exchange) { exchange.Abort(); });
+  http_connection connection(Loop(), server->Address());
+  recorded_call call;
+  connection.Start({"POST", "/", {}, "body"}, Soon(), call);
+  BOOST_REQUIRE(RunUntil([&] { return call.failed; }));
+  BOOST_TEST((call.failure.problem == call_problem::kConnectionLost));
+  BOOST_TEST(call.failure.bytes_sent);
+}
+
+// The far side dies in the middle of its answer. What has come looks like an
+// answer, but the caller must not take it for a whole one.
+BOOST_AUTO_TEST_CASE(ShortBodyIsAnError) {
+  for (const bool with_length : {true, false}) {
+    auto server = Serve([&](http_exchange& exchange) {
+      http_headers headers;
+      if (with_length) headers.push_back({"Content-Length", "100"});
+      exchange.StartReply({200, headers});
+      exchange.SendBody("only this");
+      // After the bytes have left, so that they arrive before the end.
+      exchange.OnDrained([&exchange] { exchange.Abort(); });
+    });
+    http_connection connection(Loop(), server->Address());
+    recorded_call call;
+    connection.Start({"GET", "/", {}, ""}, Soon(), call);
+    BOOST_REQUIRE(RunUntil([&] { return call.failed || call.done; }));
+    BOOST_TEST(call.failed);
+    BOOST_TEST((call.failure.problem == call_problem::kIncomplete));
+  }
+}
+
+// The answer to a request that timed out arrives after all, while the next
+// request waits on the same connection. Whoever waits must not get it.
+BOOST_AUTO_TEST_CASE(TimedOutConnectionIsNotUsedAgain) {
+  http_exchange* held = nullptr;
+  auto server = Serve([&](http_exchange& exchange) {
+    held = &exchange;
+    exchange.OnGone([&] { held = nullptr; });
+  });
+  http_connection connection(Loop(), server->Address());
+  recorded_call call;
+  connection.Start({"GET", "/", {}, ""},
+                   MonotonicNow() + std::chrono::milliseconds(50), call);
+  BOOST_REQUIRE(RunUntil([&] { return call.failed; }));
+  BOOST_TEST((call.failure.problem == call_problem::kTimedOut));
+  BOOST_TEST(!connection.IsReusable());
+}
+
+BOOST_AUTO_TEST_CASE(CancelReachesTheServer) {
+  bool started = false;
+  bool gone = false;
+  auto server = Serve([&](http_exchange& exchange) {
+    started = true;
+    exchange.OnGone([&] { gone = true; });
+  });
+  http_connection connection(Loop(), server->Address());
+  recorded_call call;
+  connection.Start({"GET", "/", {}, ""}, Soon(), call);
+  BOOST_REQUIRE(RunUntil([&] { return started; }));
+  connection.Cancel();
+  BOOST_REQUIRE(RunUntil([&] { return gone; }));
+  BOOST_TEST(!call.failed);
+}
+
+BOOST_AUTO_TEST_CASE(CancelInsideCallbacksIsSafe) {
+  auto server = Serve([](http_exchange& exchange) {
+    exchange.Reply({{200, {}}, std::string(100000, 'x')});
+  });
+  for (const bool in_head : {true, false}) {
+    http_connection connection(Loop(), server->Address());
+    recorded_call call;
+    bool cancelled = false;
+    const auto cancel = [&] {
+      connection.Cancel();
+      cancelled = true;
+    };
+    if (in_head) {
+      call.on_head = cancel;
+    } else {
+      call.on_body = cancel;
+    }
+    connection.Start({"GET", "/", {}, ""}, Soon(), call);
+    BOOST_REQUIRE(RunUntil([&] { return cancelled; }));
+    BOOST_TEST(!connection.IsReusable());
+    BOOST_TEST(!call.done);
+  }
+}
+
+// A caller that reads slowly must not make the sender hold a whole download:
+// bytes wait at their source while the reader pauses.
+BOOST_AUTO_TEST_CASE(PausedReaderHoldsTheSenderBack) {
+  constexpr std::size_t kBodySize = 32u << 20;
+  std::size_t sent = 0;
+  std::function<void(http_exchange&)> send_more = [&](http_exchange& exchange) {
+    if (sent == kBodySize) {
+      exchange.FinishBody();
+      return;
+    }
+    const std::string chunk(64 * 1024, 'x');
+    sent += chunk.size();
+    exchange.SendBody(chunk);
+  };
+  auto server = Serve([&](http_exchange& exchange) {
+    exchange.StartReply({200, {{"Content-Length", std::to_string(kBodySize)}}});
+    exchange.OnDrained([&] { send_more(exchange); });
+    send_more(exchange);
+  });
+  http_connection connection(Loop(), server->Address());
+  recorded_call call;
+  call.on_head = [&] { connection.PauseReading(); };
+  connection.Start({"GET", "/", {}, ""}, Soon(), call);
+  std::size_t before = 1;
+  BOOST_REQUIRE(RunUntil([&] { return call.status == 200; }));
+  // Until the kernel's buffers are full and nothing more moves.
+  while (before != sent) {
+    before = sent;
+    for (int i = 0; i < 2000; ++i) Loop().RunOnce();
+  }
+  BOOST_TEST(sent < kBodySize);
+  connection.ResumeReading();
+  BOOST_REQUIRE(RunUntil([&] { return call.done; }));
+  BOOST_TEST(call.body.size() == kBodySize);
+}
+
+// A caller opens a connection and sends its request a byte at a time. Many
+// such callers would hold every connection, so each is closed at a deadline.
+BOOST_AUTO_TEST_CASE(DribblingCallerIsClosed) {
+  http_server_limits limits;
+  limits.request_deadline_after = std::chrono::milliseconds(300);
+  auto server = Serve([](http_exchange&) {}, limits);
+  http_connection connection(Loop(), server->Address());
+  // A request whose announced body never comes.
+  recorded_call call;
+  connection.Start({"POST", "/", {{"Content-Length", "10"}}, ""}, Soon(), call);
+  BOOST_REQUIRE(RunUntil([&] { return call.failed; }));
+  BOOST_TEST((call.failure.problem == call_problem::kConnectionLost));
+}
+
+// A caller sends its second request before it has the answer to the first.
+// Each must get its own answer, in order, and the server must live on.
+BOOST_AUTO_TEST_CASE(EarlySecondRequestWaitsItsTurn) {
+  std::vector<http_exchange*> open;
+  auto server = Serve([&](http_exchange& exchange) {
+    open.push_back(&exchange);
+    exchange.OnGone([] {});
+  });
+  raw_caller caller(server->Address());
+  caller.Send("GET /one HTTP/1.1\r\nHost: x\r\n\r\n");
+  BOOST_REQUIRE(RunUntil([&] { return open.size() == 1; }));
+  caller.Send("GET /two HTTP/1.1\r\nHost: x\r\n\r\n");
+  for (int i = 0; i < 200; ++i) Loop().RunOnce();
+  BOOST_TEST(open.size() == 1u);
+  open[0]->Reply({{200, {}}, "first"});
+  BOOST_REQUIRE(RunUntil([&] { return open.size() == 2; }));
+  BOOST_TEST(open[1]->Request().target == "/two");
+  open[1]->Reply({{200, {}}, "second"});
+  BOOST_REQUIRE(RunUntil(
+      [&] { return caller.Received().find("second") != std::string::npos; }));
+  BOOST_TEST(caller.Received().find("first") <
+             caller.Received().find("second"));
+}
+
+BOOST_AUTO_TEST_CASE(BoundAddressIsAnError) {
+  auto server = Serve([](http_exchange&) {});
+  const auto second =
+      http_server::Make(Loop(), server->Address(), {}, [](http_exchange&) {});
+  BOOST_REQUIRE(!IsOk(second));
+  BOOST_TEST(ErrorOf(second).message.find("in use") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace citron
