--- a/include/citron/base/endpoint.h
+++ b/include/citron/base/endpoint.h
@@ -15,6 +15,7 @@
   std::string address;
   std::uint16_t port = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on a default <=>.
   friend auto operator<=>(const endpoint&, const endpoint&) = default;
 
   bool IsEmpty() const { return address.empty(); }
--- a/include/citron/base/strong_id.h
+++ b/include/citron/base/strong_id.h
@@ -18,6 +18,7 @@
   const std::string& Str() const { return value_; }
   bool IsEmpty() const { return value_.empty(); }
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on a default <=>.
   friend auto operator<=>(const strong_id&, const strong_id&) = default;
 
  private:
--- a/include/citron/net/http_server.h
+++ b/include/citron/net/http_server.h
@@ -23,8 +23,8 @@
 namespace citron {
 
 struct http_server_limits {
-  std::size_t max_header_bytes = 16 * 1024;
-  std::size_t max_body_bytes = 1024 * 1024;
+  std::size_t max_header_bytes = std::size_t{16} << 10;
+  std::size_t max_body_bytes = std::size_t{1} << 20;
   // From accept, or from the end of the last answer, to a whole request.
   duration request_deadline_after = std::chrono::seconds(15);
   // How long a write may make no progress.
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -21,7 +21,7 @@
 constexpr duration kMaxIdleAge = std::chrono::seconds(8);
 // libevent's own timeout must never come before a call's deadline.
 constexpr int kLibraryTimeoutSeconds = 24 * 3600;
-constexpr std::size_t kMaxAnswerHeaderBytes = 64 * 1024;
+constexpr std::size_t kMaxAnswerHeaderBytes = std::size_t{64} << 10;
 
 evhttp_cmd_type Command(const std::string& method) {
   if (method == "POST") return EVHTTP_REQ_POST;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -26,7 +26,7 @@
 constexpr int kListenBacklog = 1024;
 constexpr std::size_t kNoReadMark = SIZE_MAX;
 // Input taken in while a request runs; more waits in the kernel.
-constexpr std::size_t kMaxEarlyInput = 64 * 1024;
+constexpr std::size_t kMaxEarlyInput = std::size_t{64} << 10;
 
 std::string MethodName(evhttp_cmd_type command) {
   switch (command) {
--- a/src/net/http_types.cc
+++ b/src/net/http_types.cc
@@ -20,7 +20,8 @@
 }
 
 std::string_view http_request::Path() const {
-  return std::string_view(target).substr(0, target.find('?'));
+  const std::string_view whole = target;
+  return whole.substr(0, whole.find('?'));
 }
 
 std::optional<std::string> http_request::Query(std::string_view name) const {
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -246,7 +246,7 @@
       exchange.FinishBody();
       return;
     }
-    const std::string chunk(64 * 1024, 'x');
+    const std::string chunk(std::size_t{64} << 10, 'x');
     sent += chunk.size();
     exchange.SendBody(chunk);
   };
