Configuration replica with pages, tombstones and freshness

A late delta could bring a removed key back once its tombstone was forgotten: the object's own revision no longer told. Checking the replica's whole revision prevents it, as the replica has every change up to there.

--- a/include/citron/protocol/config_replica.h
+++ b/include/citron/protocol/config_replica.h
@@ -121,6 +121,11 @@
   std::size_t TombstoneCount() const { return tombstones_; }
 
  private:
+  struct stored_item {
+    std::string value;
+    config_revision revision = 0;
+    bool removed = false;
+  };
   struct outstanding_pull {
     vm_id vm;
     monotonic_time expires_at;
@@ -144,11 +149,12 @@
   actions OnSnapshotPage(const vm_id& peer, const config_delta& delta,
                          monotonic_time asked, monotonic_time now);
   actions Pull(const vm_id& peer, pull_request request, monotonic_time now);
+  pull_request NextRequest() const;
   void RaiseFreshness(monotonic_time at);
 
   config_replica_options options_;
   // Tombstones included.
-  std::map<std::string, config_item, std::less<>> items_;
+  std::map<std::string, stored_item, std::less<>> items_;
   // The same items in order of revision; the views point into items_.
   std::set<std::pair<config_revision, std::string_view>> by_revision_;
   std::set<std::pair<config_revision, std::string_view>> tombstone_order_;
