Membership: full heartbeats in a zone, digests between zones

Counted in the test: a VM's messages for one interval are the zone's size plus the number of zones, or the fleet's size up to 24 VMs. When all relays die at once, each zone's new relay would write to dead ones for ever; while a zone has no member that speaks, its members are tried in turn.

--- a/include/citron/protocol/membership.h
+++ b/include/citron/protocol/membership.h
@@ -69,15 +69,20 @@
 struct zone_digest {
   zone_id zone;
   vm_id relay;
+  endpoint control;  // The relay's.
+  incarnation_number incarnation = 0;
   std::uint64_t sequence = 0;
   std::uint64_t hash = 0;
   config_revision revision = 0;
   duration config_age{};
+  duration interval{};
 };
 
 // Asks for the zones where the sender's hash differs from the receiver's.
 struct zone_pull {
   vm_id from;
+  zone_id zone;
+  endpoint control;
   zone_hashes hashes;
 };
 
@@ -158,7 +163,7 @@
                           const std::set<vm_id>& gone, monotonic_time now);
   actions OnHeartbeat(const heartbeat& message, monotonic_time now);
   actions OnZoneDigest(const zone_digest& message, monotonic_time now);
-  actions OnZonePull(const zone_pull& message, monotonic_time now);
+  actions OnZonePull(const zone_pull& message) const;
   actions OnZoneMembers(const vm_id& from, const zone_members& message,
                         monotonic_time now);
   // Sends what is due and finds who has become silent.
@@ -173,7 +178,7 @@
   const member_info* Find(const vm_id& vm) const;
   // VMs that look-ups may name: live, and listed ones not heard yet.
   std::vector<member_info> Usable() const;
-  // Lowest id of the zone's members that are live.
+  // Lowest id of the zone's members that are live; empty if there is none.
   vm_id RelayOf(const zone_id& zone) const;
   bool IsRelay() const;
   bool AllToAll() const;
@@ -186,41 +191,59 @@
     std::uint64_t sequence = 0;
     bool listed = false;
     bool listed_leaving = false;
-    bool heard = false;         // Ever, by itself or through a relay.
-    bool heard_direct = false;  // By its own heartbeat.
-    monotonic_time silent_at;   // When it counts as silent, if heard directly.
+    bool heard = false;         // By itself or through a relay.
+    bool heard_direct = false;  // By its own heartbeat, last.
+    monotonic_time silent_at;   // Counts as silent from here, if heard direct.
+    monotonic_time forget_at;
     member_state shown = member_state::kListed;
+    bool is_shown = false;
+  };
+  // What a zone's relays said lately; kept by a relay only.
+  struct zone_contact {
+    monotonic_time silent_at;
+    vm_id relay;
+    incarnation_number incarnation = 0;
+    std::uint64_t sequence = 0;
+  };
+  struct cached_hashes {
+    std::optional<std::uint64_t> told;
+    std::optional<std::uint64_t> judged;
   };
 
+  bool IsSelf(const vm_id& vm) const { return vm == options_.self.vm; }
+  bool IsOwnZone(const zone_id& z) const { return z == options_.self.zone; }
   member_state Judge(const record& r, monotonic_time now) const;
-  void Refresh(record& r, monotonic_time now, actions& out);
+  bool Refresh(record& r, bool changed, monotonic_time now, actions& out);
   void RefreshAll(monotonic_time now, actions& out);
-  bool IsSelf(const vm_id& vm) const { return vm == options_.self.vm; }
-  heartbeat MakeHeartbeat();
-  zone_digest MakeDigest();
+  void RefreshContacts(monotonic_time now);
+  void TellChange(const record& r, actions& out);
+  record& Add(const member_info& info);
+  void Forget(const vm_id& vm);
+  bool TakeInfo(const member_info& info, bool direct, monotonic_time now);
+  void DropAbsent(const zone_members& message);
   void SendHeartbeats(actions& out);
   void SendDigests(actions& out);
-  void TellRelays(const std::vector<member_info>& changed, actions& out);
+  void TellRelays(const zone_members& message, actions& out);
   void TellZone(const zone_members& message, actions& out);
-  std::vector<member_info> MembersOf(const zone_id& zone) const;
-  std::uint64_t HashOf(const zone_id& zone) const;
-  zone_hashes Hashes() const;
+  const member_info* Target(const zone_id& zone) const;
+  bool ZoneIsSilent(const zone_id& zone, monotonic_time now) const;
+  zone_members MembersOf(const zone_id& zone, bool judged) const;
+  std::uint64_t HashOf(const zone_id& zone, bool judged) const;
+  zone_hashes ToldHashes() const;
   std::uint64_t WorldHash() const;
-  bool TakeInfo(const member_info& info, bool direct, monotonic_time now,
-                actions& out);
-  void DropAbsent(const zone_members& message, monotonic_time now,
-                  actions& out);
-  std::set<zone_id> OtherZones() const;
+  zone_pull MakePull() const;
+  duration SilentAfter(duration interval) const;
 
   membership_options options_;
   std::map<vm_id, record> members_;  // Without self.
   std::map<zone_id, std::set<vm_id>> zones_;
-  std::map<vm_id, std::uint64_t> digest_sequences_;
+  std::map<zone_id, zone_contact> contacts_;
+  mutable std::map<zone_id, cached_hashes> hashes_;
   std::set<vm_id> drained_;
   std::set<vm_id> gone_;
   std::uint64_t sequence_ = 0;
   config_revision revision_ = 0;
-  duration config_age_{};
+  duration config_age_ = duration::max();
   monotonic_time next_at_ = monotonic_time::min();
   int world_mismatches_ = 0;
 };
--- /dev/null
+++ b/tests/protocol/membership_test.cc
@@ -0,0 +1,249 @@
+#include "citron/protocol/membership.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+#include <deque>
+#include <pcg_random.hpp>
+
+using namespace citron;
+using namespace citron::membership_action;
+
+namespace {
+
+monotonic_time At(double seconds) {
+  return monotonic_time() + FromSeconds(seconds);
+}
+
+member_info Vm(int zone, int number, incarnation_number incarnation = 1) {
+  member_info info;
+  info.vm = vm_id("vm-" + std::to_string(100 * zone + number));
+  info.zone = zone_id("z" + std::to_string(zone));
+  info.region = region_id("r");
+  info.incarnation = incarnation;
+  return info;
+}
+
+heartbeat Beat(const member_info& from, std::uint64_t sequence) {
+  heartbeat message;
+  message.member = from;
+  message.sequence = sequence;
+  message.interval = FromSeconds(1);
+  return message;
+}
+
+membership MakeMembership(const member_info& self) {
+  membership_options options;
+  options.self = self;
+  return membership(options);
+}
+
+// Many VMs in one process; messages arrive in the next half second.
+class fake_fleet {
+ public:
+  fake_fleet(int zones, int vms_per_zone) {
+    std::vector<listed_vm> list;
+    for (int z = 1; z <= zones; ++z) {
+      for (int n = 1; n <= vms_per_zone; ++n) {
+        const member_info info = Vm(z, n);
+        vms_.emplace(info.vm, MakeMembership(info));
+        list.push_back({info.vm, info.zone, info.region, {}, false});
+      }
+    }
+    for (auto& [vm, m] : vms_) Do(vm, m.OnPlatformList(list, At(time_)));
+  }
+
+  void Kill(const vm_id& vm) { vms_.erase(vm); }
+  void Run(double seconds, int loss_percent = 0) {
+    for (const double end = time_ + seconds; time_ < end; time_ += 0.5) {
+      for (auto& [vm, m] : vms_) Do(vm, m.OnTimer(At(time_)));
+      for (std::size_t left = network_.size(); left > 0; --left) {
+        const auto [to, a] = network_.front();
+        network_.pop_front();
+        const auto found = vms_.find(to);
+        const bool lost = static_cast<int>(random_(100)) < loss_percent;
+        if (found != vms_.end() && !lost) Deliver(to, found->second, a);
+      }
+    }
+  }
+  std::map<vm_id, membership>& Vms() { return vms_; }
+  std::map<vm_id, int> sent;
+
+ private:
+  void Do(const vm_id& from, const membership::actions& list) {
+    for (const membership::action& a : list) {
+      std::visit(
+          [&](const auto& sending) {
+            if constexpr (requires { sending.to; }) {
+              ++sent[from];
+              network_.emplace_back(sending.to, std::make_pair(from, a));
+            }
+          },
+          a);
+    }
+  }
+  void Deliver(const vm_id& to, membership& m,
+               const std::pair<vm_id, membership::action>& sent_by) {
+    const auto& [from, a] = sent_by;
+    if (const auto* beat = std::get_if<send_heartbeat>(&a)) {
+      Do(to, m.OnHeartbeat(beat->message, At(time_)));
+    } else if (const auto* digest = std::get_if<send_zone_digest>(&a)) {
+      Do(to, m.OnZoneDigest(digest->message, At(time_)));
+    } else if (const auto* pull = std::get_if<send_zone_pull>(&a)) {
+      Do(to, m.OnZonePull(pull->message));
+    } else if (const auto* news = std::get_if<send_zone_members>(&a)) {
+      Do(to, m.OnZoneMembers(from, news->message, At(time_)));
+    }
+  }
+
+  std::map<vm_id, membership> vms_;
+  std::deque<std::pair<vm_id, std::pair<vm_id, membership::action>>> network_;
+  double time_ = 1;
+  pcg32 random_{7};
+};
+
+// Everybody sees `live` as live, and `silent` not.
+void CheckAllSee(fake_fleet& fleet, const std::set<vm_id>& silent) {
+  for (auto& [vm, m] : fleet.Vms()) {
+    for (const auto& [other, unused] : fleet.Vms()) {
+      if (other == vm) continue;
+      BOOST_TEST_INFO(vm.Str() << " about " << other.Str());
+      BOOST_REQUIRE((m.StateOf(other) == member_state::kLive));
+    }
+    for (const vm_id& other : silent) {
+      BOOST_TEST_INFO(vm.Str() << " about " << other.Str());
+      BOOST_REQUIRE((m.StateOf(other) != member_state::kLive));
+    }
+  }
+}
+
+}  // namespace
+
+// A VM was restarted, and a heartbeat that its old process sent arrives after
+// the new one's. Taking it would send callers to the old process's ports.
+BOOST_AUTO_TEST_CASE(LateHeartbeatOfOldProcessIsDropped) {
+  membership m = MakeMembership(Vm(1, 1));
+  member_info old = Vm(1, 2, 5);
+  member_info renewed = Vm(1, 2, 6);
+  renewed.entry = {"127.0.0.9", 80};
+  m.OnHeartbeat(Beat(old, 90), At(0));
+  m.OnHeartbeat(Beat(renewed, 1), At(1));
+  BOOST_TEST(m.OnHeartbeat(Beat(old, 91), At(2)).empty());
+  BOOST_TEST((m.Find(old.vm)->entry == renewed.entry));
+  BOOST_TEST(m.OnHeartbeat(Beat(renewed, 1), At(2)).empty());
+}
+
+// A VM stops gracefully; a heartbeat from before that comes in late. Callers
+// must not be sent to it any more, from the first word on.
+BOOST_AUTO_TEST_CASE(LeavingVmIsOutAtOnceAndForGood) {
+  membership m = MakeMembership(Vm(1, 1));
+  member_info other = Vm(1, 2);
+  m.OnHeartbeat(Beat(other, 1), At(0));
+  BOOST_TEST(m.Usable().size() == 2u);
+  other.leaving = true;
+  m.OnHeartbeat(Beat(other, 3), At(1));
+  BOOST_TEST(m.Usable().size() == 1u);
+  other.leaving = false;
+  m.OnHeartbeat(Beat(other, 4), At(2));
+  BOOST_TEST((m.StateOf(other.vm) == member_state::kLeaving));
+}
+
+// A VM hangs for some seconds. Three lost heartbeats change nothing; after the
+// fourth, callers are sent elsewhere until it speaks again.
+BOOST_AUTO_TEST_CASE(SilentVmLeavesLookUpsUntilItSpeaks) {
+  membership m = MakeMembership(Vm(1, 1));
+  const member_info other = Vm(1, 2);
+  m.OnHeartbeat(Beat(other, 1), At(0));
+  m.OnTimer(At(3.9));
+  BOOST_TEST((m.StateOf(other.vm) == member_state::kLive));
+  m.OnTimer(At(4));
+  BOOST_TEST((m.StateOf(other.vm) == member_state::kSilent));
+  m.OnHeartbeat(Beat(other, 2), At(5));
+  BOOST_TEST((m.StateOf(other.vm) == member_state::kLive));
+}
+
+// Operators' words go before what is heard.
+BOOST_AUTO_TEST_CASE(OperatorsWordsAreObeyed) {
+  membership m = MakeMembership(Vm(1, 1));
+  const member_info other = Vm(1, 2);
+  m.OnHeartbeat(Beat(other, 1), At(0));
+  m.OnOperatorWords({other.vm}, {}, At(1));
+  BOOST_TEST((m.StateOf(other.vm) == member_state::kDraining));
+  m.OnOperatorWords({}, {other.vm}, At(1));
+  BOOST_TEST((m.StateOf(other.vm) == member_state::kGone));
+  BOOST_TEST(m.Usable().size() == 1u);
+}
+
+// The platform's list names a VM whose heartbeats can't be heard yet; callers
+// may be sent there. One that the list calls leaving is out.
+BOOST_AUTO_TEST_CASE(ListedVmsAreUsableBeforeTheyAreHeard) {
+  membership m = MakeMembership(Vm(1, 1));
+  const member_info a = Vm(1, 2);
+  const member_info b = Vm(1, 3);
+  m.OnPlatformList(
+      {{a.vm, a.zone, a.region, {}, false}, {b.vm, b.zone, b.region, {}, true}},
+      At(0));
+  BOOST_TEST(m.Usable().size() == 2u);
+  BOOST_TEST((m.StateOf(b.vm) == member_state::kLeaving));
+}
+
+// What a daemon sends each interval grows with its zone and the number of
+// zones, not with the fleet.
+BOOST_AUTO_TEST_CASE(MessagesGrowWithZoneAndZonesOnly) {
+  struct size {
+    int zones;
+    int vms;
+  };
+  for (const size s : {size{2, 5}, size{6, 6}, size{12, 6}, size{6, 12}}) {
+    fake_fleet fleet(s.zones, s.vms);
+    fleet.Run(120);
+    CheckAllSee(fleet, {});
+    fleet.sent.clear();
+    const double interval = ToSeconds(fleet.Vms().begin()->second.Interval());
+    fleet.Run(100 * interval);
+    int most = 0;
+    for (const auto& [vm, count] : fleet.sent) most = std::max(most, count);
+    const int all_to_all = s.zones * s.vms - 1;
+    const int relayed = s.vms - 1 + s.zones - 1;
+    const int expected = all_to_all < 24 ? all_to_all : relayed;
+    // The fake's clock moves in half seconds.
+    const double effective = std::ceil(interval / 0.5) * 0.5;
+    const double rounds = 100 * interval / effective;
+    BOOST_TEST(most <= (rounds + 1) * expected);
+    BOOST_TEST(most >= (rounds - 1) * expected);
+  }
+}
+
+// A rack goes and takes the relays of all zones with it. Each zone's new relay
+// knows only dead ones of the others; they must find each other all the same,
+// and callers must not be sent to the dead.
+BOOST_AUTO_TEST_CASE(AllRelaysDieAtOnce) {
+  fake_fleet fleet(6, 6);
+  fleet.Run(60);
+  std::set<vm_id> dead;
+  for (int z = 1; z <= 6; ++z) dead.insert(Vm(z, 1).vm);
+  for (const vm_id& vm : dead) fleet.Kill(vm);
+  fleet.Run(120);
+  CheckAllSee(fleet, dead);
+}
+
+// A fifth of all messages is lost for minutes. Once they arrive again, all
+// must agree, although most news are told only once.
+BOOST_AUTO_TEST_CASE(LostMessagesAreMadeUpFor) {
+  fake_fleet fleet(5, 7);
+  fleet.Run(100, 20);
+  fleet.Kill(Vm(3, 4).vm);
+  fleet.Run(100, 20);
+  fleet.Run(60);
+  CheckAllSee(fleet, {Vm(3, 4).vm});
+}
+
+// Every VM of a zone is cut off. The others must hear of it, and of its return.
+BOOST_AUTO_TEST_CASE(CutOffZoneIsSilent) {
+  fake_fleet fleet(6, 6);
+  fleet.Run(60);
+  std::set<vm_id> dead;
+  for (int n = 1; n <= 6; ++n) dead.insert(Vm(2, n).vm);
+  for (const vm_id& vm : dead) fleet.Kill(vm);
+  fleet.Run(60);
+  CheckAllSee(fleet, dead);
+}
