--- /dev/null
+++ b/include/citron/protocol/admission.h
@@ -0,0 +1,67 @@
+#ifndef CITRON_PROTOCOL_ADMISSION_H_
+#define CITRON_PROTOCOL_ADMISSION_H_
+
+#include <cstdint>
+#include <unordered_map>
+#include <variant>
+
+#include "citron/base/strong_id.h"
+#include "citron/base/time.h"
+#include "citron/protocol/share_holder.h"
+#include "citron/protocol/token_bucket.h"
+
+namespace citron {
+
+struct admitted {};
+// `retry_at` is when this entry expects to have a token again.
+struct over_rate {
+  monotonic_time retry_at{};
+};
+// The workspace has no contract here.
+struct no_contract {};
+using admit_result = std::variant<admitted, over_rate, no_contract>;
+
+// One workspace's limit at one event loop of an entry.
+struct workspace_limit {
+  token_bucket bucket;
+  std::uint64_t arrivals = 0;  // Requests seen, admitted or not.
+  std::uint64_t refusals = 0;
+};
+
+// Admits requests under this loop's part of each workspace's contract. One for
+// each event loop; not for use by several threads.
+class admission {
+ public:
+  // `share_starts_at`: the loop's own share counts from then on. An entry that
+  // restarted doesn't know what its predecessor lent, so it is the start plus
+  // the longest loan with its margin (loan_settings::SettleTime).
+  explicit admission(monotonic_time share_starts_at);
+
+  // The VM's share, of which this loop has one of `divisor` equal parts.
+  void SetShare(const vm_share& share, int divisor, monotonic_time now);
+  void SetContract(const workspace_id& workspace, double rate_per_s,
+                   double burst, monotonic_time now);
+  void RemoveContract(const workspace_id& workspace);
+
+  admit_result Admit(const workspace_id& workspace, monotonic_time now);
+
+  // For loan_book; null without a contract.
+  workspace_limit* Find(const workspace_id& workspace);
+  std::unordered_map<workspace_id, workspace_limit>& Limits() {
+    return limits_;
+  }
+  // The loop's own part, without loans, that it surely has until `until`.
+  std::int64_t OwnPpbUntil(monotonic_time until) const;
+
+ private:
+  void ApplyShare(token_bucket& bucket, monotonic_time now) const;
+
+  std::unordered_map<workspace_id, workspace_limit> limits_;
+  monotonic_time share_starts_at_;
+  vm_share share_;
+  int divisor_ = 1;
+};
+
+}  // namespace citron
+
+#endif  // CITRON_PROTOCOL_ADMISSION_H_
--- /dev/null
+++ b/include/citron/protocol/share_holder.h
@@ -0,0 +1,175 @@
+#ifndef CITRON_PROTOCOL_SHARE_HOLDER_H_
+#define CITRON_PROTOCOL_SHARE_HOLDER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <pcg_random.hpp>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "citron/base/strong_id.h"
+#include "citron/base/time.h"
+#include "citron/protocol/share_table.h"
+
+namespace citron {
+
+struct share_settings {
+  int floor_ppm = 750'000;  // Part of a VM's share that is its floor.
+  duration lease = std::chrono::seconds(9);
+  // What clocks of two VMs may drift apart during one lease.
+  duration margin = std::chrono::seconds(1);
+  duration renew_interval = std::chrono::seconds(3);
+  duration reply_timeout = std::chrono::seconds(1);
+  // Silence after which a floor is given on.
+  duration floor_horizon = std::chrono::hours(6);
+  // How long a loan granted under an earlier share may still be in use.
+  duration loan_settle = std::chrono::milliseconds(2500);
+};
+
+// What the entries of this VM may use. Entries apply it at once and report it
+// applied; the parts end by themselves at their deadlines.
+struct vm_share {
+  int floor_ppm = 0;
+  int leased_ppm = 0;
+  monotonic_time leased_until{};
+  monotonic_time floor_until{};
+  std::uint64_t sequence = 0;  // Grows with each grant of one control process.
+};
+
+// Actions for the driver.
+struct read_table {};
+struct write_table {
+  std::string json;
+  // The revision at which the table must still stand; 0: must not exist.
+  std::uint64_t expected_revision = 0;
+};
+struct grant_changed {
+  vm_share share;
+};
+struct arm_timer {
+  monotonic_time at{};  // Replaces the timer armed before.
+};
+// A graceful release has reached the table; the process may go.
+struct release_done {};
+
+using share_action = std::variant<read_table, write_table, grant_changed,
+                                  arm_timer, release_done>;
+using share_actions = std::vector<share_action>;
+
+// Results of a compare-and-swap.
+struct cas_ok {
+  std::uint64_t revision = 0;
+};
+struct cas_conflict {
+  std::string json;  // The value that stands; "" when there is none.
+  std::uint64_t revision = 0;
+};
+// No answer, or an error after which the write may have taken effect.
+struct cas_unknown {};
+using cas_result = std::variant<cas_ok, cas_conflict, cas_unknown>;
+
+// Holds this VM's share of the fleet's limits by way of the table in the
+// store: renews it, makes room for others, takes over what has lapsed. One for
+// each control process. Every event returns the actions to carry out, in
+// order. At most one read or write is out at a time.
+class share_holder {
+ public:
+  share_holder(vm_id vm, zone_id zone, std::uint64_t incarnation,
+               const share_settings& settings, std::uint64_t seed);
+
+  share_actions Start(monotonic_time now);
+  share_actions OnTimer(monotonic_time now);
+  // `json` is "" and `revision` 0 when the store has no table.
+  share_actions OnTableRead(const std::string& json, std::uint64_t revision,
+                            monotonic_time now);
+  share_actions OnReadFailed(monotonic_time now);
+  share_actions OnCasResult(const cas_result& result, monotonic_time now);
+  // VMs that an operator has declared dead; their parts are given on.
+  share_actions OnGoneVms(const std::set<vm_id>& gone, monotonic_time now);
+  // All entry processes of this VM have applied the grant of this sequence, or
+  // a later one. A part is lowered in the table only after this.
+  share_actions OnGrantApplied(std::uint64_t sequence, monotonic_time now);
+  // A graceful leave: stops the entries, then gives the share back.
+  share_actions OnRelease(monotonic_time now);
+
+  const vm_share& Share() const { return share_; }
+  // The table as last seen, for status pages.
+  const share_table& Table() const { return table_; }
+  bool IsReleased() const { return released_; }
+
+ private:
+  enum class phase { kIdle, kReading, kWriting };
+
+  // When this VM first saw another's entry as it stands.
+  struct sighting {
+    std::uint64_t incarnation = 0;
+    std::uint64_t renewals = 0;
+    monotonic_time since{};
+  };
+
+  struct parts {
+    int floor_ppm = 0;
+    int leased_ppm = 0;
+    int Sum() const { return floor_ppm + leased_ppm; }
+  };
+
+  // Fractions that were granted to the entries and are to be lowered.
+  struct lowering {
+    parts target;
+    std::uint64_t sequence = 0;
+    monotonic_time granted_until{};  // Of the leased part granted before.
+    std::optional<monotonic_time> applied_at;
+  };
+
+  void TakeTable(const std::string& json, std::uint64_t revision,
+                 monotonic_time now);
+  void RecordSightings(monotonic_time now);
+  bool IsSilentFor(const share_entry& entry, duration silence,
+                   monotonic_time now) const;
+  void Reclaim(share_table& next, monotonic_time now) const;
+  parts TargetOf(const share_table& next, monotonic_time now) const;
+  bool MayLower(const parts& target, monotonic_time now) const;
+  void BeginLowering(const parts& target, monotonic_time now,
+                     share_actions& actions);
+  void Write(monotonic_time now, share_actions& actions);
+  void ConfirmOwnWrite(monotonic_time now, share_actions& actions);
+  void Grant(const parts& granted, share_actions& actions);
+  void Read(monotonic_time now, share_actions& actions);
+  void ArmRenewal(monotonic_time now, share_actions& actions);
+  void ArmRetry(monotonic_time now, share_actions& actions);
+
+  const vm_id vm_;
+  const zone_id zone_;
+  const std::uint64_t incarnation_;
+  const share_settings settings_;
+  pcg32 random_;
+
+  phase phase_ = phase::kIdle;
+  share_table table_;
+  std::uint64_t revision_ = 0;
+  bool table_is_bad_ = false;
+  std::map<vm_id, sighting> sightings_;
+  std::set<vm_id> gone_;
+
+  // The write that is out, or whose result is unknown.
+  struct pending_write {
+    share_table table;
+    share_entry own;
+    monotonic_time asked_at{};
+  };
+  std::optional<pending_write> pending_;
+
+  vm_share share_;
+  std::optional<lowering> lowering_;
+  monotonic_time reply_deadline_{};
+  int failures_ = 0;
+  bool releasing_ = false;
+  bool released_ = false;
+};
+
+}  // namespace citron
+
+#endif  // CITRON_PROTOCOL_SHARE_HOLDER_H_
