--- a/include/citron/protocol/admission.h
+++ b/include/citron/protocol/admission.h
@@ -26,6 +26,8 @@
   token_bucket bucket;
   std::uint64_t arrivals = 0;  // Requests seen, admitted or not.
   std::uint64_t refusals = 0;
+  // The contract was withdrawn; kept while parts of it are lent.
+  bool is_withdrawn = false;
 };
 
 // Admits requests under this loop's part of each workspace's contract. One for
@@ -37,11 +39,12 @@
   // the longest loan with its margin (loan_settings::SettleTime).
   explicit admission(monotonic_time share_starts_at);
 
-  // The VM's share, of which this loop has one of `divisor` equal parts.
+  // The VM's share, of which this loop has one of `divisor` equal parts. The
+  // divisor may fall only loan_settings::SettleTime after a loop has gone.
   void SetShare(const vm_share& share, int divisor, monotonic_time now);
   void SetContract(const workspace_id& workspace, double rate_per_s,
                    double burst, monotonic_time now);
-  void RemoveContract(const workspace_id& workspace);
+  void RemoveContract(const workspace_id& workspace, monotonic_time now);
 
   admit_result Admit(const workspace_id& workspace, monotonic_time now);
 
@@ -50,8 +53,8 @@
   std::unordered_map<workspace_id, workspace_limit>& Limits() {
     return limits_;
   }
-  // The loop's own part, without loans, that it surely has until `until`.
-  std::int64_t OwnPpbUntil(monotonic_time until) const;
+  // The loop's own part, without loans, that it has from now until `until`.
+  std::int64_t OwnPpbUntil(monotonic_time now, monotonic_time until) const;
 
  private:
   void ApplyShare(token_bucket& bucket, monotonic_time now) const;
--- a/include/citron/protocol/loan_book.h
+++ b/include/citron/protocol/loan_book.h
@@ -73,6 +73,8 @@
   duration ask_timeout = std::chrono::milliseconds(300);
   // How long a lender that had nothing to spare isn't asked again.
   duration refused_pause = std::chrono::milliseconds(100);
+  // How long a workspace without arrivals still wants room for a request.
+  duration idle_after = std::chrono::seconds(5);
   int max_lenders = 16;  // Asked at once for one workspace.
   // Part of its own share that a lender without demand keeps.
   std::int64_t keep_ppm = 20'000;
@@ -90,7 +92,8 @@
   loan_book(entry_ref self, admission& limits, const loan_settings& settings,
             std::uint64_t seed);
 
-  // Entries that may lend, nearest first; without this one.
+  // Entries that may lend, nearest first, without this one; some dozens at
+  // most, as each timer goes over them.
   void SetPeers(std::vector<entry_ref> peers);
 
   loan_actions OnTimer(monotonic_time now);
@@ -106,8 +109,9 @@
   loan_actions OnRelease(monotonic_time now);
 
   // For status pages and tests.
-  std::int64_t BorrowedPpb(const workspace_id& workspace) const;
-  std::int64_t LentPpb(const workspace_id& workspace) const;
+  std::int64_t BorrowedPpb(const workspace_id& workspace,
+                           monotonic_time now) const;
+  std::int64_t LentPpb(const workspace_id& workspace, monotonic_time now) const;
 
  private:
   using peer_key = std::pair<workspace_id, entry_ref>;
@@ -136,13 +140,19 @@
     std::uint64_t counted_arrivals = 0;
     double per_s = 0;
     monotonic_time counted_at{};
+    monotonic_time arrived_at{};  // The last arrival, by the counts.
   };
 
   void Forget(monotonic_time now);
   void Measure(const workspace_id& workspace, workspace_limit& limit,
                monotonic_time now);
   std::int64_t WantedPpb(const workspace_id& workspace,
-                         const token_bucket& bucket) const;
+                         const token_bucket& bucket, monotonic_time now) const;
+  bool Concedes(const workspace_id& workspace, const token_bucket& bucket,
+                const entry_ref& other) const;
+  std::int64_t SparePpb(const workspace_id& workspace,
+                        const token_bucket& bucket, const entry_ref& borrower,
+                        monotonic_time now, monotonic_time until) const;
   void Balance(const workspace_id& workspace, workspace_limit& limit,
                monotonic_time now, loan_actions& actions);
   void Borrow(const workspace_id& workspace, std::int64_t missing_ppb,
@@ -165,6 +175,7 @@
   std::map<peer_key, lent_loan> lent_;
   std::uint64_t next_number_ = 1;
   std::uint64_t next_part_id_;
+  monotonic_time forget_at_{};
   bool released_ = false;
 };
 
--- a/include/citron/protocol/share_holder.h
+++ b/include/citron/protocol/share_holder.h
@@ -45,6 +45,9 @@
   std::string json;
   // The revision at which the table must still stand; 0: must not exist.
   std::uint64_t expected_revision = 0;
+  // Names this write in OnCasResult, so that a late result of an earlier one
+  // isn't taken for its own.
+  std::uint64_t id = 0;
 };
 struct grant_changed {
   vm_share share;
@@ -86,7 +89,8 @@
   share_actions OnTableRead(const std::string& json, std::uint64_t revision,
                             monotonic_time now);
   share_actions OnReadFailed(monotonic_time now);
-  share_actions OnCasResult(const cas_result& result, monotonic_time now);
+  share_actions OnCasResult(std::uint64_t write_id, const cas_result& result,
+                            monotonic_time now);
   // VMs that an operator has declared dead; their parts are given on.
   share_actions OnGoneVms(const std::set<vm_id>& gone, monotonic_time now);
   // All entry processes of this VM have applied the grant of this sequence, or
@@ -103,6 +107,18 @@
  private:
   enum class phase { kIdle, kReading, kWriting };
 
+  struct parts {
+    int floor_ppm = 0;
+    int leased_ppm = 0;
+
+    friend bool operator==(const parts&, const parts&) = default;
+    int Sum() const { return floor_ppm + leased_ppm; }
+    // Needs nothing that `held` doesn't have, through an outage too.
+    bool IsWithin(const parts& held) const {
+      return floor_ppm <= held.floor_ppm && Sum() <= held.Sum();
+    }
+  };
+
   // When this VM first saw another's entry as it stands.
   struct sighting {
     std::uint64_t incarnation = 0;
@@ -110,36 +126,46 @@
     monotonic_time since{};
   };
 
-  struct parts {
-    int floor_ppm = 0;
-    int leased_ppm = 0;
-    int Sum() const { return floor_ppm + leased_ppm; }
-  };
-
-  // Fractions that were granted to the entries and are to be lowered.
+  // The entries were told to use less; the table follows when they do.
   struct lowering {
     parts target;
-    std::uint64_t sequence = 0;
-    monotonic_time granted_until{};  // Of the leased part granted before.
+    std::uint64_t sequence = 0;         // Of the grant that told them.
+    monotonic_time leased_parts_end{};  // Of the grants before it.
     std::optional<monotonic_time> applied_at;
   };
 
-  void TakeTable(const std::string& json, std::uint64_t revision,
+  // The write that is out, or whose result is unknown.
+  struct pending_write {
+    share_table table;
+    std::uint64_t id = 0;
+    monotonic_time asked_at{};
+  };
+
+  bool TakeTable(const std::string& json, std::uint64_t revision,
                  monotonic_time now);
   void RecordSightings(monotonic_time now);
   bool IsSilentFor(const share_entry& entry, duration silence,
                    monotonic_time now) const;
-  void Reclaim(share_table& next, monotonic_time now) const;
-  parts TargetOf(const share_table& next, monotonic_time now) const;
-  bool MayLower(const parts& target, monotonic_time now) const;
-  void BeginLowering(const parts& target, monotonic_time now,
-                     share_actions& actions);
+  void ReclaimLapsed(share_table& next, monotonic_time now) const;
+  parts FairParts(const share_table& next, monotonic_time now) const;
+  parts NextParts(const share_table& next, monotonic_time now,
+                  share_actions& actions);
+  static parts Least(const parts& a, const parts& b);
+  bool IsLapsed(const share_entry& entry, monotonic_time now) const;
+  void Lower(const parts& target, share_actions& actions);
+  bool MayLowerTable(const parts& held, monotonic_time now) const;
   void Write(monotonic_time now, share_actions& actions);
-  void ConfirmOwnWrite(monotonic_time now, share_actions& actions);
-  void Grant(const parts& granted, share_actions& actions);
   void Read(monotonic_time now, share_actions& actions);
-  void ArmRenewal(monotonic_time now, share_actions& actions);
-  void ArmRetry(monotonic_time now, share_actions& actions);
+  bool PendingTookEffect() const;
+  void Confirm(std::uint64_t revision, monotonic_time now,
+               share_actions& actions);
+  bool CheckOwnEntry(share_actions& actions);
+  void GiveUpShare(share_actions& actions);
+  void Grant(const parts& granted, share_actions& actions);
+  void OnFailure(monotonic_time now, share_actions& actions);
+  void ArmNext(monotonic_time now, share_actions& actions);
+  void Arm(monotonic_time at, share_actions& actions);
+  duration Jittered(duration around);
 
   const vm_id vm_;
   const zone_id zone_;
@@ -148,24 +174,26 @@
   pcg32 random_;
 
   phase phase_ = phase::kIdle;
+  // Later than any moment at which a read or write that is out still counts.
+  monotonic_time reply_deadline_{};
+  monotonic_time next_write_at_{};
+  int failures_ = 0;   // Reads and writes without a result, in a row.
+  int conflicts_ = 0;  // Writes that lost, in a row.
+
   share_table table_;
   std::uint64_t revision_ = 0;
-  bool table_is_bad_ = false;
+  bool table_known_ = false;
   std::map<vm_id, sighting> sightings_;
   std::set<vm_id> gone_;
-
-  // The write that is out, or whose result is unknown.
-  struct pending_write {
-    share_table table;
-    share_entry own;
-    monotonic_time asked_at{};
-  };
   std::optional<pending_write> pending_;
+  std::uint64_t last_write_id_ = 0;
 
   vm_share share_;
+  // The end of every leased part that this VM's entries were ever granted, by
+  // an earlier process too.
+  monotonic_time leased_parts_end_{};
   std::optional<lowering> lowering_;
-  monotonic_time reply_deadline_{};
-  int failures_ = 0;
+  bool joined_ = false;  // The table has had an entry of this incarnation.
   bool releasing_ = false;
   bool released_ = false;
 };
--- /dev/null
+++ b/src/protocol/loan_book.cc
@@ -0,0 +1,406 @@
+#include "citron/protocol/loan_book.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "citron/base/digest.h"
+
+namespace citron {
+
+namespace {
+
+// Ids below are the admission's own parts.
+constexpr std::uint64_t kFirstPartId = 16;
+
+// Deviations of the arrivals above their mean that a part should carry: with
+// random arrivals one tick in fifty has more.
+constexpr double kDeviations = 2.0;
+
+// A part below this many tokens of capacity can't admit a request after a
+// pause; a small workspace's share of a large fleet is often less than one.
+constexpr double kLeastCapacity = 2.0;
+
+// Borrowed parts go back when they exceed what is wanted by this factor; in
+// between nothing moves, so that noise sends no messages.
+constexpr double kReturnAbove = 1.3;
+
+// Refusals may come by the thousand; the demand is worked out this often.
+constexpr duration kLeastMeasured = std::chrono::milliseconds(10);
+
+// A part smaller than this isn't worth a message.
+constexpr std::int64_t kLeastLoanPpb = kWholePpb / 10'000;
+
+// A loan is renewed when this part of it is over.
+constexpr double kRenewAfter = 0.5;
+
+// Asked for beyond what is missing, as some of the asked have nothing.
+constexpr double kOverAsk = 1.5;
+
+// Loans of hostile length would freeze the lender's share.
+constexpr std::int64_t kLongestLoanMs = 60'000;
+
+// Far above any time a message takes.
+constexpr duration kRememberFor = std::chrono::seconds(30);
+constexpr duration kForgetInterval = std::chrono::seconds(5);
+
+std::int64_t ToPpb(double fraction) {
+  return static_cast<std::int64_t>(std::clamp(fraction, 0.0, 1.0) *
+                                   static_cast<double>(kWholePpb));
+}
+
+std::uint64_t RankOf(const workspace_id& workspace, const entry_ref& entry) {
+  return HashBytes(
+      entry.vm.Str(),
+      HashBytes(workspace.Str(), static_cast<std::uint64_t>(entry.loop)));
+}
+
+std::int64_t ToWholeMs(duration d) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
+}  // namespace
+
+loan_book::loan_book(entry_ref self, admission& limits,
+                     const loan_settings& settings, std::uint64_t seed)
+    : self_(std::move(self)),
+      limits_(limits),
+      settings_(settings),
+      random_(seed),
+      next_part_id_(kFirstPartId) {}
+
+void loan_book::SetPeers(std::vector<entry_ref> peers) {
+  peers_ = std::move(peers);
+}
+
+loan_actions loan_book::OnTimer(monotonic_time now) {
+  loan_actions actions;
+  Forget(now);
+  if (released_) return actions;
+  for (auto& [workspace, limit] : limits_.Limits()) {
+    Measure(workspace, limit, now);
+    Balance(workspace, limit, now, actions);
+  }
+  return actions;
+}
+
+// Demand that moved here a moment ago is known only by its refusals until the
+// smoothed rate has risen.
+loan_actions loan_book::OnDemand(const workspace_id& workspace,
+                                 monotonic_time now) {
+  loan_actions actions;
+  workspace_limit* limit = limits_.Find(workspace);
+  if (limit == nullptr || released_) return actions;
+  if (now < demands_[workspace].counted_at + kLeastMeasured) return actions;
+  Measure(workspace, *limit, now);
+  Balance(workspace, *limit, now, actions);
+  return actions;
+}
+
+loan_actions loan_book::OnLoanAsk(const entry_ref& from, const loan_ask& ask,
+                                  monotonic_time now) {
+  loan_actions actions;
+  workspace_limit* limit = limits_.Find(ask.workspace);
+  if (limit == nullptr || released_ || from == self_) return actions;
+  if (ask.duration_ms <= 0 || ask.duration_ms > kLongestLoanMs) return actions;
+  const auto [found, added] = lent_.try_emplace(peer_key{ask.workspace, from});
+  lent_loan& lent = found->second;
+  if (added) lent.part_id = next_part_id_++;
+  // A repeat, or overtaken by a later message.
+  if (ask.number <= lent.number) return actions;
+  lent.number = ask.number;
+
+  token_bucket& bucket = limit->bucket;
+  bucket.Advance(now);
+  const monotonic_time until =
+      now + std::chrono::milliseconds(ask.duration_ms) + settings_.margin;
+  const std::int64_t lent_before = lent.until > now ? lent.ppb : 0;
+  const std::int64_t spare = SparePpb(ask.workspace, bucket, from, now, until);
+  const std::int64_t more = std::clamp<std::int64_t>(
+      ask.ppb - lent_before, 0, std::max<std::int64_t>(0, spare));
+  // A share that shrinks before the end can't carry what is lent on.
+  const bool may_extend = spare >= 0;
+  loan_grant grant{ask.workspace, ask.number, 0, 0, ask.duration_ms};
+  if (may_extend && lent_before + more > 0) {
+    const double tokens_part =
+        bucket.Ppb() > 0
+            ? static_cast<double>(more) / static_cast<double>(bucket.Ppb())
+            : 0;
+    grant.tokens =
+        bucket.TakeTokens(bucket.Tokens() * std::min(1.0, tokens_part), now);
+    grant.ppb = lent_before + more;
+    lent.ppb = grant.ppb;
+    lent.until = std::max(lent.until, until);
+    bucket.SetPart({lent.part_id, -lent.ppb, lent.until}, now);
+  }
+  actions.emplace_back(send_loan_grant{from, grant});
+  return actions;
+}
+
+void loan_book::OnLoanGrant(const entry_ref& from, const loan_grant& grant,
+                            monotonic_time now) {
+  const auto found = borrowed_.find(peer_key{grant.workspace, from});
+  workspace_limit* limit = limits_.Find(grant.workspace);
+  if (found == borrowed_.end() || limit == nullptr) return;
+  borrowed_loan& loan = found->second;
+  // Only the answer to the ask that is out counts, and once: the time of an
+  // earlier one is not known any more.
+  if (grant.number != loan.asked_number || grant.number <= loan.number) return;
+  loan.number = grant.number;
+  loan.asked_number = 0;
+  if (grant.ppb < loan.asked_ppb) {
+    loan.ask_again_at = now + settings_.refused_pause;
+  }
+  const monotonic_time until =
+      loan.asked_at +
+      std::min(loan.asked_duration,
+               duration(std::chrono::milliseconds(grant.duration_ms)));
+  if (grant.ppb <= 0 || grant.ppb > kWholePpb || until <= now) return;
+  loan.ppb = grant.ppb;
+  loan.until = until;
+  limit->bucket.SetPart({loan.part_id, loan.ppb, loan.until}, now);
+  if (grant.tokens > 0) limit->bucket.AddTokens(grant.tokens, now);
+}
+
+void loan_book::OnLoanReturn(const entry_ref& from, const loan_return& returned,
+                             monotonic_time now) {
+  const auto found = lent_.find(peer_key{returned.workspace, from});
+  workspace_limit* limit = limits_.Find(returned.workspace);
+  if (found == lent_.end() || limit == nullptr) return;
+  lent_loan& lent = found->second;
+  if (returned.number <= lent.number) return;
+  lent.number = returned.number;
+  if (lent.until <= now || returned.kept_ppb >= lent.ppb) return;
+  const std::int64_t given_back =
+      lent.ppb - std::max<std::int64_t>(returned.kept_ppb, 0);
+  lent.ppb -= given_back;
+  token_bucket& bucket = limit->bucket;
+  bucket.SetPart({lent.part_id, -lent.ppb, lent.until}, now);
+  const double most = bucket.ContractBurst() * static_cast<double>(given_back) /
+                      static_cast<double>(kWholePpb);
+  if (returned.tokens > 0) {
+    bucket.AddTokens(std::min(returned.tokens, most), now);
+  }
+}
+
+loan_actions loan_book::OnRelease(monotonic_time now) {
+  loan_actions actions;
+  for (auto& [workspace, limit] : limits_.Limits()) {
+    GiveBack(workspace, limit, kWholePpb, now, actions);
+  }
+  released_ = true;
+  return actions;
+}
+
+std::int64_t loan_book::BorrowedPpb(const workspace_id& workspace,
+                                    monotonic_time now) const {
+  std::int64_t sum = 0;
+  for (auto at = borrowed_.lower_bound(peer_key{workspace, entry_ref{}});
+       at != borrowed_.end() && at->first.first == workspace; ++at) {
+    if (at->second.until > now) sum += at->second.ppb;
+  }
+  return sum;
+}
+
+std::int64_t loan_book::LentPpb(const workspace_id& workspace,
+                                monotonic_time now) const {
+  std::int64_t sum = 0;
+  for (auto at = lent_.lower_bound(peer_key{workspace, entry_ref{}});
+       at != lent_.end() && at->first.first == workspace; ++at) {
+    if (at->second.until > now) sum += at->second.ppb;
+  }
+  return sum;
+}
+
+// Drops records whose numbers no message in flight can refer to any more. A
+// message later still does nothing or costs the lender a part for one loan's
+// time; it never gives a part twice.
+void loan_book::Forget(monotonic_time now) {
+  if (now < forget_at_) return;
+  forget_at_ = now + kForgetInterval;
+  const monotonic_time old = now - kRememberFor;
+  std::erase_if(borrowed_, [&](const auto& item) {
+    return item.second.until < old && item.second.asked_at < old;
+  });
+  std::erase_if(lent_,
+                [&](const auto& item) { return item.second.until < old; });
+}
+
+void loan_book::Measure(const workspace_id& workspace, workspace_limit& limit,
+                        monotonic_time now) {
+  demand& seen = demands_[workspace];
+  const double seconds = ToSeconds(now - seen.counted_at);
+  if (seen.counted_at == monotonic_time{} || seconds <= 0) {
+    seen.counted_at = now;
+    seen.counted_arrivals = limit.arrivals;
+    return;
+  }
+  const auto count =
+      static_cast<double>(limit.arrivals - seen.counted_arrivals);
+  const double kept = std::exp(-seconds / ToSeconds(settings_.smoothing));
+  seen.per_s = seen.per_s * kept + (count / seconds) * (1 - kept);
+  if (count > 0) seen.arrived_at = now;
+  seen.counted_at = now;
+  seen.counted_arrivals = limit.arrivals;
+}
+
+// The part of the contract that carries the demand seen here.
+std::int64_t loan_book::WantedPpb(const workspace_id& workspace,
+                                  const token_bucket& bucket,
+                                  monotonic_time now) const {
+  const auto seen = demands_.find(workspace);
+  if (seen == demands_.end()) return 0;
+  if (now >= seen->second.arrived_at + settings_.idle_after) return 0;
+  if (bucket.ContractRate() <= 0 || bucket.ContractBurst() <= 0) return 0;
+  const double per_s = seen->second.per_s;
+  const double deviation =
+      std::sqrt(per_s / (2 * ToSeconds(settings_.smoothing)));
+  const double by_rate =
+      (per_s + kDeviations * deviation) / bucket.ContractRate();
+  const double by_capacity = kLeastCapacity / bucket.ContractBurst();
+  return ToPpb(std::max(by_rate, by_capacity));
+}
+
+// A small workspace's part here may be less than one token, with which nothing
+// can ever be admitted. If all entries kept such parts, all its requests would
+// be refused. So of two that want the same, the one with the lower rank for
+// this workspace gives its part away and the others reach whole tokens.
+bool loan_book::Concedes(const workspace_id& workspace,
+                         const token_bucket& bucket,
+                         const entry_ref& other) const {
+  return bucket.Capacity() < 1.0 &&
+         RankOf(workspace, self_) < RankOf(workspace, other);
+}
+
+// What can be lent until then, beyond what is lent already: own parts only,
+// as what is borrowed may end any time, less what the demand here needs.
+// Negative when the own parts don't even cover what is lent.
+std::int64_t loan_book::SparePpb(const workspace_id& workspace,
+                                 const token_bucket& bucket,
+                                 const entry_ref& borrower, monotonic_time now,
+                                 monotonic_time until) const {
+  const std::int64_t own = limits_.OwnPpbUntil(now, until);
+  const std::int64_t free = own - LentPpb(workspace, now);
+  if (free <= 0) return free;
+  if (Concedes(workspace, bucket, borrower)) return free;
+  const std::int64_t kept =
+      std::max(WantedPpb(workspace, bucket, now) - BorrowedPpb(workspace, now),
+               own / kWholePpm * settings_.keep_ppm);
+  return std::max<std::int64_t>(0, free - kept);
+}
+
+// Answers demand that sits in one zone or moves between zones: a workspace
+// inside its rate would be refused where its callers are, while its tokens
+// lie unused elsewhere. Asked ahead, when the smoothed demand exceeds the part
+// here and the bucket still has tokens for the time that the answer takes.
+void loan_book::Balance(const workspace_id& workspace, workspace_limit& limit,
+                        monotonic_time now, loan_actions& actions) {
+  limit.bucket.Advance(now);
+  const std::int64_t wanted = WantedPpb(workspace, limit.bucket, now);
+  const std::int64_t have = limit.bucket.Ppb();
+  if (wanted > have + kLeastLoanPpb) {
+    Borrow(workspace, wanted - have, now, actions);
+  } else if (static_cast<double>(have) >
+             static_cast<double>(wanted) * kReturnAbove) {
+    const auto keep = static_cast<std::int64_t>(static_cast<double>(wanted) *
+                                                (1 + kReturnAbove) / 2);
+    GiveBack(workspace, limit, have - keep, now, actions);
+  }
+  Renew(workspace, now, actions);
+}
+
+void loan_book::Borrow(const workspace_id& workspace, std::int64_t missing_ppb,
+                       monotonic_time now, loan_actions& actions) {
+  std::vector<const entry_ref*> lenders;
+  for (const entry_ref& peer : peers_) {
+    if (static_cast<int>(lenders.size()) >= settings_.max_lenders) break;
+    const auto found = borrowed_.find(peer_key{workspace, peer});
+    if (found == borrowed_.end()) {
+      lenders.push_back(&peer);
+      continue;
+    }
+    const borrowed_loan& loan = found->second;
+    if (loan.asked_number != 0 && now < loan.asked_at + settings_.ask_timeout) {
+      // Counted as coming, so that one shortage isn't asked for twice.
+      missing_ppb -= std::max<std::int64_t>(0, loan.asked_ppb - loan.ppb);
+      continue;
+    }
+    if (now >= loan.ask_again_at) lenders.push_back(&peer);
+  }
+  if (lenders.empty() || missing_ppb < kLeastLoanPpb) return;
+  const auto each =
+      static_cast<std::int64_t>(static_cast<double>(missing_ppb) * kOverAsk /
+                                static_cast<double>(lenders.size()));
+  for (const entry_ref* lender : lenders) {
+    const auto found = borrowed_.find(peer_key{workspace, *lender});
+    const std::int64_t have =
+        found != borrowed_.end() && found->second.until > now
+            ? found->second.ppb
+            : 0;
+    Ask(workspace, *lender, have + std::max(each, kLeastLoanPpb), now, actions);
+  }
+}
+
+void loan_book::Renew(const workspace_id& workspace, monotonic_time now,
+                      loan_actions& actions) {
+  const duration renew_after =
+      FromSeconds(ToSeconds(settings_.loan) * kRenewAfter);
+  for (auto at = borrowed_.lower_bound(peer_key{workspace, entry_ref{}});
+       at != borrowed_.end() && at->first.first == workspace; ++at) {
+    const borrowed_loan& loan = at->second;
+    if (loan.ppb <= 0 || loan.until <= now) continue;
+    if (loan.until - now > settings_.loan - renew_after) continue;
+    if (loan.asked_number != 0 && now < loan.asked_at + settings_.ask_timeout) {
+      continue;
+    }
+    Ask(workspace, at->first.second, loan.ppb, now, actions);
+  }
+}
+
+// What isn't needed goes back at once, before the loan ends: the demand that
+// left here arrives elsewhere now, and its new place can only borrow it from
+// the lender.
+void loan_book::GiveBack(const workspace_id& workspace, workspace_limit& limit,
+                         std::int64_t excess_ppb, monotonic_time now,
+                         loan_actions& actions) {
+  for (auto at = borrowed_.lower_bound(peer_key{workspace, entry_ref{}});
+       at != borrowed_.end() && at->first.first == workspace; ++at) {
+    borrowed_loan& loan = at->second;
+    if (loan.until <= now || loan.ppb <= 0) continue;
+    if (excess_ppb < kLeastLoanPpb) return;
+    const std::int64_t back = std::min(excess_ppb, loan.ppb);
+    excess_ppb -= back;
+    token_bucket& bucket = limit.bucket;
+    bucket.Advance(now);
+    const double tokens = bucket.Ppb() > 0
+                              ? bucket.Tokens() * static_cast<double>(back) /
+                                    static_cast<double>(bucket.Ppb())
+                              : 0;
+    // Dropped here before the lender can have it.
+    const double taken = bucket.TakeTokens(tokens, now);
+    loan.ppb -= back;
+    loan.number = next_number_++;
+    loan.asked_number = 0;
+    bucket.SetPart({loan.part_id, loan.ppb, loan.until}, now);
+    actions.emplace_back(send_loan_return{
+        at->first.second, {workspace, loan.number, loan.ppb, taken}});
+  }
+}
+
+void loan_book::Ask(const workspace_id& workspace, const entry_ref& lender,
+                    std::int64_t ppb, monotonic_time now,
+                    loan_actions& actions) {
+  const auto [found, added] =
+      borrowed_.try_emplace(peer_key{workspace, lender});
+  borrowed_loan& loan = found->second;
+  if (added) loan.part_id = next_part_id_++;
+  loan.asked_number = next_number_++;
+  loan.asked_at = now;
+  loan.asked_duration = settings_.loan;
+  loan.asked_ppb = std::min(ppb, kWholePpb);
+  actions.emplace_back(
+      send_loan_ask{lender,
+                    {workspace, loan.asked_number, loan.asked_ppb,
+                     ToWholeMs(settings_.loan)}});
+}
+
+}  // namespace citron
--- /dev/null
+++ b/src/protocol/token_bucket.cc
@@ -0,0 +1,102 @@
+#include "citron/protocol/token_bucket.h"
+
+#include <cassert>
+
+namespace citron {
+
+namespace {
+
+// Seconds beyond which a retry time says nothing more than "much later"; keeps
+// the arithmetic inside the range of a duration.
+constexpr double kLongestWaitSeconds = 3600;
+
+}  // namespace
+
+token_bucket::token_bucket(double rate_per_s, double burst, monotonic_time now)
+    : contract_rate_(rate_per_s), contract_burst_(burst), refilled_at_(now) {}
+
+void token_bucket::SetContract(double rate_per_s, double burst,
+                               monotonic_time now) {
+  Advance(now);
+  contract_rate_ = rate_per_s;
+  contract_burst_ = burst;
+  Recount(now);
+}
+
+void token_bucket::SetPart(const bucket_part& part, monotonic_time now) {
+  Advance(now);
+  std::erase_if(parts_, [&](const bucket_part& p) { return p.id == part.id; });
+  if (part.ppb != 0 && part.until > now) parts_.push_back(part);
+  Recount(now);
+}
+
+void token_bucket::RemovePart(std::uint64_t id, monotonic_time now) {
+  SetPart(bucket_part{id, 0, now}, now);
+}
+
+void token_bucket::AddTokens(double tokens, monotonic_time now) {
+  assert(tokens >= 0);
+  Advance(now);
+  tokens_ = std::min(capacity_, tokens_ + tokens);
+}
+
+double token_bucket::TakeTokens(double tokens, monotonic_time now) {
+  Advance(now);
+  const double taken = std::clamp(tokens, 0.0, tokens_);
+  tokens_ -= taken;
+  return taken;
+}
+
+std::optional<monotonic_time> token_bucket::NextTokenAt(monotonic_time now) {
+  // Played on a copy: the wait may reach over the ends of several parts.
+  token_bucket ahead = *this;
+  ahead.Advance(now);
+  monotonic_time at = now;
+  while (ahead.tokens_ < 1.0) {
+    const double missing = 1.0 - ahead.tokens_;
+    if (ahead.capacity_ >= 1.0 && missing < ahead.rate_ * kLongestWaitSeconds) {
+      // One nanosecond more, so that rounding doesn't fall short of a token.
+      const monotonic_time full =
+          at + FromSeconds(missing / ahead.rate_) + std::chrono::nanoseconds(1);
+      if (full < ahead.next_change_) return full;
+    }
+    if (ahead.next_change_ == monotonic_time::max()) return std::nullopt;
+    at = ahead.next_change_;
+    ahead.Advance(at);
+  }
+  return at;
+}
+
+// A process that was frozen, or a bucket that nobody asked for a while, looks
+// at the clock long after some of its parts have ended and may be in use
+// elsewhere. Refilling at today's rate up to now would count that time twice
+// in the fleet. So the time is cut at each deadline, and the tokens at each
+// are dropped to the capacity that was left.
+void token_bucket::AdvanceOverChanges(monotonic_time now) {
+  while (now >= next_change_) {
+    const monotonic_time change = next_change_;
+    Refill(change);
+    Recount(change);
+  }
+  Refill(now);
+}
+
+void token_bucket::Recount(monotonic_time now) {
+  std::erase_if(parts_, [&](const bucket_part& p) { return p.until <= now; });
+  std::int64_t sum = 0;
+  next_change_ = monotonic_time::max();
+  for (const bucket_part& part : parts_) {
+    sum += part.ppb;
+    next_change_ = std::min(next_change_, part.until);
+  }
+  // Below 0 when the share shrank under what is lent; above the whole never,
+  // unless a message lied.
+  ppb_ = std::clamp<std::int64_t>(sum, 0, kWholePpb);
+  const double fraction =
+      static_cast<double>(ppb_) / static_cast<double>(kWholePpb);
+  rate_ = contract_rate_ * fraction;
+  capacity_ = contract_burst_ * fraction;
+  tokens_ = std::min(tokens_, capacity_);
+}
+
+}  // namespace citron
