--- /dev/null
+++ b/include/citron/policy/poison_registry.h
@@ -0,0 +1,57 @@
+#ifndef CITRON_POLICY_POISON_REGISTRY_H_
+#define CITRON_POLICY_POISON_REGISTRY_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+
+#include "citron/base/strong_id.h"
+#include "citron/base/time.h"
+
+namespace citron {
+
+// Remembers which requests were in flight when upstreams crashed.
+class poison_registry {
+ public:
+  // How long a verdict or a suspicion holds.
+  explicit poison_registry(duration lifetime);
+
+  enum class standing { kClear, kSuspect, kPoison };
+
+  standing Of(std::uint64_t fingerprint, monotonic_time now) const;
+  monotonic_time Until(std::uint64_t fingerprint) const;
+
+  // Returns the standing after it.
+  standing OnCrash(std::uint64_t fingerprint, const upstream_id& upstream,
+                   monotonic_time now);
+  // A copy was answered, so it doesn't crash upstreams.
+  void OnAnswered(std::uint64_t fingerprint);
+  void OnPoison(std::uint64_t fingerprint, monotonic_time until);
+  void OnSuspect(std::uint64_t fingerprint, monotonic_time until);
+
+  // A suspect in flight; at most one copy of it, and one suspect an upstream.
+  bool MaySend(std::uint64_t fingerprint) const;
+  bool HoldsSuspect(const upstream_id& upstream) const;
+  void OnSuspectSent(std::uint64_t fingerprint, const upstream_id& upstream);
+  void OnSuspectDone(std::uint64_t fingerprint, const upstream_id& upstream);
+
+  bool IsEmpty() const { return records_.empty(); }
+  void Expire(monotonic_time now);
+
+ private:
+  struct record {
+    standing state = standing::kClear;
+    upstream_id first_crash;  // Empty if told by another owner.
+    monotonic_time until;
+  };
+
+  duration lifetime_;
+  std::unordered_map<std::uint64_t, record> records_;
+  std::map<std::uint64_t, int> in_flight_;
+  std::map<upstream_id, int> suspects_at_;
+};
+
+}  // namespace citron
+
+#endif  // CITRON_POLICY_POISON_REGISTRY_H_
--- /dev/null
+++ b/include/citron/policy/service_scheduler.h
@@ -0,0 +1,181 @@
+#ifndef CITRON_POLICY_SERVICE_SCHEDULER_H_
+#define CITRON_POLICY_SERVICE_SCHEDULER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <pcg_random.hpp>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "citron/base/strong_id.h"
+#include "citron/base/time.h"
+#include "citron/policy/class_estimator.h"
+#include "citron/policy/fair_queue.h"
+#include "citron/policy/poison_registry.h"
+#include "citron/policy/refusal.h"
+#include "citron/policy/retry_budget.h"
+#include "citron/policy/slot_guard.h"
+#include "citron/policy/upstream_chooser.h"
+
+namespace citron {
+
+struct scheduler_request {
+  request_id id;
+  workspace_id workspace;
+  double weight = 1;
+  // Same for requests that do the same: workspace, method, path and body.
+  std::uint64_t fingerprint = 0;
+  std::string request_class;
+  bool long_running = false;
+  bool idempotent = false;
+  monotonic_time arrived_at;
+  monotonic_time deadline;
+};
+
+struct scheduler_options {
+  // First guesses of the service time, by request class.
+  std::map<std::string, duration> expected_times;
+  duration default_expected_time = std::chrono::milliseconds(50);
+  // Part of the slots that long classes may not take, 0 to 1.
+  double short_reserve = 0.25;
+  std::size_t max_queued = 4096;
+  // Part of the requests that may be sent a second time.
+  double retry_share = 0.1;
+  duration poison_time = std::chrono::seconds(60);
+  upstream_chooser_options upstreams;
+  // Off only to measure what the decision is worth.
+  bool refuse_predicted_misses = true;
+};
+
+// Send the request to the upstream now.
+struct send_action {
+  request_id id;
+  upstream_id upstream;
+};
+
+// Answer the request now; it was not run.
+struct refuse_action {
+  request_id id;
+  refusal_reason reason = refusal_reason::kNoUpstream;
+  monotonic_time retry_at;
+};
+
+// Tell the other owners that this fingerprint crashed two upstreams.
+struct poison_action {
+  std::uint64_t fingerprint = 0;
+  monotonic_time until;
+};
+
+// Tell the other owners that this fingerprint was in flight at one crash.
+struct suspect_action {
+  std::uint64_t fingerprint = 0;
+  monotonic_time until;
+};
+
+using scheduler_action =
+    std::variant<send_action, refuse_action, poison_action, suspect_action>;
+
+// What a zone's owner tells the entry VMs about its queue.
+struct scheduler_load {
+  int slots = 0;         // Of all owned upstreams.
+  int usable_slots = 0;  // That may be filled at present.
+  int in_flight = 0;
+  int queued = 0;
+  duration expected_wait{};  // Of a short request that arrives now.
+  duration mean_service_time{};
+  int usable_upstreams = 0;
+};
+
+// The one queue of a service in a zone, at the dispatch that owns the zone's
+// upstreams of that service.
+//
+// A request ends in one of three ways: a refuse_action (not run); an outcome
+// whose OnOutcome returns no action for the same id and isn't one of the three
+// not-run outcomes (the outcome is final, answer it); or OnCancel. After a
+// not-run outcome the scheduler keeps the request until it sends it again or
+// refuses it.
+class service_scheduler {
+ public:
+  using actions = std::vector<scheduler_action>;
+
+  service_scheduler(scheduler_options options, std::uint64_t seed);
+
+  // The upstreams owned from now on. Those left out get nothing new; what is in
+  // flight there stays counted until its outcome.
+  actions SetUpstreams(const std::vector<upstream_capacity>& upstreams,
+                       monotonic_time now);
+  void SetDraining(const upstream_id& upstream, bool draining);
+
+  actions OnRequest(const scheduler_request& request, monotonic_time now);
+  // The caller is gone. If the request is in flight its slot stays taken until
+  // OnOutcome; it isn't sent again.
+  actions OnCancel(const request_id& id, monotonic_time now);
+  actions OnOutcome(const request_id& id, upstream_outcome outcome,
+                    monotonic_time now);
+  actions OnReport(const upstream_id& upstream, const upstream_report& report,
+                   monotonic_time now);
+  actions OnTimer(monotonic_time now);
+  // Told by another owner.
+  actions OnPoison(std::uint64_t fingerprint, monotonic_time until,
+                   monotonic_time now);
+  void OnSuspect(std::uint64_t fingerprint, monotonic_time until,
+                 monotonic_time now);
+
+  // When to call OnTimer at the latest; nothing while nothing is queued.
+  std::optional<monotonic_time> NextTimer() const;
+  scheduler_load Load(monotonic_time now) const;
+  int InFlightAt(const upstream_id& upstream) const;
+
+ private:
+  struct entry {
+    scheduler_request request;
+    duration expected{};
+    upstream_id upstream;  // Where it is in flight; empty while it waits.
+    monotonic_time sent_at;
+    int sends = 0;
+    bool cancelled = false;
+  };
+
+  void Refuse(const request_id& id, refusal_reason reason,
+              monotonic_time retry_at, actions& out);
+  void Enqueue(entry& e, actions& out, monotonic_time now);
+  void Dispatch(monotonic_time now, actions& out);
+  void DispatchSuspects(monotonic_time now, actions& out);
+  bool TrySend(entry& e, monotonic_time now, actions& out);
+  void ExpireQueued(monotonic_time now, actions& out);
+  void RefusePoisoned(std::uint64_t fingerprint, monotonic_time now,
+                      actions& out);
+  void OnNotRun(entry& e, monotonic_time now, actions& out);
+  void OnLost(entry& e, monotonic_time now, actions& out);
+  void LearnTime(const entry& e, upstream_outcome outcome, monotonic_time now);
+  void DropFromQueue(const entry& e);
+  int ShortSlots(monotonic_time now) const;
+  duration ExpectedWait(const scheduler_request& request,
+                        monotonic_time latest_start, duration expected,
+                        monotonic_time now) const;
+  monotonic_time RetryAt(duration wait, monotonic_time now);
+
+  scheduler_options options_;
+  pcg32 random_;
+  class_estimator estimator_;
+  slot_guard guard_;
+  upstream_chooser chooser_;
+  poison_registry poison_;
+  retry_budget retries_;
+  fair_queue queue_;
+  // Suspects that wait for an upstream without another suspect.
+  std::set<request_id> held_;
+  std::set<std::pair<monotonic_time, request_id>> latest_starts_;
+  std::unordered_map<request_id, entry> entries_;
+  int long_in_flight_ = 0;
+  int in_flight_ = 0;
+};
+
+}  // namespace citron
+
+#endif  // CITRON_POLICY_SERVICE_SCHEDULER_H_
