The decisions under load: queue, upstreams, placement, shifts, look-up

Fair shares are kept by a virtual clock of slot time for each workspace, not by deficit round robin: costs differ a thousandfold between reports and look-ups, and a quantum fits only one of them.

The client table is sorted ranges with an index by the upper 16 bits. Tables of 256 entries were ruled out: 180,000 blocks that are far apart would take up to 64 MB, twice that while the next table is built.

--- a/include/citron/policy/class_estimator.h
+++ b/include/citron/policy/class_estimator.h
@@ -20,6 +20,8 @@
   duration Mean(const std::string& request_class, monotonic_time now) const;
   // Mean distance from the mean.
   duration Deviation(const std::string& request_class) const;
+  // Over the requests of all classes, as they came.
+  duration OverallMean() const;
 
  private:
   struct estimate {
@@ -35,6 +37,7 @@
   std::map<std::string, duration> first_guesses_;
   duration default_guess_;
   std::map<std::string, estimate> estimates_;
+  double overall_s_;
 };
 
 }  // namespace citron
--- a/include/citron/policy/client_table.h
+++ b/include/citron/policy/client_table.h
@@ -1,14 +1,13 @@
 #ifndef CITRON_POLICY_CLIENT_TABLE_H_
 #define CITRON_POLICY_CLIENT_TABLE_H_
 
-#include <array>
+#include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
-#include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 #include "citron/base/strong_id.h"
@@ -37,41 +36,25 @@
 // is built.
 class client_table {
  public:
-  struct route {
-    client_block block;
-    client_site site;
-  };
+  using route_map = std::map<client_block, client_site>;
 
-  explicit client_table(const std::vector<route>& routes);
+  explicit client_table(const route_map& routes);
 
   // The site of the longest matching block; nullptr without one.
-  const client_site* Find(std::uint32_t address) const {
-    const std::uint32_t first = first_[address >> 16];
-    if ((first & kChunkBit) == 0) return SiteAt(first);
-    const std::uint32_t chunk = first & ~kChunkBit;
-    const std::uint32_t second =
-        chunks_[(std::size_t{chunk} << 8) + ((address >> 8) & 0xff)];
-    if ((second & kChunkBit) == 0) return SiteAt(second);
-    const std::uint32_t last = second & ~kChunkBit;
-    return SiteAt(chunks_[(std::size_t{last} << 8) + (address & 0xff)]);
-  }
+  const client_site* Find(std::uint32_t address) const;
 
+  std::size_t RangeCount() const { return starts_.size(); }
   std::size_t MemoryBytes() const;
 
  private:
-  static constexpr std::uint32_t kChunkBit = 0x80000000u;
-
-  const client_site* SiteAt(std::uint32_t value) const {
-    return value == 0 ? nullptr : &sites_[value - 1];
-  }
-  void Insert(const client_block& block, std::uint32_t value);
-  void Fill(std::vector<std::uint32_t>& level, std::size_t from,
-            std::size_t count, std::uint32_t value);
-  std::uint32_t ChunkBelow(std::uint32_t value);
-
-  std::vector<client_site> sites_;
-  std::vector<std::uint32_t> first_;   // By the first 16 bits.
-  std::vector<std::uint32_t> chunks_;  // 256 values each.
+  void AddRange(std::uint64_t start, std::uint32_t site);
+  void IndexRanges();
+
+  std::vector<client_site> sites_;     // The first one means "no site".
+  std::vector<std::uint32_t> starts_;  // Of ranges of one site, ascending.
+  std::vector<std::uint32_t> values_;  // Index of each range's site.
+  // By an address's upper 16 bits: the range that holds their first address.
+  std::vector<std::uint32_t> index_;
 };
 
 struct client_delta {
@@ -87,7 +70,7 @@
   std::shared_ptr<const client_table> Build() const;
 
  private:
-  std::map<client_block, client_site> routes_;
+  client_table::route_map routes_;
 };
 
 }  // namespace citron
--- a/include/citron/policy/fair_queue.h
+++ b/include/citron/policy/fair_queue.h
@@ -1,6 +1,8 @@
 #ifndef CITRON_POLICY_FAIR_QUEUE_H_
 #define CITRON_POLICY_FAIR_QUEUE_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -49,6 +51,7 @@
   using order = std::pair<monotonic_time, request_id>;
   using lane = std::map<order, queued_request>;
   struct workspace_queue {
+    std::uint64_t number = 0;  // Breaks ties, so that runs repeat.
     lane short_lane;
     lane long_lane;
     duration short_cost{};
@@ -56,15 +59,30 @@
     double weight = 1;
     // Slot seconds handed out, over the weight, on the queue's virtual clock.
     double virtual_time = 0;
+    bool IsEmpty() const { return short_lane.empty() && long_lane.empty(); }
+  };
+  struct turn {
+    double virtual_time = 0;
+    std::uint64_t number = 0;
+    workspace_queue* queue = nullptr;
+
+    friend bool operator<(const turn& a, const turn& b) {
+      if (a.virtual_time != b.virtual_time) {
+        return a.virtual_time < b.virtual_time;
+      }
+      return a.number < b.number;
+    }
   };
 
   static duration AheadIn(const lane& l, duration total, monotonic_time start);
-  lane* NextLane(workspace_queue& q, bool long_allowed);
-  queued_request Take(const workspace_id& id, workspace_queue& q, lane& l,
-                      lane::iterator at);
+  static turn TurnOf(workspace_queue& q);
+  static lane* NextLane(workspace_queue& q, bool long_allowed);
+  void Reset();
+  queued_request Take(workspace_queue& q, lane& l, lane::iterator at);
 
   std::unordered_map<workspace_id, workspace_queue> workspaces_;
-  std::set<std::pair<double, workspace_id>> by_virtual_time_;  // With queued.
+  std::set<turn> turns_;  // Of workspaces with something queued.
+  std::uint64_t next_number_ = 0;
   double virtual_now_ = 0;
   std::size_t size_ = 0;
   duration short_cost_{};
--- a/include/citron/policy/placement.h
+++ b/include/citron/policy/placement.h
@@ -116,8 +116,8 @@
  private:
   struct zone_state {
     zone_report report;
-    int in_flight = 0;          // Sent from here, not done.
-    int sent_since_report = 0;  // Net of those done.
+    int in_flight = 0;     // Sent from here, not done.
+    int since_report = 0;  // Sent less done since the report.
     monotonic_time avoid_until;
   };
   struct permits {
@@ -127,34 +127,43 @@
   struct candidate {
     zone_id zone;
     region_id region;
+    duration wait{};
     duration completion{};
   };
   using service_zones = std::map<zone_id, zone_state>;
   using service_region = std::pair<service_id, region_id>;
+  using candidates = std::vector<candidate>;
 
   bool IsUnknown(const zone_state& z, monotonic_time now) const;
+  bool IsOwnRegion(const zone_state& z) const;
   duration Latency(const zone_report& report) const;
-  duration Completion(const zone_state& z, monotonic_time now) const;
-  std::vector<candidate> Candidates(const service_zones& zones,
-                                    const place_request& request,
-                                    const region_id* region, bool own_region,
-                                    monotonic_time now, place_choice& choice);
-  std::optional<candidate> Pick(const std::vector<candidate>& candidates);
-  bool WantsShift(const place_request& request);
-  std::optional<refusal_reason> CrossingBlocked(const place_request& request,
-                                                const region_id& region,
-                                                monotonic_time now);
-  void Cross(const place_request& request, const region_id& region,
-             monotonic_time now);
-  place_result ChooseAbroad(const service_zones& zones,
-                            const place_request& request, const region_id* only,
-                            place_choice choice, monotonic_time now);
-  place_result ChooseLocally(const service_zones& zones,
-                             const place_request& request, place_choice choice,
-                             monotonic_time now);
+  duration Wait(const zone_state& z) const;
+  candidate Estimate(const zone_state& z) const;
+  // Why the zone can't be chosen at all; empty if it can.
+  std::string Unfit(const zone_state& z, const place_request& request,
+                    monotonic_time now) const;
+
+  std::optional<candidate> ChooseLocal(const service_zones& zones,
+                                       const place_request& request,
+                                       monotonic_time now,
+                                       place_choice& choice);
+  std::optional<candidate> ChooseAbroad(const service_zones& zones,
+                                        const place_request& request,
+                                        const region_id& only,
+                                        monotonic_time now,
+                                        place_choice& choice,
+                                        std::optional<refusal>& blocked);
+  std::optional<candidate> LastResort(const service_zones& zones,
+                                      const place_request& request,
+                                      monotonic_time now) const;
+  const candidate& BetterOfTwo(const candidates& from);
+  bool TakesShift(const service_id& service, monotonic_time now);
+
+  std::optional<refusal> TakeCrossing(const place_request& request,
+                                      const region_id& region,
+                                      monotonic_time now);
   link_budget& Link(const region_id& region, monotonic_time now);
-  refusal NoCapacity(refusal_reason reason, const place_request& request,
-                     monotonic_time now);
+  monotonic_time RetryAt(monotonic_time now);
 
   placement_options options_;
   pcg32 random_;
--- a/include/citron/policy/poison_registry.h
+++ b/include/citron/policy/poison_registry.h
@@ -22,9 +22,10 @@
   standing Of(std::uint64_t fingerprint, monotonic_time now) const;
   monotonic_time Until(std::uint64_t fingerprint) const;
 
+  // The request, sent at `sent_at`, was in flight when the upstream crashed.
   // Returns the standing after it.
   standing OnCrash(std::uint64_t fingerprint, const upstream_id& upstream,
-                   monotonic_time now);
+                   monotonic_time sent_at, monotonic_time now);
   // A copy was answered, so it doesn't crash upstreams.
   void OnAnswered(std::uint64_t fingerprint);
   void OnPoison(std::uint64_t fingerprint, monotonic_time until);
@@ -43,6 +44,7 @@
   struct record {
     standing state = standing::kClear;
     upstream_id first_crash;  // Empty if told by another owner.
+    monotonic_time crashed_at;
     monotonic_time until;
   };
 
--- a/include/citron/policy/service_scheduler.h
+++ b/include/citron/policy/service_scheduler.h
@@ -48,8 +48,6 @@
   double retry_share = 0.1;
   duration poison_time = std::chrono::seconds(60);
   upstream_chooser_options upstreams;
-  // Off only to measure what the decision is worth.
-  bool refuse_predicted_misses = true;
 };
 
 // Send the request to the upstream now.
@@ -134,30 +132,46 @@
  private:
   struct entry {
     scheduler_request request;
-    duration expected{};
+    queued_request place;  // As it is in the queue.
     upstream_id upstream;  // Where it is in flight; empty while it waits.
+    upstream_id tried;     // Where it was in flight before.
     monotonic_time sent_at;
     int sends = 0;
+    bool suspect = false;  // When it was sent.
     bool cancelled = false;
   };
+  using entry_map = std::unordered_map<request_id, entry>;
 
+  bool RefuseOnArrival(const scheduler_request& request,
+                       const queued_request& place, monotonic_time now,
+                       actions& out);
   void Refuse(const request_id& id, refusal_reason reason,
               monotonic_time retry_at, actions& out);
-  void Enqueue(entry& e, actions& out, monotonic_time now);
-  void Dispatch(monotonic_time now, actions& out);
-  void DispatchSuspects(monotonic_time now, actions& out);
-  bool TrySend(entry& e, monotonic_time now, actions& out);
-  void ExpireQueued(monotonic_time now, actions& out);
+  void RefuseWaiting(const request_id& id, refusal_reason reason,
+                     monotonic_time retry_at, actions& out);
   void RefusePoisoned(std::uint64_t fingerprint, monotonic_time now,
                       actions& out);
-  void OnNotRun(entry& e, monotonic_time now, actions& out);
-  void OnLost(entry& e, monotonic_time now, actions& out);
-  void LearnTime(const entry& e, upstream_outcome outcome, monotonic_time now);
-  void DropFromQueue(const entry& e);
-  int ShortSlots(monotonic_time now) const;
-  duration ExpectedWait(const scheduler_request& request,
-                        monotonic_time latest_start, duration expected,
-                        monotonic_time now) const;
+  void MakeRoom(monotonic_time now, actions& out);
+  void StopWaiting(const entry& e);
+
+  void Dispatch(monotonic_time now, actions& out);
+  void DispatchHeld(monotonic_time now, actions& out);
+  bool NeedsCare(const entry& e, monotonic_time now) const;
+  std::optional<upstream_id> ChooseWithCare(const entry& e, monotonic_time now);
+  bool LongAllowed(monotonic_time now) const;
+  void Send(entry& e, const upstream_id& upstream, monotonic_time now,
+            actions& out);
+  void ExpireWaiting(monotonic_time now, actions& out);
+
+  void TakeBack(entry& e, upstream_outcome outcome, monotonic_time now);
+  void OnNotRun(entry& e, upstream_outcome outcome, monotonic_time now,
+                actions& out);
+  // True if it was sent again.
+  bool OnLost(entry& e, monotonic_time now, actions& out);
+
+  duration ExpectedWait(const queued_request& place, monotonic_time now) const;
+  duration ShortWait(duration cost_ahead, duration expected,
+                     monotonic_time now) const;
   monotonic_time RetryAt(duration wait, monotonic_time now);
 
   scheduler_options options_;
@@ -168,12 +182,15 @@
   poison_registry poison_;
   retry_budget retries_;
   fair_queue queue_;
-  // Suspects that wait for an upstream without another suspect.
-  std::set<request_id> held_;
+  // Waiting, but not for just any slot: suspects, and requests that must not
+  // go back to the upstream that didn't run them.
+  std::set<std::pair<monotonic_time, request_id>> held_;
+  // Of all that wait, by when they must have started.
   std::set<std::pair<monotonic_time, request_id>> latest_starts_;
-  std::unordered_map<request_id, entry> entries_;
-  int long_in_flight_ = 0;
+  std::optional<monotonic_time> next_change_;
+  entry_map entries_;
   int in_flight_ = 0;
+  int long_in_flight_ = 0;
 };
 
 }  // namespace citron
--- a/include/citron/policy/upstream_chooser.h
+++ b/include/citron/policy/upstream_chooser.h
@@ -91,15 +91,18 @@
 
     upstream_report report;
     std::optional<monotonic_time> reported_at;
-    int peak_in_flight = 0;  // Own, since the report before the last one.
-    int peak_since_report = 0;
+    // The most that was in flight from here in this period and the last one.
+    monotonic_time peak_period_start;
+    int peak = 0;
+    int last_peak = 0;
 
     monotonic_time ramp_start;
     bool ramping = false;
     monotonic_time ejected_until;
     bool ejected = false;  // Until probation is passed.
     int probation_passed = 0;
-    int ejections = 0;
+    int ejections = 0;  // In a row, without a good spell between.
+    monotonic_time forgiven_at;
     monotonic_time leaving_until;
 
     std::optional<monotonic_time> shed_at;
@@ -113,13 +116,19 @@
 
   int Allowed(const state& s, monotonic_time now) const;
   int RampedSlots(const state& s, monotonic_time now) const;
-  int ForeignWork(const state& s, monotonic_time now) const;
+  int ForeignWork(const state& s) const;
+  bool HasFreshReport(const state& s, monotonic_time now) const;
+  double Score(const state& s, int allowed) const;
+  void NotePeak(state& s, monotonic_time now);
   bool TakesWork(const state& s, monotonic_time now) const;
-  void Eject(state& s, monotonic_time now);
+  void Eject(state& s, duration first, duration longest, monotonic_time now);
   void Judge(state& s, upstream_outcome outcome, double slowness,
              monotonic_time now);
-  bool IsWorseThanPeers(const state& s, monotonic_time now) const;
-  bool MayEjectForQuality(monotonic_time now) const;
+  void JudgeProbation(state& s, upstream_outcome outcome, double slowness,
+                      monotonic_time now);
+  void Measure(state& s, upstream_outcome outcome, double slowness);
+  bool IsWorseThanPeers(const state& s) const;
+  bool MayEjectForQuality() const;
   void Forgive(state& s, monotonic_time now);
 
   upstream_chooser_options options_;
--- /dev/null
+++ b/src/policy/service_scheduler.cc
@@ -0,0 +1,421 @@
+#include "citron/policy/service_scheduler.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <utility>
+
+namespace citron {
+namespace {
+
+// Answers: more requests than the zone's slots can end in time. A queue that
+// only has a bound lets each request wait until its caller has gone and then
+// spends a slot on it; at twice the capacity nearly all work is for callers
+// that have left, and one notices by slots that are all busy while few answers
+// arrive in time. So a request is turned away on arrival if by then it can't be
+// expected to end in time, and given up at once when it can no longer start
+// in time. The answer says when to come back; it is never held back to keep
+// the caller from asking again.
+
+// Callers that come back at the same moment would be the next burst; each is
+// told a time between once and twice the wait.
+constexpr double kRetrySpread = 1.0;
+constexpr duration kShortestRetry = std::chrono::milliseconds(200);
+
+// Without any upstream nothing changes sooner than a server restarts.
+constexpr duration kNoUpstreamRetry = std::chrono::seconds(1);
+
+// A first try and one more.
+constexpr int kMaxSends = 2;
+
+}  // namespace
+
+service_scheduler::service_scheduler(scheduler_options options,
+                                     std::uint64_t seed)
+    : options_(std::move(options)),
+      random_(seed),
+      estimator_(options_.expected_times, options_.default_expected_time),
+      guard_(options_.short_reserve),
+      chooser_(options_.upstreams),
+      poison_(options_.poison_time),
+      retries_(options_.retry_share) {}
+
+service_scheduler::actions service_scheduler::SetUpstreams(
+    const std::vector<upstream_capacity>& upstreams, monotonic_time now) {
+  actions out;
+  chooser_.SetUpstreams(upstreams, now);
+  Dispatch(now, out);
+  return out;
+}
+
+void service_scheduler::SetDraining(const upstream_id& upstream,
+                                    bool draining) {
+  chooser_.SetDraining(upstream, draining);
+}
+
+service_scheduler::actions service_scheduler::OnRequest(
+    const scheduler_request& request, monotonic_time now) {
+  actions out;
+  assert(!entries_.contains(request.id));
+  retries_.OnRequest();
+  const duration expected = estimator_.Mean(request.request_class, now);
+  if (!request.long_running) guard_.OnShortArrival(expected, now);
+  queued_request place{.id = request.id,
+                       .workspace = request.workspace,
+                       .weight = request.weight,
+                       .long_running = request.long_running,
+                       .cost = expected,
+                       .latest_start = request.deadline - expected};
+  if (RefuseOnArrival(request, place, now, out)) return out;
+  entry& e = entries_[request.id];
+  e.request = request;
+  e.place = std::move(place);
+  queue_.Push(e.place);
+  latest_starts_.emplace(e.place.latest_start, request.id);
+  MakeRoom(now, out);
+  Dispatch(now, out);
+  return out;
+}
+
+bool service_scheduler::RefuseOnArrival(const scheduler_request& request,
+                                        const queued_request& place,
+                                        monotonic_time now, actions& out) {
+  using standing = poison_registry::standing;
+  if (poison_.Of(request.fingerprint, now) == standing::kPoison) {
+    Refuse(request.id, refusal_reason::kPoison,
+           poison_.Until(request.fingerprint), out);
+    return true;
+  }
+  if (chooser_.UsableUpstreams(now) == 0) {
+    Refuse(request.id, refusal_reason::kNoUpstream,
+           RetryAt(kNoUpstreamRetry, now), out);
+    return true;
+  }
+  const duration wait = ExpectedWait(place, now);
+  // The wait is a sum over other requests, so it is as uncertain as they are.
+  // A request that starts at once needs no such margin.
+  const bool starts_now = wait == duration();
+  const duration margin =
+      starts_now ? duration() : estimator_.Deviation(request.request_class);
+  if (now + wait + margin <= place.latest_start) return false;
+  Refuse(request.id, refusal_reason::kWouldMissDeadline, RetryAt(wait, now),
+         out);
+  return true;
+}
+
+// The queue's bound is for memory; the deadlines keep it far shorter. Room is
+// made at the cost of the workspace that has most in it.
+void service_scheduler::MakeRoom(monotonic_time now, actions& out) {
+  if (queue_.Size() + held_.size() <= options_.max_queued) return;
+  const std::optional<queued_request> surplus = queue_.Surplus();
+  if (!surplus) return;
+  RefuseWaiting(surplus->id, refusal_reason::kQueueFull,
+                RetryAt(ExpectedWait(*surplus, now), now), out);
+}
+
+service_scheduler::actions service_scheduler::OnCancel(const request_id& id,
+                                                       monotonic_time now) {
+  actions out;
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) return out;
+  entry& e = found->second;
+  if (!e.upstream.IsEmpty()) {
+    e.cancelled = true;
+    return out;
+  }
+  StopWaiting(e);
+  entries_.erase(found);
+  Dispatch(now, out);
+  return out;
+}
+
+service_scheduler::actions service_scheduler::OnOutcome(
+    const request_id& id, upstream_outcome outcome, monotonic_time now) {
+  actions out;
+  const auto found = entries_.find(id);
+  if (found == entries_.end() || found->second.upstream.IsEmpty()) return out;
+  entry& e = found->second;
+  TakeBack(e, outcome, now);
+  bool done = true;
+  if (IsNotRun(outcome) && !e.cancelled) {
+    OnNotRun(e, outcome, now, out);
+    done = false;
+  } else if (outcome == upstream_outcome::kConnectionLost) {
+    done = !OnLost(e, now, out);
+  } else if (outcome == upstream_outcome::kAnswered ||
+             outcome == upstream_outcome::kServerError) {
+    poison_.OnAnswered(e.request.fingerprint);
+  }
+  if (done) entries_.erase(id);
+  Dispatch(now, out);
+  return out;
+}
+
+// Frees the slot and learns from how it went.
+void service_scheduler::TakeBack(entry& e, upstream_outcome outcome,
+                                 monotonic_time now) {
+  const duration taken = now - e.sent_at;
+  const std::string& request_class = e.request.request_class;
+  const duration mean = estimator_.Mean(request_class, now);
+  const double slowness =
+      ToSeconds(taken) / std::max(ToSeconds(mean), ToSeconds(duration(1)));
+  chooser_.OnDone(e.upstream, outcome, slowness, now);
+  --in_flight_;
+  if (e.request.long_running) --long_in_flight_;
+  if (e.suspect) poison_.OnSuspectDone(e.request.fingerprint, e.upstream);
+  // A timeout says that it takes longer than it was given. If only answers
+  // counted, a class that always times out would go on being admitted.
+  const bool answered = outcome == upstream_outcome::kAnswered;
+  const bool took_longer =
+      outcome == upstream_outcome::kTimedOut && taken > mean;
+  if (answered || took_longer) {
+    estimator_.OnServed(request_class, taken, now);
+  }
+  e.tried = e.upstream;
+  e.upstream = upstream_id();
+}
+
+void service_scheduler::OnNotRun(entry& e, upstream_outcome outcome,
+                                 monotonic_time now, actions& out) {
+  const request_id id = e.request.id;
+  if (e.sends >= kMaxSends) {
+    Refuse(id, refusal_reason::kNoUpstream, RetryAt(kNoUpstreamRetry, now),
+           out);
+    entries_.erase(id);
+    return;
+  }
+  // A planned stop must cost nobody a refusal, and it can't bring about many
+  // retries: after the first one that upstream gets nothing more.
+  const bool free_retry = outcome == upstream_outcome::kLeavingNotRun;
+  if (!free_retry && !retries_.TryTake()) {
+    Refuse(id, refusal_reason::kRetryBudget, RetryAt(kShortestRetry, now), out);
+    entries_.erase(id);
+    return;
+  }
+  latest_starts_.emplace(e.place.latest_start, id);
+  held_.emplace(e.place.latest_start, id);
+}
+
+// The request may have run, so it can't wait in the queue: if it expired there
+// it couldn't be refused as not run. It is sent again at once or not at all.
+bool service_scheduler::OnLost(entry& e, monotonic_time now, actions& out) {
+  using standing = poison_registry::standing;
+  const std::uint64_t fingerprint = e.request.fingerprint;
+  const standing after = poison_.OnCrash(fingerprint, e.tried, e.sent_at, now);
+  if (after == standing::kPoison) {
+    out.emplace_back(poison_action{fingerprint, poison_.Until(fingerprint)});
+    RefusePoisoned(fingerprint, now, out);
+    return false;
+  }
+  out.emplace_back(suspect_action{fingerprint, poison_.Until(fingerprint)});
+  const bool may_repeat = e.request.idempotent && !e.cancelled &&
+                          e.sends < kMaxSends && now < e.place.latest_start;
+  if (!may_repeat) return false;
+  const std::optional<upstream_id> upstream = ChooseWithCare(e, now);
+  if (!upstream || !retries_.TryTake()) return false;
+  Send(e, *upstream, now, out);
+  return true;
+}
+
+service_scheduler::actions service_scheduler::OnReport(
+    const upstream_id& upstream, const upstream_report& report,
+    monotonic_time now) {
+  actions out;
+  chooser_.OnReport(upstream, report, now);
+  Dispatch(now, out);
+  return out;
+}
+
+service_scheduler::actions service_scheduler::OnTimer(monotonic_time now) {
+  actions out;
+  poison_.Expire(now);
+  Dispatch(now, out);
+  return out;
+}
+
+service_scheduler::actions service_scheduler::OnPoison(
+    std::uint64_t fingerprint, monotonic_time until, monotonic_time now) {
+  actions out;
+  poison_.OnPoison(fingerprint, until);
+  RefusePoisoned(fingerprint, now, out);
+  Dispatch(now, out);
+  return out;
+}
+
+void service_scheduler::OnSuspect(std::uint64_t fingerprint,
+                                  monotonic_time until, monotonic_time now) {
+  if (until > now) poison_.OnSuspect(fingerprint, until);
+}
+
+std::optional<monotonic_time> service_scheduler::NextTimer() const {
+  if (latest_starts_.empty()) return std::nullopt;
+  const monotonic_time expiry = latest_starts_.begin()->first + duration(1);
+  if (!next_change_) return expiry;
+  return std::min(expiry, *next_change_);
+}
+
+void service_scheduler::Refuse(const request_id& id, refusal_reason reason,
+                               monotonic_time retry_at, actions& out) {
+  out.emplace_back(refuse_action{id, reason, retry_at});
+}
+
+void service_scheduler::RefuseWaiting(const request_id& id,
+                                      refusal_reason reason,
+                                      monotonic_time retry_at, actions& out) {
+  const auto found = entries_.find(id);
+  assert(found != entries_.end());
+  Refuse(id, reason, retry_at, out);
+  StopWaiting(found->second);
+  entries_.erase(found);
+}
+
+void service_scheduler::StopWaiting(const entry& e) {
+  const std::pair key(e.place.latest_start, e.request.id);
+  latest_starts_.erase(key);
+  if (held_.erase(key) == 0) queue_.Remove(e.place);
+}
+
+void service_scheduler::RefusePoisoned(std::uint64_t fingerprint,
+                                       monotonic_time now, actions& out) {
+  std::vector<request_id> waiting;
+  for (const auto& [start, id] : latest_starts_) {
+    const entry& e = entries_.at(id);
+    if (e.request.fingerprint == fingerprint) waiting.push_back(id);
+  }
+  const monotonic_time until = std::max(now, poison_.Until(fingerprint));
+  for (const request_id& id : waiting) {
+    RefuseWaiting(id, refusal_reason::kPoison, until, out);
+  }
+}
+
+void service_scheduler::ExpireWaiting(monotonic_time now, actions& out) {
+  while (!latest_starts_.empty() && latest_starts_.begin()->first < now) {
+    const request_id id = latest_starts_.begin()->second;
+    const duration wait = ExpectedWait(entries_.at(id).place, now);
+    RefuseWaiting(id, refusal_reason::kExpiredInQueue, RetryAt(wait, now), out);
+  }
+}
+
+bool service_scheduler::LongAllowed(monotonic_time now) const {
+  return long_in_flight_ < guard_.LongLimit(chooser_.UsableSlots(now), now);
+}
+
+// True if not just any free slot will do.
+bool service_scheduler::NeedsCare(const entry& e, monotonic_time now) const {
+  if (!e.tried.IsEmpty()) return true;
+  if (poison_.IsEmpty()) return false;
+  return poison_.Of(e.request.fingerprint, now) ==
+         poison_registry::standing::kSuspect;
+}
+
+std::optional<upstream_id> service_scheduler::ChooseWithCare(
+    const entry& e, monotonic_time now) {
+  const std::uint64_t fingerprint = e.request.fingerprint;
+  const bool suspect =
+      poison_.Of(fingerprint, now) == poison_registry::standing::kSuspect;
+  if (suspect && !poison_.MaySend(fingerprint)) return std::nullopt;
+  return chooser_.Choose(now, random_, [&](const upstream_id& id) {
+    if (id == e.tried) return false;
+    return !suspect || !poison_.HoldsSuspect(id);
+  });
+}
+
+void service_scheduler::DispatchHeld(monotonic_time now, actions& out) {
+  for (auto next = held_.begin(); next != held_.end();) {
+    const auto at = next++;
+    entry& e = entries_.at(at->second);
+    if (e.request.long_running && !LongAllowed(now)) continue;
+    const std::optional<upstream_id> upstream = ChooseWithCare(e, now);
+    if (!upstream) continue;
+    held_.erase(at);
+    Send(e, *upstream, now, out);
+  }
+}
+
+void service_scheduler::Dispatch(monotonic_time now, actions& out) {
+  ExpireWaiting(now, out);
+  if (!held_.empty()) DispatchHeld(now, out);
+  while (!queue_.IsEmpty()) {
+    const std::optional<upstream_id> upstream = chooser_.Choose(now, random_);
+    if (!upstream) break;
+    const bool any_long = queue_.TotalCost() != queue_.ShortCost();
+    const auto next = queue_.Pop(any_long && LongAllowed(now));
+    if (!next) break;
+    entry& e = entries_.at(next->id);
+    if (!NeedsCare(e, now)) {
+      Send(e, *upstream, now, out);
+    } else if (const auto careful = ChooseWithCare(e, now)) {
+      Send(e, *careful, now, out);
+    } else {
+      held_.emplace(e.place.latest_start, e.request.id);
+    }
+  }
+  next_change_ =
+      latest_starts_.empty() ? std::nullopt : chooser_.NextChange(now);
+}
+
+void service_scheduler::Send(entry& e, const upstream_id& upstream,
+                             monotonic_time now, actions& out) {
+  latest_starts_.erase({e.place.latest_start, e.request.id});
+  e.upstream = upstream;
+  e.sent_at = now;
+  ++e.sends;
+  e.suspect = !poison_.IsEmpty() && poison_.Of(e.request.fingerprint, now) ==
+                                        poison_registry::standing::kSuspect;
+  if (e.suspect) poison_.OnSuspectSent(e.request.fingerprint, upstream);
+  chooser_.OnSent(upstream, now);
+  ++in_flight_;
+  if (e.request.long_running) ++long_in_flight_;
+  out.emplace_back(send_action{e.request.id, upstream});
+}
+
+// Until a short request starts that has this much short work ahead of it.
+duration service_scheduler::ShortWait(duration cost_ahead, duration expected,
+                                      monotonic_time now) const {
+  if (cost_ahead == duration() && chooser_.FreeSlots(now) > 0) return {};
+  const int usable = chooser_.UsableSlots(now);
+  const int slots = std::max(1, usable - long_in_flight_);
+  // All slots are busy, so on average one becomes free after a slots-th part
+  // of the service time.
+  return (cost_ahead + expected) / slots;
+}
+
+duration service_scheduler::ExpectedWait(const queued_request& place,
+                                         monotonic_time now) const {
+  const duration short_ahead = queue_.CostAhead(
+      place.workspace, place.weight, place.latest_start, place.cost, true);
+  const duration short_wait = ShortWait(short_ahead, place.cost, now);
+  if (!place.long_running) return short_wait;
+  const duration all_ahead = queue_.CostAhead(
+      place.workspace, place.weight, place.latest_start, place.cost, false);
+  const int usable = std::max(1, chooser_.UsableSlots(now));
+  const int limit = std::max(1, guard_.LongLimit(usable, now));
+  if (all_ahead == duration() && long_in_flight_ < limit) return short_wait;
+  const duration long_ahead = std::max(duration(), all_ahead - short_ahead);
+  const duration by_limit = (long_ahead + place.cost) / limit;
+  return std::max(by_limit, all_ahead / usable);
+}
+
+monotonic_time service_scheduler::RetryAt(duration wait, monotonic_time now) {
+  const double spread = 1 + kRetrySpread * std::ldexp(random_(), -32);
+  return now + FromSeconds(ToSeconds(std::max(wait, kShortestRetry)) * spread);
+}
+
+scheduler_load service_scheduler::Load(monotonic_time now) const {
+  scheduler_load load;
+  load.slots = chooser_.Slots();
+  load.usable_slots = chooser_.UsableSlots(now);
+  load.in_flight = in_flight_;
+  load.queued = static_cast<int>(queue_.Size() + held_.size());
+  load.mean_service_time = estimator_.OverallMean();
+  load.expected_wait =
+      ShortWait(queue_.ShortCost(), load.mean_service_time, now);
+  load.usable_upstreams = chooser_.UsableUpstreams(now);
+  return load;
+}
+
+int service_scheduler::InFlightAt(const upstream_id& upstream) const {
+  return chooser_.InFlight(upstream);
+}
+
+}  // namespace citron
