--- a/include/citron/policy/service_scheduler.h
+++ b/include/citron/policy/service_scheduler.h
@@ -142,6 +142,8 @@
   };
   using entry_map = std::unordered_map<request_id, entry>;
 
+  monotonic_time LatestStart(const scheduler_request& request,
+                             duration expected, monotonic_time now) const;
   bool RefuseOnArrival(const scheduler_request& request,
                        const queued_request& place, monotonic_time now,
                        actions& out);
--- a/src/policy/service_scheduler.cc
+++ b/src/policy/service_scheduler.cc
@@ -17,6 +17,12 @@
 // in time. The answer says when to come back; it is never held back to keep
 // the caller from asking again.
 
+// At saturation the queue serves what is about to expire, so requests start at
+// their latest start. If that left just the mean service time, half of them
+// would time out at the upstream with their slot's time spent for nothing.
+// Twice the mean deviation leaves it to about one in twelve.
+constexpr int kSwing = 2;
+
 // Callers that come back at the same moment would be the next burst; each is
 // told a time between once and twice the wait.
 constexpr double kRetrySpread = 1.0;
@@ -65,7 +71,7 @@
                        .weight = request.weight,
                        .long_running = request.long_running,
                        .cost = expected,
-                       .latest_start = request.deadline - expected};
+                       .latest_start = LatestStart(request, expected, now)};
   if (RefuseOnArrival(request, place, now, out)) return out;
   entry& e = entries_[request.id];
   e.request = request;
@@ -77,6 +83,17 @@
   return out;
 }
 
+// When the request must have started to be likely to end in time. One that
+// could start at once isn't given up for being merely unlikely.
+monotonic_time service_scheduler::LatestStart(const scheduler_request& request,
+                                              duration expected,
+                                              monotonic_time now) const {
+  const duration swing =
+      kSwing * estimator_.Deviation(request.request_class);
+  const monotonic_time last = request.deadline - expected;
+  return std::min(last, std::max(now, last - swing));
+}
+
 bool service_scheduler::RefuseOnArrival(const scheduler_request& request,
                                         const queued_request& place,
                                         monotonic_time now, actions& out) {
--- /dev/null
+++ b/tests/policy/zone_simulation.h
@@ -0,0 +1,493 @@
+#ifndef CITRON_TESTS_POLICY_ZONE_SIMULATION_H_
+#define CITRON_TESTS_POLICY_ZONE_SIMULATION_H_
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <memory>
+#include <pcg_random.hpp>
+#include <queue>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "citron/policy/service_scheduler.h"
+
+namespace citron {
+
+// Whatever decides what goes to which upstream: the scheduler, or what it is
+// compared with.
+class dispatch_policy {
+ public:
+  using actions = service_scheduler::actions;
+  virtual ~dispatch_policy() = default;
+  virtual actions OnRequest(const scheduler_request&, monotonic_time now) = 0;
+  virtual actions OnOutcome(const request_id&, upstream_outcome,
+                            monotonic_time now) = 0;
+  virtual actions OnReport(const upstream_id&, const upstream_report&,
+                           monotonic_time) {
+    return {};
+  }
+  virtual actions OnTimer(monotonic_time) { return {}; }
+  virtual std::optional<monotonic_time> NextTimer() const { return {}; }
+};
+
+class scheduler_policy : public dispatch_policy {
+ public:
+  scheduler_policy(scheduler_options options,
+                   const std::vector<upstream_capacity>& upstreams,
+                   std::uint64_t seed)
+      : scheduler_(std::move(options), seed) {
+    scheduler_.SetUpstreams(upstreams, monotonic_time());
+  }
+  actions OnRequest(const scheduler_request& r, monotonic_time now) override {
+    return scheduler_.OnRequest(r, now);
+  }
+  actions OnOutcome(const request_id& id, upstream_outcome outcome,
+                    monotonic_time now) override {
+    return scheduler_.OnOutcome(id, outcome, now);
+  }
+  actions OnReport(const upstream_id& id, const upstream_report& report,
+                   monotonic_time now) override {
+    return scheduler_.OnReport(id, report, now);
+  }
+  actions OnTimer(monotonic_time now) override {
+    return scheduler_.OnTimer(now);
+  }
+  std::optional<monotonic_time> NextTimer() const override {
+    return scheduler_.NextTimer();
+  }
+  service_scheduler& Scheduler() { return scheduler_; }
+
+ private:
+  service_scheduler scheduler_;
+};
+
+// Requests of one workspace and class; arrivals are a Poisson process.
+struct simulated_load {
+  workspace_id workspace;
+  double weight = 1;
+  std::string request_class = "lookup";
+  duration service_time{};  // Mean.
+  bool long_running = false;
+  bool idempotent = true;
+  duration patience{};
+  double rate_per_s = 0;
+  double burst_factor = 1;  // Of the rate, in the burst's time.
+  duration burst_from{};
+  duration burst_to{};
+  int asks = 1;          // How often a caller asks in all when refused.
+  duration ask_again{};  // Its pause; 0 does as the refusal says.
+  bool crashes = false;  // All alike, and each kills the upstream it runs on.
+};
+
+struct simulated_upstream {
+  upstream_capacity capacity;
+  double slowness = 1;
+  bool fails_fast = false;        // Answers errors after a millisecond.
+  bool queues_when_full = false;  // Otherwise it sheds.
+  int foreign_work = 0;           // Slots that others fill.
+  bool says_idle = false;         // Whatever it has.
+};
+
+struct workspace_result {
+  int offered = 0;  // Callers.
+  int good = 0;     // Answered in time.
+  int refused = 0;  // Callers that gave up after a refusal.
+  int late = 0;     // Timed out, failed or lost.
+  std::vector<double> latency_ms;
+};
+
+struct simulation_result {
+  std::map<workspace_id, workspace_result> workspaces;
+  std::map<std::string, std::vector<double>> latency_ms;  // By class.
+  std::map<refusal_reason, int> refusals;
+  std::map<upstream_id, int> good_at;
+  int asked = 0;  // Requests at the owners, asking again included.
+  int sends = 0;
+  int sheds = 0;
+  int crashes = 0;
+  int refused_after_deadline = 0;
+  int most_over_slots = 0;
+
+  int Good() const {
+    int sum = 0;
+    for (const auto& [id, w] : workspaces) sum += w.good;
+    return sum;
+  }
+  int Offered() const {
+    int sum = 0;
+    for (const auto& [id, w] : workspaces) sum += w.offered;
+    return sum;
+  }
+};
+
+inline double Percentile(std::vector<double> values, double part) {
+  if (values.empty()) return 0;
+  const auto at = static_cast<std::size_t>(part * (values.size() - 1));
+  std::nth_element(values.begin(), values.begin() + at, values.end());
+  return values[at];
+}
+
+// What each gets of a capacity when those that want less than their part by
+// weight leave the rest to the others.
+inline std::map<workspace_id, double> FairParts(
+    const std::map<workspace_id, std::pair<double, double>>& want_and_weight,
+    double capacity) {
+  std::map<workspace_id, double> parts;
+  auto open = want_and_weight;
+  while (!open.empty()) {
+    double weights = 0;
+    for (const auto& [id, w] : open) weights += w.second;
+    const double left = capacity;
+    const auto before = open.size();
+    for (auto at = open.begin(); at != open.end();) {
+      const auto& [want, weight] = at->second;
+      if (want > left * weight / weights) {
+        ++at;
+        continue;
+      }
+      parts[at->first] = want;
+      capacity -= want;
+      at = open.erase(at);
+    }
+    if (open.size() < before) continue;
+    for (const auto& [id, w] : open) parts[id] = left * w.second / weights;
+    break;
+  }
+  return parts;
+}
+
+// One service of one zone: callers, its owners and its upstreams, played event
+// by event. A caller goes to an owner at random.
+class zone_simulation {
+ public:
+  zone_simulation(std::vector<std::unique_ptr<dispatch_policy>> owners,
+                  const std::vector<simulated_upstream>& upstreams,
+                  std::uint64_t seed)
+      : owners_(std::move(owners)), random_(seed) {
+    for (const simulated_upstream& u : upstreams) {
+      upstreams_[u.capacity.id].model = u;
+    }
+  }
+
+  void SetReports(duration every, duration lag) {
+    At(every, [this, every, lag] { Report(every, lag); });
+  }
+  void AddLoad(const simulated_load& load) {
+    loads_.push_back(std::make_unique<simulated_load>(load));
+    NextArrival(*loads_.back(), random_());
+  }
+  // Callers that arrive before `skip` are played but not counted.
+  simulation_result Run(duration time, duration skip = {}) {
+    skip_ = skip;
+    end_ = time;
+    while (!events_.empty()) {
+      const event next = events_.top();
+      events_.pop();
+      now_ = next.at;
+      next.run();
+    }
+    return std::move(result_);
+  }
+
+ private:
+  struct event {
+    duration at{};
+    std::uint64_t number = 0;
+    std::function<void()> run;
+    bool operator<(const event& o) const {
+      return at != o.at ? at > o.at : number > o.number;
+    }
+  };
+  struct caller {
+    const simulated_load* load = nullptr;
+    scheduler_request request;
+    duration arrived{};
+    duration service{};
+    std::size_t owner = 0;
+    int asks = 0;
+    int run = 0;  // Tells a send from an earlier one.
+    upstream_id upstream;
+  };
+  struct upstream_state {
+    simulated_upstream model;
+    std::vector<request_id> running;
+    std::vector<request_id> queued;
+    duration down_until{};
+  };
+
+  monotonic_time Now() const { return monotonic_time(now_); }
+  void At(duration at, std::function<void()> run) {
+    events_.push({std::max(at, now_), next_number_++, std::move(run)});
+  }
+  double Unit() { return std::ldexp(random_() + 0.5, -32); }
+  double Exponential() { return -std::log(Unit()); }
+
+  void NextArrival(const simulated_load& load, std::uint32_t salt) {
+    // Thinned from the highest rate, so that a burst starts sharply.
+    const double peak = load.rate_per_s * std::max(1.0, load.burst_factor);
+    const duration at = now_ + FromSeconds(Exponential() / peak);
+    if (end_ != duration() && at > end_) return;
+    At(at, [this, &load, salt] {
+      if (now_ > end_) return;
+      const bool burst = load.burst_from <= now_ && now_ < load.burst_to;
+      const double top = std::max(1.0, load.burst_factor);
+      const double part = (burst ? load.burst_factor : 1.0) / top;
+      if (Unit() < part) Arrive(load);
+      NextArrival(load, salt);
+    });
+  }
+
+  void Arrive(const simulated_load& load) {
+    caller c;
+    c.load = &load;
+    c.arrived = now_;
+    c.service =
+        FromSeconds(ToSeconds(load.service_time) * (0.5 + 0.5 * Exponential()));
+    c.request = {.workspace = load.workspace,
+                 .weight = load.weight,
+                 .fingerprint = load.crashes ? 666 : random_(),
+                 .request_class = load.request_class,
+                 .long_running = load.long_running,
+                 .idempotent = load.idempotent,
+                 .deadline = Now() + load.patience};
+    if (Counts(c)) ++result_.workspaces[load.workspace].offered;
+    Ask(std::move(c));
+  }
+
+  bool Counts(const caller& c) const { return c.arrived >= skip_; }
+
+  void Ask(caller c) {
+    ++c.asks;
+    ++result_.asked;
+    c.request.id = request_id(std::to_string(next_request_++));
+    c.request.arrived_at = Now();
+    c.owner = random_(static_cast<std::uint32_t>(owners_.size()));
+    const scheduler_request request = c.request;
+    const std::size_t owner = c.owner;
+    callers_[request.id] = std::move(c);
+    Do(owner, owners_[owner]->OnRequest(request, Now()));
+  }
+
+  void Do(std::size_t owner, const dispatch_policy::actions& actions) {
+    for (const scheduler_action& action : actions) {
+      if (const auto* send = std::get_if<send_action>(&action)) Send(*send);
+      if (const auto* r = std::get_if<refuse_action>(&action)) Refused(*r);
+      if (const auto* p = std::get_if<poison_action>(&action)) Tell(owner, *p);
+    }
+    const auto timer = owners_[owner]->NextTimer();
+    if (!timer) return;
+    At(timer->time_since_epoch(), [this, owner, at = *timer] {
+      const auto still = owners_[owner]->NextTimer();
+      if (still && *still == at) Do(owner, owners_[owner]->OnTimer(Now()));
+    });
+  }
+
+  void Tell(std::size_t, const poison_action&) {}
+
+  void Refused(const refuse_action& refusal) {
+    const auto found = callers_.find(refusal.id);
+    caller c = std::move(found->second);
+    callers_.erase(found);
+    if (Now() > c.request.deadline) ++result_.refused_after_deadline;
+    if (Counts(c)) ++result_.refusals[refusal.reason];
+    duration again = refusal.retry_at.time_since_epoch();
+    if (c.load->ask_again > duration()) again = now_ + c.load->ask_again;
+    const bool in_time = monotonic_time(again) < c.request.deadline;
+    if (c.asks < c.load->asks && in_time) {
+      At(again, [this, c] { Ask(c); });
+    } else if (Counts(c)) {
+      ++result_.workspaces[c.load->workspace].refused;
+    }
+  }
+
+  void Send(const send_action& send) {
+    ++result_.sends;
+    caller& c = callers_.at(send.id);
+    upstream_state& u = upstreams_.at(send.upstream);
+    c.upstream = send.upstream;
+    ++c.run;
+    if (now_ < u.down_until) {
+      EndAt(now_, send.id, upstream_outcome::kConnectFailedNotRun);
+      return;
+    }
+    const int busy = static_cast<int>(u.running.size()) + u.model.foreign_work;
+    const bool full = busy >= u.model.capacity.slots;
+    result_.most_over_slots =
+        std::max(result_.most_over_slots, busy + 1 - u.model.capacity.slots);
+    if (full && !u.model.queues_when_full) {
+      ++result_.sheds;
+      EndAt(now_, send.id, upstream_outcome::kShedNotRun);
+      return;
+    }
+    const duration deadline = c.request.deadline.time_since_epoch();
+    if (full) {
+      u.queued.push_back(send.id);
+      EndAt(deadline, send.id, upstream_outcome::kTimedOut);
+      return;
+    }
+    Start(u, send.id);
+  }
+
+  void Start(upstream_state& u, const request_id& id) {
+    caller& c = callers_.at(id);
+    u.running.push_back(id);
+    if (c.load->crashes) {
+      At(now_ + std::chrono::milliseconds(20),
+         [this, &u, id] { Crash(u, id); });
+      return;
+    }
+    if (u.model.fails_fast) {
+      EndAt(now_ + std::chrono::milliseconds(1), id,
+            upstream_outcome::kServerError);
+      return;
+    }
+    const duration end =
+        now_ + FromSeconds(ToSeconds(c.service) * u.model.slowness);
+    const duration deadline = c.request.deadline.time_since_epoch();
+    const bool in_time = end <= deadline;
+    EndAt(std::min(end, deadline), id,
+          in_time ? upstream_outcome::kAnswered : upstream_outcome::kTimedOut);
+  }
+
+  void Crash(upstream_state& u, const request_id& id) {
+    const auto& r = u.running;
+    if (std::find(r.begin(), r.end(), id) == r.end()) return;
+    ++result_.crashes;
+    u.down_until = now_ + std::chrono::seconds(3);
+    const std::vector<request_id> lost = u.running;
+    for (const request_id& l : lost) {
+      EndAt(now_, l, upstream_outcome::kConnectionLost);
+    }
+  }
+
+  void EndAt(duration at, const request_id& id, upstream_outcome outcome) {
+    At(at, [this, id, outcome, run = callers_.at(id).run] {
+      const auto found = callers_.find(id);
+      if (found != callers_.end() && found->second.run == run) {
+        End(id, outcome);
+      }
+    });
+  }
+
+  void End(const request_id& id, upstream_outcome outcome) {
+    caller& c = callers_.at(id);
+    upstream_state& u = upstreams_.at(c.upstream);
+    std::erase(u.running, id);
+    std::erase(u.queued, id);
+    ++c.run;
+    const std::size_t owner = c.owner;
+    const int run = c.run;
+    if (outcome == upstream_outcome::kAnswered) Answered(c);
+    const auto actions = owners_[owner]->OnOutcome(id, outcome, Now());
+    Do(owner, actions);
+    const auto left = callers_.find(id);
+    const bool final =
+        left != callers_.end() && left->second.run == run && !IsNotRun(outcome);
+    if (final) {
+      const caller& done = left->second;
+      const bool failed = outcome != upstream_outcome::kAnswered;
+      if (failed && Counts(done))
+        ++result_.workspaces[done.load->workspace].late;
+      callers_.erase(left);
+    }
+    StartQueued(u);
+  }
+
+  void StartQueued(upstream_state& u) {
+    while (!u.queued.empty() &&
+           static_cast<int>(u.running.size()) + u.model.foreign_work <
+               u.model.capacity.slots) {
+      const request_id next = u.queued.front();
+      u.queued.erase(u.queued.begin());
+      ++callers_.at(next).run;
+      Start(u, next);
+    }
+  }
+
+  void Answered(const caller& c) {
+    if (!Counts(c)) return;
+    workspace_result& w = result_.workspaces[c.load->workspace];
+    ++w.good;
+    ++result_.good_at[c.upstream];
+    const double ms = ToMilliseconds(now_ - c.arrived);
+    w.latency_ms.push_back(ms);
+    result_.latency_ms[c.load->request_class].push_back(ms);
+  }
+
+  void Report(duration every, duration lag) {
+    for (const auto& [id, u] : upstreams_) {
+      upstream_report report;
+      if (!u.model.says_idle) {
+        report.in_flight =
+            static_cast<int>(u.running.size()) + u.model.foreign_work;
+        report.queued = static_cast<int>(u.queued.size());
+      }
+      report.ready = now_ >= u.down_until || u.model.says_idle;
+      At(now_ + lag, [this, id = id, report] {
+        for (std::size_t o = 0; o < owners_.size(); ++o) {
+          Do(o, owners_[o]->OnReport(id, report, Now()));
+        }
+      });
+    }
+    if (now_ + every > end_) return;
+    At(now_ + every, [this, every, lag] { Report(every, lag); });
+  }
+
+  std::vector<std::unique_ptr<dispatch_policy>> owners_;
+  std::map<upstream_id, upstream_state> upstreams_;
+  std::vector<std::unique_ptr<simulated_load>> loads_;
+  std::unordered_map<request_id, caller> callers_;
+  std::priority_queue<event> events_;
+  std::uint64_t next_number_ = 0;
+  std::uint64_t next_request_ = 0;
+  pcg32 random_;
+  duration now_{};
+  duration end_{};
+  duration skip_{};
+  simulation_result result_;
+};
+
+// Tarimas' yard-desk in one of its larger zones: servers of 4 slots.
+inline std::vector<simulated_upstream> YardDesk(int servers = 4) {
+  std::vector<simulated_upstream> upstreams;
+  for (int i = 0; i < servers; ++i) {
+    simulated_upstream u;
+    u.capacity.id = upstream_id("yard-" + std::to_string(i));
+    u.capacity.slots = 4;
+    u.capacity.max_connections = 350;
+    upstreams.push_back(u);
+  }
+  return upstreams;
+}
+
+inline std::vector<upstream_capacity> Capacities(
+    const std::vector<simulated_upstream>& upstreams) {
+  std::vector<upstream_capacity> capacities;
+  for (const auto& u : upstreams) capacities.push_back(u.capacity);
+  return capacities;
+}
+
+// Eight workspaces, a few of them large, that together look up `rate_per_s`
+// pallet lots; each weighs what it may send.
+inline std::vector<simulated_load> LookupLoads(double rate_per_s,
+                                               duration patience) {
+  std::vector<simulated_load> loads;
+  const std::vector<double> parts = {8, 6, 4, 1, 1, 1, 1, 1};
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    simulated_load load;
+    load.workspace = workspace_id("depot-" + std::to_string(i));
+    load.weight = parts[i];
+    load.service_time = std::chrono::milliseconds(40);
+    load.patience = patience;
+    load.rate_per_s = rate_per_s * parts[i] / 23;
+    loads.push_back(load);
+  }
+  return loads;
+}
+
+}  // namespace citron
+
+#endif  // CITRON_TESTS_POLICY_ZONE_SIMULATION_H_
