--- /dev/null
+++ b/include/citron/control/view_exchange.h
@@ -0,0 +1,40 @@
+#ifndef CITRON_CONTROL_VIEW_EXCHANGE_H_
+#define CITRON_CONTROL_VIEW_EXCHANGE_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "citron/control/control_context.h"
+
+namespace citron {
+
+// What the VMs tell each other of their tasks and queues, and what this VM's
+// daemons are told of all that.
+class view_exchange {
+ public:
+  explicit view_exchange(const control_context& context);
+
+  void OnMember(const vm_id& vm, member_state state);
+  void OnView(const vm_view& view, monotonic_time now);
+  // The VM's own view, for its own daemons.
+  void SetOwn(const vm_view& view, monotonic_time now);
+
+  // Changes since the last call; everything from time to time, since messages
+  // may be lost and daemons restart.
+  fleet_view TakeUpdate();
+  void SendFullNext() { full_next_ = true; }
+
+  const std::map<vm_id, vm_seen>& Vms() const { return vms_; }
+
+ private:
+  const control_context& context_;
+  std::map<vm_id, vm_seen> vms_;
+  std::map<vm_id, bool> changed_;
+  int updates_since_full_ = 0;
+  bool full_next_ = true;
+};
+
+}  // namespace citron
+
+#endif  // CITRON_CONTROL_VIEW_EXCHANGE_H_
--- /dev/null
+++ b/include/citron/net/daemon_runner.h
@@ -0,0 +1,17 @@
+#ifndef CITRON_NET_DAEMON_RUNNER_H_
+#define CITRON_NET_DAEMON_RUNNER_H_
+
+#include <functional>
+
+#include "citron/net/event_loop.h"
+
+namespace citron {
+
+// Runs the loop until `stop`, called at the first SIGTERM or SIGINT, has
+// called its argument; a second signal ends at once.
+void RunUntilSignal(event_loop& loop,
+                    const std::function<void(std::function<void()>)>& stop);
+
+}  // namespace citron
+
+#endif  // CITRON_NET_DAEMON_RUNNER_H_
--- a/include/citron/wire/messages.h
+++ b/include/citron/wire/messages.h
@@ -20,7 +20,6 @@
 enum class message_type : std::uint32_t {
   // Daemons of one VM.
   kHello = 1,
-  kConfigUpdate,
   kShareUpdate,
   kShareApplied,
   kFleetView,
@@ -67,16 +66,6 @@
   bool leaving = false;
 };
 
-// Objects that changed since `after`; a receiver that is at another revision
-// says so in its next hello.
-struct config_update {
-  config_revision after = 0;
-  config_revision revision = 0;
-  bool full = false;
-  std::vector<config_item> items;
-  monotonic_time fresh_as_of;
-};
-
 struct share_update {
   vm_share share;
   int divisor = 1;
@@ -108,6 +97,8 @@
   std::uint64_t sequence = 0;
   bool leaving = false;
   endpoint control;
+  config_revision revision = 0;
+  duration config_age{};
   std::vector<task_address> entries;
   std::vector<task_address> dispatches;
   std::vector<service_load> loads;
@@ -120,9 +111,12 @@
   monotonic_time received_at;
 };
 
-// Only VMs whose view changed since the last one, unless `full`.
+// From a control to its daemons, again and again. Only VMs whose view changed
+// since the last one, unless `full`.
 struct fleet_view {
   bool full = false;
+  config_revision revision = 0;
+  duration config_age{};
   std::vector<vm_seen> vms;
   std::vector<vm_id> removed;
 };
@@ -210,9 +204,6 @@
 inline auto WireFields(config_item& m) {
   return std::tie(m.key, m.value, m.revision, m.removed);
 }
-inline auto WireFields(config_update& m) {
-  return std::tie(m.after, m.revision, m.full, m.items, m.fresh_as_of);
-}
 inline auto WireFields(vm_share& m) {
   return std::tie(m.floor_ppm, m.leased_ppm, m.leased_until, m.floor_until,
                   m.sequence);
@@ -231,13 +222,14 @@
 }
 inline auto WireFields(vm_view& m) {
   return std::tie(m.vm, m.zone, m.region, m.incarnation, m.sequence, m.leaving,
-                  m.control, m.entries, m.dispatches, m.loads);
+                  m.control, m.revision, m.config_age, m.entries, m.dispatches,
+                  m.loads);
 }
 inline auto WireFields(vm_seen& m) {
   return std::tie(m.view, m.state, m.received_at);
 }
 inline auto WireFields(fleet_view& m) {
-  return std::tie(m.full, m.vms, m.removed);
+  return std::tie(m.full, m.revision, m.config_age, m.vms, m.removed);
 }
 inline auto WireFields(store_call_message& m) {
   return std::tie(m.call, m.kind, m.key, m.value, m.expected_revision,
--- /dev/null
+++ b/src/control/local_daemons.cc
@@ -0,0 +1,121 @@
+#include "citron/control/local_daemons.h"
+
+#include <algorithm>
+#include <map>
+
+namespace citron {
+
+namespace {
+
+// Hellos come every few hundred milliseconds; after this long without one a
+// task is not told of to others.
+constexpr duration kSilentAfter = std::chrono::milliseconds(1500);
+
+void AddLoad(std::map<service_id, scheduler_load>& sums,
+             const service_load& added) {
+  const auto [found, is_new] = sums.try_emplace(added.service, added.load);
+  if (is_new) return;
+  scheduler_load& sum = found->second;
+  sum.slots += added.load.slots;
+  sum.usable_slots += added.load.usable_slots;
+  sum.in_flight += added.load.in_flight;
+  sum.queued += added.load.queued;
+  sum.usable_upstreams += added.load.usable_upstreams;
+  sum.expected_wait = std::min(sum.expected_wait, added.load.expected_wait);
+  sum.mean_service_time =
+      std::max(sum.mean_service_time, added.load.mean_service_time);
+}
+
+}  // namespace
+
+bool local_daemons::OnHello(const hello& message, monotonic_time now) {
+  task& known = tasks_[{message.role, message.address.loop}];
+  const bool is_new = known.address.incarnation != message.address.incarnation;
+  if (message.address.incarnation < known.address.incarnation) return false;
+  if (is_new) known = {};
+  known.address = message.address;
+  known.loops = message.loops;
+  known.revision = message.revision;
+  known.leaving = message.leaving;
+  known.silent_at = now + kSilentAfter;
+  return is_new;
+}
+
+void local_daemons::OnShareApplied(const share_applied& message) {
+  const auto found = tasks_.find({daemon_role::kEntry, message.loop});
+  if (found == tasks_.end()) return;
+  found->second.applied_share =
+      std::max(found->second.applied_share, message.sequence);
+}
+
+void local_daemons::OnReport(const dispatch_report& message) {
+  const auto found = tasks_.find({daemon_role::kDispatch, message.loop});
+  if (found != tasks_.end()) found->second.loads = message.services;
+}
+
+std::uint64_t local_daemons::AppliedShare() const {
+  std::uint64_t lowest = 0;
+  int loops = 0;
+  for (const auto& [key, known] : tasks_) {
+    if (key.first != daemon_role::kEntry) continue;
+    lowest = loops == 0 ? known.applied_share
+                        : std::min(lowest, known.applied_share);
+    ++loops;
+  }
+  return loops >= EntryLoops() ? lowest : 0;
+}
+
+int local_daemons::EntryLoops() const {
+  int loops = 1;
+  for (const auto& [key, known] : tasks_) {
+    if (key.first == daemon_role::kEntry) loops = std::max(loops, known.loops);
+  }
+  return loops;
+}
+
+config_revision local_daemons::LowestRevision(monotonic_time now) const {
+  config_revision lowest = UINT64_MAX;
+  for (const auto& [key, known] : tasks_) {
+    if (now < known.silent_at) lowest = std::min(lowest, known.revision);
+  }
+  return lowest;
+}
+
+bool local_daemons::AllGone(monotonic_time now) const {
+  return std::all_of(tasks_.begin(), tasks_.end(), [now](const auto& known) {
+    return now >= known.second.silent_at;
+  });
+}
+
+void local_daemons::Describe(vm_view& view, monotonic_time now) const {
+  std::map<service_id, scheduler_load> sums;
+  for (const auto& [key, known] : tasks_) {
+    if (now >= known.silent_at) continue;
+    if (key.first == daemon_role::kEntry) {
+      view.leaving = view.leaving || known.leaving;
+      view.entries.push_back(known.address);
+      continue;
+    }
+    if (known.leaving) continue;
+    view.dispatches.push_back(known.address);
+    for (const service_load& load : known.loads) AddLoad(sums, load);
+  }
+  for (const auto& [service, load] : sums)
+    view.loads.push_back({service, load});
+}
+
+std::vector<endpoint> local_daemons::Peers() const {
+  std::vector<endpoint> peers;
+  for (const auto& [key, known] : tasks_) peers.push_back(known.address.peer);
+  return peers;
+}
+
+std::vector<endpoint> local_daemons::EntryPeers() const {
+  std::vector<endpoint> peers;
+  for (const auto& [key, known] : tasks_) {
+    if (key.first == daemon_role::kEntry) peers.push_back(known.address.peer);
+  }
+  return peers;
+}
+
+}  // namespace citron
--- /dev/null
+++ b/src/control/view_exchange.cc
@@ -0,0 +1,77 @@
+#include "citron/control/view_exchange.h"
+
+#include "citron/base/log.h"
+
+namespace citron {
+
+namespace {
+
+constexpr char kLogPart[] = "membership";
+constexpr int kUpdatesBetweenFull = 10;
+
+std::string_view StateName(member_state state) {
+  switch (state) {
+    case member_state::kListed:
+      return "listed";
+    case member_state::kLive:
+      return "live";
+    case member_state::kSilent:
+      return "silent";
+    case member_state::kDraining:
+      return "draining";
+    case member_state::kLeaving:
+      return "leaving";
+    case member_state::kGone:
+      return "gone";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+view_exchange::view_exchange(const control_context& context)
+    : context_(context) {}
+
+void view_exchange::OnMember(const vm_id& vm, member_state state) {
+  vm_seen& seen = vms_[vm];
+  if (seen.view.vm.IsEmpty()) seen.view.vm = vm;
+  if (seen.state != state || changed_.find(vm) == changed_.end()) {
+    Log(kLogPart, "{} is {}", vm.Str(), StateName(state));
+  }
+  seen.state = state;
+  changed_[vm] = true;
+}
+
+void view_exchange::OnView(const vm_view& view, monotonic_time now) {
+  vm_seen& seen = vms_[view.vm];
+  const vm_view& known = seen.view;
+  const bool is_older = view.incarnation < known.incarnation ||
+                        (view.incarnation == known.incarnation &&
+                         view.sequence <= known.sequence);
+  if (is_older) return;
+  seen.view = view;
+  seen.received_at = now;
+  changed_[view.vm] = true;
+}
+
+void view_exchange::SetOwn(const vm_view& view, monotonic_time now) {
+  vm_seen& seen = vms_[view.vm];
+  seen.view = view;
+  seen.state = view.leaving ? member_state::kLeaving : member_state::kLive;
+  seen.received_at = now;
+  changed_[view.vm] = true;
+}
+
+fleet_view view_exchange::TakeUpdate() {
+  fleet_view update;
+  update.full = full_next_ || ++updates_since_full_ >= kUpdatesBetweenFull;
+  for (const auto& [vm, seen] : vms_) {
+    if (update.full || changed_[vm]) update.vms.push_back(seen);
+  }
+  for (auto& [vm, is_changed] : changed_) is_changed = false;
+  if (update.full) updates_since_full_ = 0;
+  full_next_ = false;
+  return update;
+}
+
+}  // namespace citron
--- a/src/policy/service_scheduler.cc
+++ b/src/policy/service_scheduler.cc
@@ -88,8 +88,7 @@
 monotonic_time service_scheduler::LatestStart(const scheduler_request& request,
                                               duration expected,
                                               monotonic_time now) const {
-  const duration swing =
-      kSwing * estimator_.Deviation(request.request_class);
+  const duration swing = kSwing * estimator_.Deviation(request.request_class);
   const monotonic_time last = request.deadline - expected;
   return std::min(last, std::max(now, last - swing));
 }
--- a/tests/wire/messages_test.cc
+++ b/tests/wire/messages_test.cc
@@ -20,7 +20,7 @@
   seen.view.loads.push_back(load);
   seen.state = member_state::kSilent;
   seen.received_at = monotonic_time(FromSeconds(5));
-  return {true, {seen}, {vm_id("gone")}};
+  return {true, 5, FromMilliseconds(9), {seen}, {vm_id("gone")}};
 }
 
 BOOST_AUTO_TEST_CASE(ViewRoundTrips) {
