--- /dev/null
+++ b/src/dispatch/dispatch_call.cc
@@ -0,0 +1,163 @@
+#include "dispatch/dispatch_call.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace citron {
+
+namespace {
+
+// Above this an answer is read from the upstream no faster than the entry
+// takes it: the library itself would hold a whole download in memory for a
+// slow reader.
+constexpr std::size_t kPauseAbove = std::size_t{256} << 10;
+
+// What a 503 of an upstream says of the request.
+std::optional<upstream_outcome> NotRunOutcome(const http_response_head& head) {
+  constexpr int kServiceUnavailable = 503;
+  if (head.status != kServiceUnavailable) return std::nullopt;
+  const auto said = FindHeader(head.headers, "Upstream-Status");
+  if (said == "shed") return upstream_outcome::kShedNotRun;
+  if (said == "leaving") return upstream_outcome::kLeavingNotRun;
+  return std::nullopt;
+}
+
+upstream_outcome OutcomeOf(const call_failure& failure) {
+  if (failure.problem == call_problem::kTimedOut) {
+    return upstream_outcome::kTimedOut;
+  }
+  return failure.bytes_sent ? upstream_outcome::kConnectionLost
+                            : upstream_outcome::kConnectFailedNotRun;
+}
+
+}  // namespace
+
+dispatch_task::call::call(dispatch_task& task, http_exchange& exchange,
+                          const forward_head& head, monotonic_time deadline)
+    : task_(task),
+      exchange_(&exchange),
+      request_(exchange.Request()),
+      head_(head),
+      arrived_at_(MonotonicNow()),
+      deadline_(deadline) {
+  exchange.OnGone([this] { OnEntryGone(); });
+  exchange.OnDrained([this] {
+    if (connection_) connection_->ResumeReading();
+  });
+}
+
+void dispatch_task::call::Send(const upstream_id& upstream,
+                               const endpoint& address) {
+  upstream_ = upstream;
+  not_run_.reset();
+  connection_ = task_.client_.Take(address);
+  connection_->Start(UpstreamRequest(), deadline_, *this);
+}
+
+http_request dispatch_task::call::UpstreamRequest() const {
+  http_request request;
+  request.method = request_.method;
+  request.target = request_.target;
+  request.body = request_.body;
+  for (const http_header& header : request_.headers) {
+    if (MayForwardHeader(header.name)) request.headers.push_back(header);
+  }
+  const duration left = deadline_ - MonotonicNow();
+  const std::string& id = head_.caller_request_id.empty()
+                              ? head_.id.Str()
+                              : head_.caller_request_id;
+  request.headers.push_back({"Citron-Workspace", head_.workspace.Str()});
+  request.headers.push_back({"Citron-Request-Id", id});
+  request.headers.push_back(
+      {"Citron-Deadline-Ms",
+       fmt::format("{:.0f}", std::max(0.0, ToMilliseconds(left)))});
+  return request;
+}
+
+void dispatch_task::call::OnHead(const http_response_head& head) {
+  status_ = head.status;
+  not_run_ = NotRunOutcome(head);
+  if (not_run_ || exchange_ == nullptr) return;
+  streaming_ = true;
+  http_response_head answer;
+  answer.status = head.status;
+  for (const http_header& header : head.headers) {
+    if (MayReturnHeader(header.name)) answer.headers.push_back(header);
+  }
+  answer.headers.push_back(
+      {"Citron-Verdict", std::string(VerdictName(verdict::kRan))});
+  answer.headers.push_back({"Citron-Upstream", upstream_.Str()});
+  exchange_->StartReply(answer);
+}
+
+void dispatch_task::call::OnBody(std::string_view bytes) {
+  if (!streaming_ || exchange_ == nullptr) return;
+  exchange_->SendBody(bytes);
+  if (exchange_->PendingBytes() > kPauseAbove) connection_->PauseReading();
+}
+
+void dispatch_task::call::OnDone() {
+  constexpr int kFirstServerError = 500;
+  ReleaseConnection();
+  if (not_run_) return task_.Finish(head_.id, *not_run_);
+  if (exchange_ != nullptr) std::exchange(exchange_, nullptr)->FinishBody();
+  task_.Finish(head_.id, status_ >= kFirstServerError
+                             ? upstream_outcome::kServerError
+                             : upstream_outcome::kAnswered);
+}
+
+void dispatch_task::call::OnFailed(const call_failure& failure) {
+  ReleaseConnection();
+  if (streaming_) Break();
+  task_.Finish(head_.id, OutcomeOf(failure));
+}
+
+void dispatch_task::call::OnEntryGone() {
+  exchange_ = nullptr;
+  task_.OnEntryGone(head_.id);
+}
+
+void dispatch_task::call::CancelUpstream() {
+  if (connection_) connection_->Cancel();
+  ReleaseConnection();
+}
+
+void dispatch_task::call::ReleaseConnection() {
+  if (connection_) task_.client_.Give(std::move(connection_));
+}
+
+void dispatch_task::call::Break() {
+  if (exchange_ != nullptr) std::exchange(exchange_, nullptr)->Abort();
+}
+
+void dispatch_task::call::ReplyRefused(std::string_view code, int status,
+                                       monotonic_time retry_at) {
+  ReplyError(code, status, verdict::kNotRun, retry_at);
+}
+
+void dispatch_task::call::ReplyFailed(std::string_view code, int status) {
+  ReplyError(code, status, verdict::kMayHaveRun, std::nullopt);
+}
+
+void dispatch_task::call::ReplyError(std::string_view code, int status,
+                                     verdict ran,
+                                     std::optional<monotonic_time> retry_at) {
+  if (exchange_ == nullptr) return;
+  http_response response;
+  response.head.status = status;
+  response.head.headers = {{"Content-Type", "application/json"},
+                           {"Citron-Verdict", std::string(VerdictName(ran))},
+                           {"Citron-Refusal", std::string(code)}};
+  if (retry_at) {
+    const double ms = ToMilliseconds(*retry_at - MonotonicNow());
+    response.head.headers.push_back(
+        {"Citron-Retry-Ms", fmt::format("{:.0f}", std::max(0.0, ms))});
+  }
+  response.body = nlohmann::json({{"code", code}}).dump();
+  std::exchange(exchange_, nullptr)->Reply(response);
+}
+
+}  // namespace citron
--- /dev/null
+++ b/src/dispatch/dispatch_call.h
@@ -0,0 +1,68 @@
+#ifndef CITRON_DISPATCH_DISPATCH_CALL_H_
+#define CITRON_DISPATCH_DISPATCH_CALL_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "citron/base/verdict.h"
+#include "citron/dispatch/dispatch_task.h"
+
+namespace citron {
+
+// One request at a dispatch, from its arrival to its final answer. It is the
+// go-between of the entry's exchange and the upstream's connection.
+class dispatch_task::call final : public http_call_handler {
+ public:
+  call(dispatch_task& task, http_exchange& exchange, const forward_head& head,
+       monotonic_time deadline);
+
+  const forward_head& Head() const { return head_; }
+  monotonic_time Deadline() const { return deadline_; }
+  monotonic_time ArrivedAt() const { return arrived_at_; }
+  const upstream_id& Upstream() const { return upstream_; }
+  int Status() const { return status_; }
+  bool IsAnswered() const { return exchange_ == nullptr; }
+
+  // Sends the request to the upstream.
+  void Send(const upstream_id& upstream, const endpoint& address);
+  // Final answers of the dispatch itself.
+  void ReplyRefused(std::string_view code, int status, monotonic_time retry_at);
+  void ReplyFailed(std::string_view code, int status);
+  // Ends the exchange without an answer that looks whole.
+  void Break();
+  // Gives the connection back, or closes it.
+  void ReleaseConnection();
+  // Whether part of an answer has gone to the entry.
+  bool IsStreaming() const { return streaming_; }
+  // What stops a request in flight whose entry is gone.
+  void CancelUpstream();
+
+  void OnHead(const http_response_head& head) override;
+  void OnBody(std::string_view bytes) override;
+  void OnDone() override;
+  void OnFailed(const call_failure& failure) override;
+
+ private:
+  void OnEntryGone();
+  http_request UpstreamRequest() const;
+  void ReplyError(std::string_view code, int status, verdict ran,
+                  std::optional<monotonic_time> retry_at);
+
+  dispatch_task& task_;
+  http_exchange* exchange_;  // Null once answered or gone.
+  http_request request_;
+  forward_head head_;
+  monotonic_time arrived_at_;
+  monotonic_time deadline_;
+  upstream_id upstream_;
+  std::unique_ptr<http_connection> connection_;
+  std::optional<upstream_outcome> not_run_;
+  bool streaming_ = false;
+  int status_ = 0;
+};
+
+}  // namespace citron
+
+#endif  // CITRON_DISPATCH_DISPATCH_CALL_H_
--- /dev/null
+++ b/src/link/forward_head.cc
@@ -0,0 +1,211 @@
+#include "citron/link/forward_head.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <optional>
+
+#include "citron/base/digest.h"
+
+namespace citron {
+
+namespace {
+
+constexpr char kIdHeader[] = "Citron-Forward-Id";
+constexpr char kWorkspaceHeader[] = "Citron-Workspace";
+constexpr char kServiceHeader[] = "Citron-Service";
+constexpr char kKeyDigestHeader[] = "Citron-Key-Digest";
+constexpr char kDeadlineHeader[] = "Citron-Deadline-Ms";
+constexpr char kWeightHeader[] = "Citron-Weight";
+constexpr char kIdempotentHeader[] = "Citron-Idempotent";
+constexpr char kRequestIdHeader[] = "Citron-Request-Id";
+constexpr char kSealHeader[] = "Citron-Seal";
+
+// Requests of one loop that may overtake each other on their ways.
+constexpr std::size_t kWindow = 8192;
+
+struct head_text {
+  std::string id;
+  std::string workspace;
+  std::string service;
+  std::string key_digest;
+  std::string deadline_ms;
+  std::string weight;
+  std::string idempotent;
+  std::string caller_request_id;
+};
+
+std::string Seal(const head_text& t, const forward_subject& subject,
+                 std::string_view secret) {
+  // Lengths keep fields apart: no two different heads make the same text.
+  std::string text;
+  for (std::string_view field :
+       {std::string_view(t.id), std::string_view(t.workspace),
+        std::string_view(t.service), std::string_view(t.key_digest),
+        std::string_view(t.deadline_ms), std::string_view(t.weight),
+        std::string_view(t.idempotent), std::string_view(t.caller_request_id),
+        subject.method, subject.target, subject.body}) {
+    fmt::format_to(std::back_inserter(text), "{}:", field.size());
+    text.append(field);
+  }
+  return HmacSha256Hex(secret, text);
+}
+
+std::string HeaderOr(const http_headers& headers, std::string_view name) {
+  return std::string(FindHeader(headers, name).value_or(""));
+}
+
+std::optional<double> ParseNumber(const std::string& text) {
+  double value = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, problem] = std::from_chars(text.data(), end, value);
+  if (problem != std::errc() || rest != end) return std::nullopt;
+  return value;
+}
+
+bool StartsWith(std::string_view name, std::string_view prefix) {
+  return name.size() >= prefix.size() &&
+         HeaderNameIs(name.substr(0, prefix.size()), prefix);
+}
+
+bool IsHopByHop(std::string_view name) {
+  static constexpr std::array<std::string_view, 9> kNames = {
+      "connection",        "keep-alive", "proxy-authenticate",
+      "proxy-connection",  "te",         "trailer",
+      "transfer-encoding", "upgrade",    "expect"};
+  for (std::string_view known : kNames) {
+    if (HeaderNameIs(name, known)) return true;
+  }
+  return false;
+}
+
+struct id_parts {
+  std::string sender;  // "<vm>.<loop>"
+  std::uint64_t incarnation = 0;
+  std::uint64_t number = 0;
+};
+
+std::optional<std::uint64_t> ParseWhole(std::string_view text) {
+  std::uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, problem] = std::from_chars(text.data(), end, value);
+  if (text.empty() || problem != std::errc() || rest != end) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::optional<id_parts> SplitId(std::string_view id) {
+  const std::size_t last = id.rfind('.');
+  if (last == std::string_view::npos || last == 0) return std::nullopt;
+  const std::size_t middle = id.rfind('.', last - 1);
+  if (middle == std::string_view::npos) return std::nullopt;
+  const auto incarnation = ParseWhole(id.substr(middle + 1, last - middle - 1));
+  const auto number = ParseWhole(id.substr(last + 1));
+  if (!incarnation || !number) return std::nullopt;
+  return id_parts{std::string(id.substr(0, middle)), *incarnation, *number};
+}
+
+}  // namespace
+
+void AddForwardHeaders(const forward_head& head, const forward_subject& subject,
+                       std::string_view secret, http_headers& headers) {
+  head_text t;
+  t.id = head.id.Str();
+  t.workspace = head.workspace.Str();
+  t.service = head.service.Str();
+  t.key_digest = head.key_digest;
+  t.deadline_ms = fmt::format("{:.3f}", ToMilliseconds(head.time_left));
+  t.weight = fmt::format("{}", head.weight);
+  t.idempotent = head.idempotent ? "1" : "0";
+  t.caller_request_id = head.caller_request_id;
+  headers.push_back({kSealHeader, Seal(t, subject, secret)});
+  headers.push_back({kIdHeader, std::move(t.id)});
+  headers.push_back({kWorkspaceHeader, std::move(t.workspace)});
+  headers.push_back({kServiceHeader, std::move(t.service)});
+  headers.push_back({kKeyDigestHeader, std::move(t.key_digest)});
+  headers.push_back({kDeadlineHeader, std::move(t.deadline_ms)});
+  headers.push_back({kWeightHeader, std::move(t.weight)});
+  headers.push_back({kIdempotentHeader, std::move(t.idempotent)});
+  if (!t.caller_request_id.empty()) {
+    headers.push_back({kRequestIdHeader, std::move(t.caller_request_id)});
+  }
+}
+
+result<forward_head> ReadForwardHeaders(const http_headers& headers,
+                                        const forward_subject& subject,
+                                        std::string_view secret) {
+  head_text t;
+  t.id = HeaderOr(headers, kIdHeader);
+  t.workspace = HeaderOr(headers, kWorkspaceHeader);
+  t.service = HeaderOr(headers, kServiceHeader);
+  t.key_digest = HeaderOr(headers, kKeyDigestHeader);
+  t.deadline_ms = HeaderOr(headers, kDeadlineHeader);
+  t.weight = HeaderOr(headers, kWeightHeader);
+  t.idempotent = HeaderOr(headers, kIdempotentHeader);
+  t.caller_request_id = HeaderOr(headers, kRequestIdHeader);
+  const std::string seal = HeaderOr(headers, kSealHeader);
+  if (!EqualInConstantTime(seal, Seal(t, subject, secret))) {
+    return MakeError(error_code::kInvalid, "the seal does not match");
+  }
+  const std::optional<double> left_ms = ParseNumber(t.deadline_ms);
+  const std::optional<double> weight = ParseNumber(t.weight);
+  if (!left_ms || !weight) {
+    return MakeError(error_code::kInvalid, "a number is malformed");
+  }
+  forward_head head;
+  head.id = request_id(std::move(t.id));
+  head.workspace = workspace_id(std::move(t.workspace));
+  head.service = service_id(std::move(t.service));
+  head.key_digest = std::move(t.key_digest);
+  head.time_left = FromMilliseconds(*left_ms);
+  head.weight = *weight;
+  head.idempotent = t.idempotent == "1";
+  head.caller_request_id = std::move(t.caller_request_id);
+  return head;
+}
+
+bool MayForwardHeader(std::string_view name) {
+  return !IsHopByHop(name) && !StartsWith(name, "citron-") &&
+         !StartsWith(name, "upstream-") && !StartsWith(name, "x-forwarded-") &&
+         !HeaderNameIs(name, "authorization") &&
+         !HeaderNameIs(name, "proxy-authorization") &&
+         !HeaderNameIs(name, "cookie") && !HeaderNameIs(name, "host") &&
+         !HeaderNameIs(name, "content-length") &&
+         !HeaderNameIs(name, "forwarded");
+}
+
+bool MayReturnHeader(std::string_view name) {
+  return !IsHopByHop(name) && !StartsWith(name, "citron-") &&
+         !StartsWith(name, "upstream-");
+}
+
+bool forward_replay_window::Accept(const request_id& id) {
+  const std::optional<id_parts> parts = SplitId(id.Str());
+  if (!parts) return false;
+  sender& from = senders_[parts->sender];
+  if (parts->incarnation < from.incarnation) return false;
+  if (parts->incarnation > from.incarnation) {
+    from = {parts->incarnation, 0, std::vector<bool>(kWindow, false)};
+  }
+  if (parts->number + kWindow <= from.highest) return false;
+  const bool is_newest = parts->number > from.highest;
+  if (is_newest) {
+    // Places between the old highest and the new one belong to numbers that
+    // have not come yet.
+    const std::uint64_t steps =
+        std::min<std::uint64_t>(parts->number - from.highest, kWindow);
+    for (std::uint64_t i = 0; i < steps; ++i) {
+      from.seen[(parts->number - i) % kWindow] = false;
+    }
+    from.highest = parts->number;
+  }
+  const std::size_t place = parts->number % kWindow;
+  if (from.seen[place]) return false;
+  from.seen[place] = true;
+  return true;
+}
+
+}  // namespace citron
