Request registry: an id runs once, in the process that issued it

An id costs no memory until it is run, as its expiry stands in it under the MAC; remembering every id on issue would let callers fill the memory with ids that they never use. When full it refuses, and forgets nothing.

--- a/include/citron/protocol/request_registry.h
+++ b/include/citron/protocol/request_registry.h
@@ -5,11 +5,8 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
-#include <unordered_map>
-#include <utility>
 #include <variant>
 
 #include "citron/base/result.h"
@@ -28,23 +25,24 @@
   virtual std::string Compute(std::string_view text) const = 0;
 };
 
-// What a request id says: "<vm>.<incarnation>.<number>.<mac>". It carries no
-// time: the issuer remembers when it expires, by its own clock.
+// What a request id says: "<vm>.<incarnation>.<number>.<expiry>.<mac>".
 struct request_id_parts {
   vm_id vm;
   incarnation_number incarnation = 0;
   std::uint64_t number = 0;
+  // Milliseconds of the issuer's monotonic clock; means nothing to others.
+  std::uint64_t expires_at_ms = 0;
   std::string mac;
 };
 
-// Strict: bounded length, every part there, no leading zeros, lower case.
+// Strict: bounded length, every part there, no leading zeros, lower-case MAC.
 std::optional<request_id_parts> ParseRequestId(std::string_view text);
 
 struct request_registry_options {
   vm_id vm;
   incarnation_number incarnation = 0;
   duration lifetime = FromSeconds(600);
-  // Ids issued and not expired; 64 MB at some 250 bytes each.
+  // Ids that were run and have not expired.
   std::size_t max_ids = 250000;
 };
 
@@ -68,8 +66,10 @@
 };
 // The same id with another request; nothing is sent.
 struct fingerprint_differs {};
-// Malformed, forged or never issued.
+// Malformed or forged.
 struct refused {};
+// No memory for another id. Not run; the same id may be tried later.
+struct full {};
 
 }  // namespace begin_answer
 
@@ -77,7 +77,7 @@
     std::variant<begin_answer::run, begin_answer::already_running,
                  begin_answer::answered, begin_answer::expired,
                  begin_answer::other_issuer, begin_answer::fingerprint_differs,
-                 begin_answer::refused>;
+                 begin_answer::refused, begin_answer::full>;
 
 // At-most-once: runs a request id that this process issued once, and remembers
 // it until it expires.
@@ -86,42 +86,36 @@
   // `mac` must outlive the registry.
   request_registry(request_registry_options options, const request_id_mac& mac);
 
-  // kUnavailable when full: refusing to issue is safe, forgetting is not.
+  // kUnavailable when full. An id costs no memory until it is run.
   result<request_id> IssueId(monotonic_time now);
   // `fingerprint` is a digest of workspace, method, path and body.
   begin_result Begin(const request_id& id, std::uint64_t fingerprint,
                      monotonic_time now);
   // kNotRun makes the id free to be begun again.
-  void OnOutcome(const request_id& id, verdict ran, int status,
-                 monotonic_time now);
+  void OnOutcome(const request_id& id, verdict ran, int status);
   // Forgets ids that expired; also done by IssueId and Begin.
   void Expire(monotonic_time now);
 
   std::size_t Size() const { return entries_.size(); }
-  // Ids that were begun and have no outcome yet.
-  std::size_t Running() const { return running_; }
 
  private:
-  enum class phase { kIssued, kRunning, kDone };
   struct entry {
-    phase state = phase::kIssued;
-    monotonic_time expires_at;
+    std::uint64_t expires_at_ms = 0;
     std::uint64_t fingerprint = 0;
-    verdict ran = verdict::kNotRun;
+    bool running = true;
+    verdict ran = verdict::kMayHaveRun;
     int status = 0;
   };
 
-  std::string MacOf(const request_id_parts& parts) const;
   std::optional<request_id_parts> Verified(const request_id& id) const;
-  begin_result BeginOwn(std::uint64_t number, std::uint64_t fingerprint);
+  bool IsOwn(const request_id_parts& parts) const;
 
   request_registry_options options_;
   const request_id_mac& mac_;
-  // Numbers grow and each lives equally long, so the order of numbers is the
-  // order of expiry.
+  // Ids that were run. Numbers grow and each id lives equally long, so the
+  // order of numbers is the order of expiry.
   std::map<std::uint64_t, entry> entries_;
   std::uint64_t next_number_ = 1;
-  std::size_t running_ = 0;
 };
 
 }  // namespace citron
