Ownership tests: leaving and moved processes among the random faults

The random test now also lets processes leave and come back at another address. A leaver in the fake took new requests and so never got done; nobody sends it any in a real zone, so the fake doesn't either.

--- a/tests/protocol/ownership_test.cc
+++ b/tests/protocol/ownership_test.cc
@@ -43,8 +43,10 @@
     double rate = 1;
     double frozen_until = 0;
     bool up = false;
+    bool leaving = false;  // Nobody sends it new requests.
     bool store_up = true;
     incarnation_number incarnation = 0;
+    std::uint16_t port = 9000;
     monotonic_time timer;
     std::vector<std::function<void()>> waiting;  // Came in while frozen.
     std::map<upstream_id, int> in_flight;
@@ -68,9 +70,10 @@
     ownership_options options = TestOptions();
     options.vm = Name(n);
     options.incarnation = ++v.incarnation;
-    options.address = {"127.0.0.1", static_cast<std::uint16_t>(9000 + n)};
+    options.address = {"127.0.0.1", v.port};
     v.machine = std::make_unique<ownership>(options, random());
     v.up = true;
+    v.leaving = false;
     v.frozen_until = 0;
     v.in_flight.clear();
     v.timer = LocalNow(v);
@@ -81,6 +84,11 @@
     vms[n].waiting.clear();
     vms[n].machine.reset();
   }
+  void Leave(int n) {
+    vm& v = vms[n];
+    v.leaving = true;
+    Do(n, v.machine->OnLeave(LocalNow(v)));
+  }
   bool Frozen(int n) const { return time < vms[n].frozen_until; }
 
   void Step() {
@@ -238,7 +246,12 @@
     });
   }
   void Act(int, const ownership_changed&) {}
-  void Act(int, const left&) { ++left_count; }
+  void Act(int n, const left&) {
+    ++left_count;
+    Later([this, n, incarnation = vms[n].incarnation] {
+      if (vms[n].incarnation == incarnation && vms[n].up) Kill(n);
+    });
+  }
   void Act(int n, const arm_timer& a) { vms[n].timer = a.at; }
 
   void Work(int n) {
@@ -248,7 +261,8 @@
       const int before = count;
       if (count > 0 && Chance(finish_chance)) --count;
       const int slots = kSlots - v.machine->ReservedSlots(u);
-      if (v.machine->MaySend(u, LocalNow(v)) && count < slots) ++count;
+      const bool asked = !v.leaving && count < slots;
+      if (asked && v.machine->MaySend(u, LocalNow(v))) ++count;
       if (count != before) {
         Do(n, v.machine->OnInFlight(u, count, LocalNow(v)));
       }
@@ -271,7 +285,7 @@
   const int n = static_cast<int>(zone.random(zone.vms.size()));
   const int other = static_cast<int>(zone.random(zone.vms.size()));
   fake_zone::vm& v = zone.vms[n];
-  switch (zone.random(9)) {
+  switch (zone.random(10)) {
     case 0:
     case 1:
       v.frozen_until = zone.time + 0.001 * zone.random(4000);
@@ -281,7 +295,13 @@
       break;
     case 3:
     case 4:
-      if (!v.up) zone.Start(n);
+      if (v.up) break;
+      // Now and then it gets another address than before.
+      if (zone.random(5) == 0) ++v.port;
+      zone.Start(n);
+      break;
+    case 9:
+      if (v.up && !zone.Frozen(n)) zone.Leave(n);
       break;
     case 5:
       v.store_up = !v.store_up;
@@ -446,34 +466,34 @@
     zone.Run(20);
     BOOST_TEST(zone.AllOwned());
   }
-  fake_zone::vm& leaver = zone.vms[0];
-  leaver.machine->OnLeave(zone.LocalNow(leaver));
-  leaver.timer = zone.LocalNow(leaver);
+  zone.Leave(0);
   zone.Run(60);
   BOOST_TEST(zone.left_count == 1);
-  BOOST_TEST(zone.OwnedCount(0) == 0);
+  BOOST_TEST(!zone.vms[0].up);
   BOOST_TEST(zone.AllOwned());
 }
 
-// A member that promised not to take over has done so already, but the answer
-// to its write was lost. If it promised, both would send.
-BOOST_AUTO_TEST_CASE(NoPromiseWhileTakeOverIsOpen) {
-  ownership_options options = TestOptions();
-  options.vm = vm_id("b");
-  options.incarnation = 1;
-  options.address = {"127.0.0.1", 2};
-  ownership b(options, 1);
-  ownership_table table;
-  table.epoch = 2;
-  table.members[vm_id("a")] = {1, {"127.0.0.1", 1}, 5, 1, 2, false};
-  table.members[vm_id("b")] = {1, {"127.0.0.1", 2}, 5, 2, 2, false};
-  table.assignments[upstream_id("u")] = {vm_id("a"), vm_id(), 0};
-  const std::string json = WriteOwnershipTable(table);
-  const auto at = [](double s) { return monotonic_time() + FromSeconds(s); };
-  b.OnUpstreams({upstream_id("u")}, at(1));
+// One machine that is fed by hand.
+struct scripted {
+  ownership machine;
   std::uint64_t call = 0;
-  const auto act = [&](const ownership::actions& list) {
-    bool wrote = false;
+  bool wrote = false;
+
+  static ownership_options Options() {
+    ownership_options options = TestOptions();
+    options.vm = vm_id("b");
+    options.incarnation = 1;
+    options.address = {"127.0.0.1", 2};
+    return options;
+  }
+  scripted() : machine(Options(), 1) {
+    machine.OnUpstreams({Upstream(0)}, At(1));
+  }
+  static monotonic_time At(double s) {
+    return monotonic_time() + FromSeconds(s);
+  }
+  void Take(const ownership::actions& list) {
+    wrote = false;
     for (const auto& a : list) {
       if (const auto* read = std::get_if<read_table>(&a)) call = read->call;
       const auto* write = std::get_if<write_table>(&a);
@@ -481,17 +501,67 @@
       call = write->call;
       wrote = true;
     }
-    return wrote;
-  };
-  promise_ask ask{vm_id("a"), 1, 1, 1, 1};
-  act(b.OnTimer(at(1)));
-  BOOST_TEST(act(b.OnTableRead(call, json, 7, at(1))));
-  BOOST_TEST(b.OnPromiseAsk(ask, at(1.1)).size() == 1u);
-  b.OnStoreUnreachable(call, at(1.2));
-  act(b.OnTimer(at(5)));
-  BOOST_TEST(act(b.OnTableRead(call, json, 7, at(5))));
-  b.OnCasResult(call, cas_outcome::kUnknown, 0, at(5.1));
-  BOOST_TEST(b.OnPromiseAsk(ask, at(5.2)).empty());
+  }
+  void Timer(double at) { Take(machine.OnTimer(At(at))); }
+  void TableRead(const std::string& json, std::uint64_t revision, double at) {
+    Take(machine.OnTableRead(call, json, revision, At(at)));
+  }
+  void Cas(cas_outcome outcome, std::uint64_t revision, double at) {
+    Take(machine.OnCasResult(call, outcome, revision, At(at)));
+  }
+};
+
+// A member that is asked for a promise has taken over already, but the answer
+// to its write was lost. If it promised, both would send.
+BOOST_AUTO_TEST_CASE(NoPromiseWhileTakeOverIsOpen) {
+  ownership_table table;
+  table.epoch = 2;
+  table.members[vm_id("a")] = {1, {"127.0.0.1", 1}, 5, 1, 2, false};
+  table.members[vm_id("b")] = {1, {"127.0.0.1", 2}, 5, 2, 2, false};
+  table.assignments[Upstream(0)] = {vm_id("a"), vm_id(), 0};
+  const std::string json = WriteOwnershipTable(table);
+  scripted b;
+  const promise_ask ask{vm_id("a"), 1, 1, 1, 1};
+  b.Timer(1);
+  b.TableRead(json, 7, 1);
+  BOOST_TEST(b.wrote);
+  BOOST_TEST(b.machine.OnPromiseAsk(ask, b.At(1.1)).size() == 1u);
+  b.machine.OnStoreUnreachable(b.call, b.At(1.2));
+  b.Timer(5);
+  b.TableRead(json, 7, 5);
+  BOOST_TEST(b.wrote);
+  b.Cas(cas_outcome::kUnknown, 0, 5.1);
+  BOOST_TEST(b.machine.OnPromiseAsk(ask, b.At(5.2)).empty());
+}
+
+// A leaving owner gives its upstream back, and the answer to that write is
+// lost. Someone else may have taken the upstream since.
+BOOST_AUTO_TEST_CASE(NoSendWhileReleaseIsOpen) {
+  scripted b;
+  b.Timer(1);
+  b.TableRead("", 0, 1);
+  b.Cas(cas_outcome::kOk, 1, 1);
+  BOOST_TEST(b.machine.MaySend(Upstream(0), b.At(1)));
+  b.machine.OnInFlight(Upstream(0), 1, b.At(1));
+  b.machine.OnLeave(b.At(1.1));
+  BOOST_TEST(b.machine.MaySend(Upstream(0), b.At(1.1)));
+  b.machine.OnInFlight(Upstream(0), 0, b.At(1.2));
+  b.Timer(1.2);
+  BOOST_TEST(b.wrote);
+  BOOST_TEST(!b.machine.MaySend(Upstream(0), b.At(1.2)));
+  b.Cas(cas_outcome::kUnknown, 0, 1.3);
+  BOOST_TEST(!b.machine.MaySend(Upstream(0), b.At(1.3)));
+}
+
+// The store holds a table that no member wrote. Acting on half of it could give
+// an upstream two owners, so the owner lets its ownership lapse.
+BOOST_AUTO_TEST_CASE(BadTableIsLeftAlone) {
+  scripted b;
+  b.Timer(1);
+  b.TableRead("{\"epoch\":", 3, 1);
+  BOOST_TEST(!b.wrote);
+  BOOST_TEST(b.machine.BadTables() == 1u);
+  BOOST_TEST(!b.machine.MaySend(Upstream(0), b.At(1)));
 }
 
 // Anything at any time: processes freeze, die and come back, VMs are cut off
@@ -516,6 +586,10 @@
     for (int n = 0; n < count; ++n) {
       zone.vms[n].store_up = true;
       zone.cut[n].assign(zone.cut[n].size(), false);
+    }
+    // Those that leave get done first.
+    zone.Run(10);
+    for (int n = 0; n < count; ++n) {
       if (!zone.vms[n].up) zone.Start(n);
     }
     zone.Run(30);
