--- a/include/citron/policy/placement.h
+++ b/include/citron/policy/placement.h
@@ -162,7 +162,7 @@
   std::optional<refusal> TakeCrossing(const place_request& request,
                                       const region_id& region,
                                       monotonic_time now);
-  link_budget& Link(const region_id& region, monotonic_time now);
+  link_budget& Link(const region_id& region);
   monotonic_time RetryAt(monotonic_time now);
 
   placement_options options_;
@@ -173,6 +173,7 @@
   std::set<region_id> drained_;
   std::map<region_id, link_budget> links_;
   double link_share_ = 0;
+  monotonic_time link_share_at_;
   std::map<service_region, permits> permits_;
   std::map<service_region, int> wants_;
 };
--- a/include/citron/policy/shift_ramp.h
+++ b/include/citron/policy/shift_ramp.h
@@ -48,8 +48,8 @@
   };
   struct sender_state {
     monotonic_time asked_at;
-    int wanted = 0;
-    int granted = 0;  // In the window.
+    double demand = 0;  // Asked for lately, decayed.
+    int granted = 0;    // In the window.
   };
 
   void Forget(monotonic_time now);
--- a/include/citron/policy/upstream_chooser.h
+++ b/include/citron/policy/upstream_chooser.h
@@ -95,6 +95,7 @@
     monotonic_time peak_period_start;
     int peak = 0;
     int last_peak = 0;
+    int foreign_work = 0;  // Not ours, by the last report.
 
     monotonic_time ramp_start;
     bool ramping = false;
@@ -116,7 +117,6 @@
 
   int Allowed(const state& s, monotonic_time now) const;
   int RampedSlots(const state& s, monotonic_time now) const;
-  int ForeignWork(const state& s) const;
   bool HasFreshReport(const state& s, monotonic_time now) const;
   double Score(const state& s, int allowed) const;
   void NotePeak(state& s, monotonic_time now);
--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -68,13 +68,14 @@
 
 void placement::SetLinkShare(double fraction, monotonic_time now) {
   link_share_ = fraction;
+  link_share_at_ = now;
   for (auto& [region, link] : links_) link.SetShare(fraction, now);
 }
 
-link_budget& placement::Link(const region_id& region, monotonic_time now) {
+link_budget& placement::Link(const region_id& region) {
   const auto [at, added] = links_.try_emplace(region, options_.link_bytes_per_s,
                                               options_.link_burst);
-  if (added) at->second.SetShare(link_share_, now);
+  if (added) at->second.SetShare(link_share_, link_share_at_);
   return at->second;
 }
 
@@ -127,7 +128,7 @@
 
 void placement::OnCrossed(const region_id& region, std::uint64_t expected_bytes,
                           std::uint64_t used_bytes, monotonic_time now) {
-  Link(region, now).Settle(expected_bytes, used_bytes, now);
+  Link(region).Settle(expected_bytes, used_bytes, now);
 }
 
 bool placement::IsUnknown(const zone_state& z, monotonic_time now) const {
@@ -258,7 +259,7 @@
   const bool permitted = found != permits_.end() && found->second.count > 0 &&
                          now < found->second.expires_at;
   if (!permitted) return refusal{refusal_reason::kShiftCap, RetryAt(now)};
-  link_budget& link = Link(region, now);
+  link_budget& link = Link(region);
   if (!link.TryTake(request.expected_response_bytes, now)) {
     const monotonic_time free_at =
         link.AvailableAt(request.expected_response_bytes, now);
--- a/src/policy/shift_ramp.cc
+++ b/src/policy/shift_ramp.cc
@@ -54,7 +54,7 @@
   double others = 0;
   for (const auto& [id, s] : senders_) {
     if (id == sender) continue;
-    others += std::min(equal, static_cast<double>(s.granted + s.wanted));
+    others += std::min(equal, s.demand);
   }
   return static_cast<int>(std::ceil(budget - others));
 }
@@ -67,12 +67,14 @@
   const int budget = static_cast<int>(
       std::floor(CapAt(now) * ToSeconds(options_.window) + 1e-9));
   sender_state& s = senders_[sender];
+  // What it asked for within about one span, whether it was granted or not.
+  const duration span = options_.window + options_.permit_lifetime;
+  s.demand *= std::exp(-ToSeconds(now - s.asked_at) / ToSeconds(span));
+  s.demand += std::max(0, wanted);
   s.asked_at = now;
-  s.wanted = std::max(0, wanted);
   const int room =
       std::min(budget - granted_, FairPart(sender, budget) - s.granted);
-  const int count = std::clamp(room, 0, s.wanted);
-  s.wanted -= count;
+  const int count = std::clamp(room, 0, std::max(0, wanted));
   granted_at_ = now;
   if (count > 0) {
     s.granted += count;
--- a/src/policy/upstream_chooser.cc
+++ b/src/policy/upstream_chooser.cc
@@ -140,6 +140,9 @@
   }
   s.report = report;
   s.reported_at = now;
+  // Reckoned now, as what is sent later can't be in this report.
+  const int ours = std::max(s.peak, s.last_peak);
+  s.foreign_work = std::max(0, report.in_flight + report.queued - ours);
 }
 
 void upstream_chooser::NotePeak(state& s, monotonic_time now) {
@@ -176,18 +179,13 @@
   return std::max(1, static_cast<int>(slots * std::max(part, 0.0)));
 }
 
-int upstream_chooser::ForeignWork(const state& s) const {
-  const int ours = std::max(s.peak, s.last_peak);
-  return std::max(0, s.report.in_flight + s.report.queued - ours);
-}
-
 int upstream_chooser::Allowed(const state& s, monotonic_time now) const {
   if (!TakesWork(s, now)) return 0;
   int allowed = RampedSlots(s, now);
   if (s.ejected) allowed = std::min(allowed, 1);
   if (HasFreshReport(s, now)) {
     if (!s.report.healthy) allowed = std::min(allowed, 1);
-    allowed = std::max(std::min(allowed, 1), allowed - ForeignWork(s));
+    allowed = std::max(std::min(allowed, 1), allowed - s.foreign_work);
   }
   if (s.shed_at) {
     const auto steps = (now - *s.shed_at) / kShedStep;
--- /dev/null
+++ b/tests/policy/upstream_chooser_test.cc
@@ -0,0 +1,161 @@
+#include "citron/policy/upstream_chooser.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace citron {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct chooser_fixture {
+  chooser_fixture() : chooser({}) {
+    chooser.SetUpstreams({{a, 4}, {b, 4}}, now);
+  }
+
+  // How many requests the upstream takes now.
+  int Takes(const upstream_id& id) {
+    int taken = 0;
+    const auto only = [&](const upstream_id& u) { return u == id; };
+    while (chooser.Choose(now, random, only)) {
+      chooser.OnSent(id, now);
+      ++taken;
+    }
+    for (int i = 0; i < taken; ++i) {
+      chooser.OnDone(id, upstream_outcome::kCancelled, 0, now);
+    }
+    return taken;
+  }
+  void Ends(const upstream_id& id, upstream_outcome outcome,
+            double slowness = 1) {
+    chooser.OnSent(id, now);
+    chooser.OnDone(id, outcome, slowness, now);
+  }
+
+  const upstream_id a{"a"};
+  const upstream_id b{"b"};
+  monotonic_time now{seconds(1000)};
+  pcg32 random{2};
+  upstream_chooser chooser;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Chooser, chooser_fixture)
+
+BOOST_AUTO_TEST_CASE(LeastInFlightFirst) {
+  chooser.OnSent(a, now);
+  BOOST_TEST((chooser.Choose(now, random) == b));
+  chooser.OnSent(b, now);
+  chooser.OnSent(b, now);
+  BOOST_TEST((chooser.Choose(now, random) == a));
+}
+
+// After a change of owner the old owner's work is still at the server.
+BOOST_AUTO_TEST_CASE(AReportMayLowerButNotRaise) {
+  chooser.OnReport(a, {.in_flight = 3}, now);
+  BOOST_TEST(Takes(a) == 1);
+  chooser.OnReport(a, {.in_flight = -5}, now);
+  BOOST_TEST(Takes(a) == 4);
+  // One slot stays: a server that is wrong about being full would be lost.
+  now += seconds(10);
+  chooser.OnReport(a, {.in_flight = 900}, now);
+  BOOST_TEST(Takes(a) == 1);
+  now += seconds(4);
+  BOOST_TEST(Takes(a) == 4);
+}
+
+// The report shows work of ours that has ended since. Counting it as somebody
+// else's would leave the slots empty.
+BOOST_AUTO_TEST_CASE(OwnWorkInALateReportIsNotForeign) {
+  for (int i = 0; i < 4; ++i) chooser.OnSent(a, now);
+  now += milliseconds(500);
+  for (int i = 0; i < 4; ++i) {
+    chooser.OnDone(a, upstream_outcome::kAnswered, 1, now);
+  }
+  now += milliseconds(500);
+  chooser.OnReport(a, {.in_flight = 4}, now);
+  BOOST_TEST(Takes(a) == 4);
+}
+
+BOOST_AUTO_TEST_CASE(UnhealthyByReportKeepsOneSlot) {
+  chooser.OnReport(a, {.healthy = false}, now);
+  BOOST_TEST(Takes(a) == 1);
+  chooser.OnReport(a, {.ready = false}, now);
+  BOOST_TEST(Takes(a) == 0);
+}
+
+// A server said that it is leaving; its health answers and the list are late
+// and still call it well.
+BOOST_AUTO_TEST_CASE(LeavingOutlivesLateReports) {
+  Ends(a, upstream_outcome::kLeavingNotRun);
+  chooser.OnReport(a, {}, now + seconds(2));
+  now += seconds(3);
+  BOOST_TEST(Takes(a) == 0);
+  now += seconds(10);
+  BOOST_TEST(Takes(a) == 4);
+  chooser.OnReport(a, {.leaving = true}, now);
+  now += seconds(60);  // No more reports.
+  BOOST_TEST(Takes(a) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(GoneServerComesBackStepByStep) {
+  Ends(a, upstream_outcome::kConnectFailedNotRun);
+  BOOST_TEST(Takes(a) == 4);
+  Ends(a, upstream_outcome::kConnectFailedNotRun);
+  BOOST_TEST(Takes(a) == 0);
+  now += seconds(1);
+  BOOST_TEST(Takes(a) == 1);
+  Ends(a, upstream_outcome::kConnectFailedNotRun);
+  now += seconds(1);
+  BOOST_TEST(Takes(a) == 0);
+  now += seconds(1);
+  Ends(a, upstream_outcome::kAnswered);
+  Ends(a, upstream_outcome::kAnswered);
+  BOOST_TEST(Takes(a) == 1);
+  now += seconds(5);
+  BOOST_TEST(Takes(a) == 2);
+  now += seconds(5);
+  BOOST_TEST(Takes(a) == 4);
+}
+
+// All servers answer errors alike: the requests are at fault. Ejecting servers
+// for it would turn requests away that might be answered.
+BOOST_AUTO_TEST_CASE(ErrorsEverywhereEjectNobody) {
+  for (int i = 0; i < 20; ++i) {
+    Ends(a, upstream_outcome::kServerError);
+    Ends(b, upstream_outcome::kServerError);
+  }
+  BOOST_TEST(chooser.UsableUpstreams(now) == 2);
+}
+
+BOOST_AUTO_TEST_CASE(SlowServerIsEjectedAndTheOtherStays) {
+  for (int i = 0; i < 10; ++i) {
+    Ends(a, upstream_outcome::kAnswered, 6);
+    Ends(b, upstream_outcome::kAnswered, 0.6);
+  }
+  BOOST_TEST(Takes(a) == 0);
+  for (int i = 0; i < 10; ++i) Ends(b, upstream_outcome::kServerError);
+  BOOST_TEST(Takes(b) == 4);
+}
+
+BOOST_AUTO_TEST_CASE(FullServerIsLeftAloneForAMoment) {
+  for (int i = 0; i < 3; ++i) chooser.OnSent(a, now);
+  chooser.OnDone(a, upstream_outcome::kShedNotRun, 0, now);
+  BOOST_TEST(Takes(a) == 0);
+  now += milliseconds(250);
+  BOOST_TEST(Takes(a) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(StartedServerGetsItsPartSlowly) {
+  const upstream_id c("c");
+  chooser.SetUpstreams({{a, 4}, {b, 4}, {.id = c, .slots = 4, .cold = true}},
+                       now);
+  BOOST_TEST(Takes(c) == 1);
+  now += milliseconds(7600);
+  BOOST_TEST(Takes(c) == 3);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace citron
