--- a/src/ctl/config_writer.cc
+++ b/src/ctl/config_writer.cc
@@ -30,7 +30,7 @@
 }
 
 change_report Written(const std::string& key, store_revision revision,
-                      std::string message = "written") {
+                      std::string message) {
   change_report report =
       Report(key, change_outcome::kWritten, std::move(message));
   report.revision = revision;
@@ -189,7 +189,8 @@
     const pending_change& pending, const write_result& answer,
     bool may_be_in_force) {
   if (const auto* done = std::get_if<write_done>(&answer)) {
-    return Written(pending.key, done->revision);
+    return Written(pending.key, done->revision,
+                   pending.value ? "written" : "removed");
   }
   if (const auto* conflict = std::get_if<write_conflict>(&answer)) {
     // The earlier copy may be what the conflict is with.
--- a/src/ctl/fleet_status.cc
+++ b/src/ctl/fleet_status.cc
@@ -78,6 +78,11 @@
   status.region = region_id(StringOf(page, "region"));
   status.state = StringOf(page, "state");
   status.revision = page["revision"].get<config_revision>();
+  // The control may be ahead of the daemons that decide by it.
+  const auto in_force = page.find("revision_in_force");
+  if (in_force != page.end() && in_force->is_number_unsigned()) {
+    status.revision = in_force->get<config_revision>();
+  }
   if (page.contains("members")) status.members = ReadMembers(page["members"]);
   if (status.vm.IsEmpty() || status.zone.IsEmpty()) {
     return MakeError(error_code::kInvalid, "the page names no VM and zone");
