--- a/include/citron/config/fleet_config.h
+++ b/include/citron/config/fleet_config.h
@@ -86,6 +86,12 @@
   std::string label;  // What operators call it.
 };
 
+// Where the callers of a block of addresses are.
+struct client_site_config {
+  region_id region;
+  zone_id zone;  // May be empty: any zone of the region.
+};
+
 // A planned move of a service's traffic from one region to another.
 struct shift_config {
   service_id service;
@@ -109,6 +115,10 @@
   std::set<region_id> drained_regions;
   std::set<vm_id> gone_vms;  // An operator's word that the VM is dead.
   std::map<service_id, shift_config> shifts;
+  // By block, "a.b.c.d/n".
+  std::map<std::string, client_site_config> client_blocks;
+  // Blocks of each group, so that a group is replaced as a whole.
+  std::map<std::string, std::vector<std::string>> client_groups;
 
   const contract* FindContract(const workspace_id& id) const;
   const key_grant* FindKey(const std::string& digest) const;
@@ -125,6 +135,7 @@
 //   config/drain/<kind>/<id>     kind: upstream, vm, region
 //   config/gone/<vm>             the VM is dead
 //   config/shift/<service>       shift_config
+//   config/clients/<group>       blocks of callers, {"blocks": {block: site}}
 inline constexpr char kConfigPrefix[] = "config/";
 
 // Checks one object; the error names the path of the bad value inside it.
--- a/include/citron/control/control_task.h
+++ b/include/citron/control/control_task.h
@@ -49,6 +49,7 @@
   void PollList();
   void Perform(const membership::actions& actions);
   void SendShare();
+  share_update ShareUpdate() const;
   void PushView();
   void SendViewToPeers(const vm_view& view);
   vm_view OwnView(monotonic_time now);
--- a/include/citron/dispatch/dispatch_task.h
+++ b/include/citron/dispatch/dispatch_task.h
@@ -60,6 +60,7 @@
   bool KeyIsGood(const forward_head& head, monotonic_time now) const;
   void Finish(const request_id& id, upstream_outcome outcome);
   void OnEntryGone(const request_id& id);
+  void Retire(const request_id& id);
   void OnPoison(const poison_message& message);
   void OnPermitAsk(const permit_ask& message);
   void OnUpstreamReport(const upstream_id& id, const upstream_report& report);
--- a/include/citron/link/control_link.h
+++ b/include/citron/link/control_link.h
@@ -38,8 +38,9 @@
   static result<std::unique_ptr<control_link>> Make(
       event_loop& loop, control_link_options options, handlers callbacks);
 
-  // Begins to say hello; `http` is where the task takes requests.
-  void Start(const endpoint& http);
+  // Begins to say hello; `http` is where the task takes requests, `forward`
+  // where an entry takes those of other entries.
+  void Start(const endpoint& http, const endpoint& forward = {});
   // From now on hellos say that the task is leaving.
   void SetLeaving();
 
@@ -86,6 +87,7 @@
   fleet_config config_;
   std::map<vm_id, vm_seen> vms_;
   endpoint http_;
+  endpoint forward_;
   bool leaving_ = false;
   loop_timer hello_timer_;
 };
--- a/include/citron/wire/messages.h
+++ b/include/citron/wire/messages.h
@@ -54,6 +54,7 @@
   std::uint64_t incarnation = 0;
   endpoint http;
   endpoint peer;
+  endpoint forward;  // Where an entry takes requests from other entries.
 };
 
 // From an entry's or dispatch's loop to its control, again and again: "I am
@@ -69,6 +70,8 @@
 struct share_update {
   vm_share share;
   int divisor = 1;
+  // This VM's part of the links from its region, 0 to 1.
+  double link_fraction = 0;
 };
 
 struct share_applied {
@@ -196,7 +199,7 @@
 };
 
 inline auto WireFields(task_address& m) {
-  return std::tie(m.loop, m.incarnation, m.http, m.peer);
+  return std::tie(m.loop, m.incarnation, m.http, m.peer, m.forward);
 }
 inline auto WireFields(hello& m) {
   return std::tie(m.role, m.address, m.loops, m.revision, m.leaving);
@@ -208,7 +211,9 @@
   return std::tie(m.floor_ppm, m.leased_ppm, m.leased_until, m.floor_until,
                   m.sequence);
 }
-inline auto WireFields(share_update& m) { return std::tie(m.share, m.divisor); }
+inline auto WireFields(share_update& m) {
+  return std::tie(m.share, m.divisor, m.link_fraction);
+}
 inline auto WireFields(share_applied& m) {
   return std::tie(m.loop, m.sequence);
 }
--- a/src/config/fleet_config.cc
+++ b/src/config/fleet_config.cc
@@ -155,6 +155,36 @@
   return finished;
 }
 
+void RemoveClients(fleet_config& config, const std::string& group) {
+  const auto found = config.client_groups.find(group);
+  if (found == config.client_groups.end()) return;
+  for (const std::string& block : found->second) {
+    config.client_blocks.erase(block);
+  }
+  config.client_groups.erase(found);
+}
+
+status ReadClients(fleet_config& config, const std::string& group,
+                   const nlohmann::json& json) {
+  std::map<std::string, client_site_config> blocks;
+  json_reader reader(json, "");
+  reader.EachMember("blocks", [&](const std::string& block, json_reader& item) {
+    std::string region;
+    std::string zone;
+    item.String("region", region, true);
+    item.String("zone", zone);
+    blocks[block] = {region_id(region), zone_id(zone)};
+  });
+  const status finished = reader.Finish();
+  if (!IsOk(finished)) return finished;
+  RemoveClients(config, group);
+  for (const auto& [block, site] : blocks) {
+    config.client_blocks[block] = site;
+    config.client_groups[group].push_back(block);
+  }
+  return finished;
+}
+
 // The part after `prefix`, if the key begins with it and has more.
 std::optional<std::string> After(const std::string& key,
                                  std::string_view prefix) {
@@ -184,6 +214,8 @@
     config.gone_vms.erase(vm_id(*gone));
   } else if (auto service = After(key, "config/shift/")) {
     config.shifts.erase(service_id(*service));
+  } else if (auto group = After(key, "config/clients/")) {
+    RemoveClients(config, *group);
   }
   return std::monostate{};
 }
@@ -249,6 +281,9 @@
   if (auto service = After(key, "config/shift/")) {
     return ReadShift(config, *service, value);
   }
+  if (auto group = After(key, "config/clients/")) {
+    return ReadClients(config, *group, value);
+  }
   if (auto drained = After(key, "config/drain/upstream/")) {
     config.drained_upstreams.insert(upstream_id(*drained));
     return std::monostate{};
--- a/src/control/control_task.cc
+++ b/src/control/control_task.cc
@@ -164,7 +164,7 @@
   // Repeated with each hello, since one message may be lost.
   if (message.role == daemon_role::kEntry) {
     context_->Send(message.address.peer, message_type::kShareUpdate,
-                   share_update{shares_->Share(), locals_.EntryLoops()});
+                   ShareUpdate());
   }
 }
 
@@ -287,8 +287,26 @@
   }
 }
 
+// The links from this region are divided among its VMs as the shares are; the
+// table of shares is what they agree on, and its parts never add up to more
+// than the whole.
+share_update control_task::ShareUpdate() const {
+  share_update update{shares_->Share(), locals_.EntryLoops(), 0};
+  const fleet_config& config = config_->Config();
+  double region_ppm = 0;
+  for (const share_entry& part : shares_->Table().entries) {
+    if (config.RegionOf(part.zone) != settings_.common.region) continue;
+    region_ppm += part.floor_ppm + part.leased_ppm;
+  }
+  const double own_ppm = update.share.floor_ppm + update.share.leased_ppm;
+  if (region_ppm > 0) {
+    update.link_fraction = std::min(1.0, own_ppm / region_ppm);
+  }
+  return update;
+}
+
 void control_task::SendShare() {
-  const share_update update{shares_->Share(), locals_.EntryLoops()};
+  const share_update update = ShareUpdate();
   for (const endpoint& entry : locals_.EntryPeers()) {
     context_->Send(entry, message_type::kShareUpdate, update);
   }
--- a/src/dispatch/dispatch_call.cc
+++ b/src/dispatch/dispatch_call.cc
@@ -10,11 +10,6 @@
 
 namespace {
 
-// Above this an answer is read from the upstream no faster than the entry
-// takes it: the library itself would hold a whole download in memory for a
-// slow reader.
-constexpr std::size_t kPauseAbove = std::size_t{256} << 10;
-
 // What a 503 of an upstream says of the request.
 std::optional<upstream_outcome> NotRunOutcome(const http_response_head& head) {
   constexpr int kServiceUnavailable = 503;
@@ -38,22 +33,18 @@
 dispatch_task::call::call(dispatch_task& task, http_exchange& exchange,
                           const forward_head& head, monotonic_time deadline)
     : task_(task),
-      exchange_(&exchange),
+      relay_(exchange, [this] { task_.OnEntryGone(head_.id); }),
       request_(exchange.Request()),
       head_(head),
       arrived_at_(MonotonicNow()),
-      deadline_(deadline) {
-  exchange.OnGone([this] { OnEntryGone(); });
-  exchange.OnDrained([this] {
-    if (connection_) connection_->ResumeReading();
-  });
-}
+      deadline_(deadline) {}
 
 void dispatch_task::call::Send(const upstream_id& upstream,
                                const endpoint& address) {
   upstream_ = upstream;
   not_run_.reset();
   connection_ = task_.client_.Take(address);
+  relay_.SetSource(connection_.get());
   connection_->Start(UpstreamRequest(), deadline_, *this);
 }
 
@@ -80,8 +71,7 @@
 void dispatch_task::call::OnHead(const http_response_head& head) {
   status_ = head.status;
   not_run_ = NotRunOutcome(head);
-  if (not_run_ || exchange_ == nullptr) return;
-  streaming_ = true;
+  if (not_run_) return;
   http_response_head answer;
   answer.status = head.status;
   for (const http_header& header : head.headers) {
@@ -90,20 +80,16 @@
   answer.headers.push_back(
       {"Citron-Verdict", std::string(VerdictName(verdict::kRan))});
   answer.headers.push_back({"Citron-Upstream", upstream_.Str()});
-  exchange_->StartReply(answer);
+  relay_.Start(answer);
 }
 
-void dispatch_task::call::OnBody(std::string_view bytes) {
-  if (!streaming_ || exchange_ == nullptr) return;
-  exchange_->SendBody(bytes);
-  if (exchange_->PendingBytes() > kPauseAbove) connection_->PauseReading();
-}
+void dispatch_task::call::OnBody(std::string_view bytes) { relay_.Body(bytes); }
 
 void dispatch_task::call::OnDone() {
   constexpr int kFirstServerError = 500;
   ReleaseConnection();
   if (not_run_) return task_.Finish(head_.id, *not_run_);
-  if (exchange_ != nullptr) std::exchange(exchange_, nullptr)->FinishBody();
+  relay_.Finish();
   task_.Finish(head_.id, status_ >= kFirstServerError
                              ? upstream_outcome::kServerError
                              : upstream_outcome::kAnswered);
@@ -111,28 +97,20 @@
 
 void dispatch_task::call::OnFailed(const call_failure& failure) {
   ReleaseConnection();
-  if (streaming_) Break();
+  if (relay_.IsStarted()) relay_.Break();
   task_.Finish(head_.id, OutcomeOf(failure));
 }
 
-void dispatch_task::call::OnEntryGone() {
-  exchange_ = nullptr;
-  task_.OnEntryGone(head_.id);
-}
-
 void dispatch_task::call::CancelUpstream() {
   if (connection_) connection_->Cancel();
   ReleaseConnection();
 }
 
 void dispatch_task::call::ReleaseConnection() {
+  relay_.SetSource(nullptr);
   if (connection_) task_.client_.Give(std::move(connection_));
 }
 
-void dispatch_task::call::Break() {
-  if (exchange_ != nullptr) std::exchange(exchange_, nullptr)->Abort();
-}
-
 void dispatch_task::call::ReplyRefused(std::string_view code, int status,
                                        monotonic_time retry_at) {
   ReplyError(code, status, verdict::kNotRun, retry_at);
@@ -145,7 +123,7 @@
 void dispatch_task::call::ReplyError(std::string_view code, int status,
                                      verdict ran,
                                      std::optional<monotonic_time> retry_at) {
-  if (exchange_ == nullptr) return;
+  if (!relay_.IsOpen() || relay_.IsStarted()) return;
   http_response response;
   response.head.status = status;
   response.head.headers = {{"Content-Type", "application/json"},
@@ -157,7 +135,7 @@
         {"Citron-Retry-Ms", fmt::format("{:.0f}", std::max(0.0, ms))});
   }
   response.body = nlohmann::json({{"code", code}}).dump();
-  std::exchange(exchange_, nullptr)->Reply(response);
+  relay_.Reply(response);
 }
 
 }  // namespace citron
--- a/src/dispatch/dispatch_call.h
+++ b/src/dispatch/dispatch_call.h
@@ -8,6 +8,7 @@
 
 #include "citron/base/verdict.h"
 #include "citron/dispatch/dispatch_task.h"
+#include "citron/link/answer_relay.h"
 
 namespace citron {
 
@@ -23,19 +24,16 @@
   monotonic_time ArrivedAt() const { return arrived_at_; }
   const upstream_id& Upstream() const { return upstream_; }
   int Status() const { return status_; }
-  bool IsAnswered() const { return exchange_ == nullptr; }
 
   // Sends the request to the upstream.
   void Send(const upstream_id& upstream, const endpoint& address);
   // Final answers of the dispatch itself.
   void ReplyRefused(std::string_view code, int status, monotonic_time retry_at);
   void ReplyFailed(std::string_view code, int status);
-  // Ends the exchange without an answer that looks whole.
-  void Break();
   // Gives the connection back, or closes it.
   void ReleaseConnection();
   // Whether part of an answer has gone to the entry.
-  bool IsStreaming() const { return streaming_; }
+  bool IsStreaming() const { return relay_.IsStarted(); }
   // What stops a request in flight whose entry is gone.
   void CancelUpstream();
 
@@ -45,13 +43,12 @@
   void OnFailed(const call_failure& failure) override;
 
  private:
-  void OnEntryGone();
   http_request UpstreamRequest() const;
   void ReplyError(std::string_view code, int status, verdict ran,
                   std::optional<monotonic_time> retry_at);
 
   dispatch_task& task_;
-  http_exchange* exchange_;  // Null once answered or gone.
+  answer_relay relay_;
   http_request request_;
   forward_head head_;
   monotonic_time arrived_at_;
@@ -59,7 +56,6 @@
   upstream_id upstream_;
   std::unique_ptr<http_connection> connection_;
   std::optional<upstream_outcome> not_run_;
-  bool streaming_ = false;
   int status_ = 0;
 };
 
--- a/src/dispatch/dispatch_task.cc
+++ b/src/dispatch/dispatch_task.cc
@@ -405,6 +405,14 @@
                {{"reason", std::string(reason)},
                 {"service", found->second->Head().service.Str()}});
   found->second->ReplyRefused(reason, kServiceUnavailable, action.retry_at);
+  Retire(action.id);
+}
+
+// The call may still be on the stack, so that it is freed later.
+void dispatch_task::Retire(const request_id& id) {
+  const auto found = calls_.find(id);
+  loop_.Defer([held = std::make_shared<std::unique_ptr<call>>(
+                   std::move(found->second))] { held->reset(); });
   calls_.erase(found);
 }
 
@@ -440,10 +448,7 @@
     LogDecision(kLogPart, "{} ended at {}: status {}, {:.1f} ms here", id.Str(),
                 upstream.Str(), request.Status(),
                 ToMilliseconds(now - request.ArrivedAt()));
-    // The call may be on the stack still.
-    loop_.Defer([held = std::make_shared<std::unique_ptr<call>>(
-                     std::move(found->second))] { held->reset(); });
-    calls_.erase(found);
+    Retire(id);
   }
   if (!upstream.IsEmpty()) {
     owner_->OnInFlight(upstream, service->scheduler.InFlightAt(upstream));
--- /dev/null
+++ b/src/entry/dispatch_directory.cc
@@ -0,0 +1,100 @@
+#include "citron/entry/dispatch_directory.h"
+
+#include <algorithm>
+
+namespace citron {
+
+namespace {
+
+bool TakesWork(const vm_seen& seen) {
+  return seen.state != member_state::kGone && !seen.view.dispatches.empty();
+}
+
+void Add(zone_report& sum, const vm_seen& seen, const scheduler_load& load) {
+  const bool is_first = sum.slots == 0;
+  sum.slots += load.usable_slots;
+  sum.in_flight += load.in_flight;
+  sum.queued += load.queued;
+  sum.expected_wait = is_first
+                          ? load.expected_wait
+                          : std::min(sum.expected_wait, load.expected_wait);
+  sum.mean_service_time =
+      std::max(sum.mean_service_time, load.mean_service_time);
+  sum.received_at = std::max(sum.received_at, seen.received_at);
+}
+
+}  // namespace
+
+dispatch_directory::dispatch_directory(std::uint64_t seed) : random_(seed) {}
+
+void dispatch_directory::Update(const std::map<vm_id, vm_seen>& vms) {
+  candidates_.clear();
+  std::map<place, zone_report> sums;
+  for (const auto& [vm, seen] : vms) {
+    if (!TakesWork(seen)) continue;
+    for (const service_load& load : seen.view.loads) {
+      if (load.load.usable_slots == 0) continue;
+      const place where{seen.view.zone, load.service};
+      for (const task_address& task : seen.view.dispatches) {
+        candidates_[where].push_back(
+            {vm, seen.view.region, task.http, task.peer, load.load});
+      }
+      zone_report& sum = sums[where];
+      sum.zone = seen.view.zone;
+      sum.region = seen.view.region;
+      sum.service = load.service;
+      Add(sum, seen, load.load);
+    }
+  }
+  reports_.clear();
+  for (const auto& [where, sum] : sums) reports_.push_back(sum);
+}
+
+std::optional<dispatch_directory::choice> dispatch_directory::Choose(
+    const zone_id& zone, const service_id& service,
+    const std::set<endpoint>& excluded) {
+  const auto found = candidates_.find({zone, service});
+  if (found == candidates_.end()) return std::nullopt;
+  std::vector<const candidate*> fit;
+  for (const candidate& c : found->second) {
+    if (!excluded.contains(c.http)) fit.push_back(&c);
+  }
+  if (fit.empty()) return std::nullopt;
+  const auto size = static_cast<std::uint32_t>(fit.size());
+  const candidate* one = fit[random_(size)];
+  const candidate* other = fit[random_(size)];
+  const candidate* best = Score(*other) < Score(*one) ? other : one;
+  return choice{best->vm, best->http};
+}
+
+// Expected wait by the last report, plus what was sent from here since: a
+// report is late, and without that every request until the next one would go
+// to the same dispatch.
+double dispatch_directory::Score(const candidate& c) const {
+  const auto sent = in_flight_.find(c.http);
+  const double in_flight = sent == in_flight_.end() ? 0 : sent->second;
+  const double service_time = ToSeconds(c.load.mean_service_time);
+  const double slots = std::max(1, c.load.usable_slots);
+  return ToSeconds(c.load.expected_wait) + in_flight * service_time / slots;
+}
+
+std::optional<endpoint> dispatch_directory::PermitPeer(
+    const region_id& region, const service_id& service) {
+  std::vector<endpoint> peers;
+  for (const auto& [where, found] : candidates_) {
+    if (where.second != service) continue;
+    for (const candidate& c : found) {
+      if (c.region == region) peers.push_back(c.peer);
+    }
+  }
+  if (peers.empty()) return std::nullopt;
+  return peers[random_(static_cast<std::uint32_t>(peers.size()))];
+}
+
+void dispatch_directory::OnDone(const endpoint& http) {
+  const auto found = in_flight_.find(http);
+  if (found == in_flight_.end()) return;
+  if (--found->second <= 0) in_flight_.erase(found);
+}
+
+}  // namespace citron
--- /dev/null
+++ b/src/entry/entry_call.h
@@ -0,0 +1,72 @@
+#ifndef CITRON_ENTRY_ENTRY_CALL_H_
+#define CITRON_ENTRY_ENTRY_CALL_H_
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "citron/entry/entry_task.h"
+#include "citron/link/answer_relay.h"
+
+namespace citron {
+
+// One caller's request at an entry, from admission to its final answer.
+class entry_task::call final : public http_call_handler {
+ public:
+  call(entry_task& task, http_exchange& exchange);
+
+  // Sends the request to a dispatch, or to the entry that issued its id.
+  void Send(const endpoint& to, const request_id& forward_id);
+  void ReplyError(const caller_error& problem);
+  void CancelForward();
+
+  void OnHead(const http_response_head& head) override;
+  void OnBody(std::string_view bytes) override;
+  void OnDone() override;
+  void OnFailed(const call_failure& failure) override;
+
+  // Set by the task before the call is placed.
+  std::string key_digest;
+  double weight = 1;  // Of the contract.
+  workspace_id workspace;
+  service_id service;
+  std::string request_class;
+  std::string target;  // What the upstream is asked for.
+  monotonic_time arrived_at;
+  monotonic_time deadline;
+  bool idempotent = false;
+  request_id id;         // As the caller and the logs see it.
+  request_id caller_id;  // From the caller; may be empty.
+  bool in_registry = false;
+  bool to_issuer = false;  // Forwarded to the entry that issued the id.
+
+  // Where it is and was.
+  zone_id zone;
+  region_id region;
+  endpoint dispatch;
+  std::vector<zone_id> tried_zones;
+  std::set<endpoint> tried_dispatches;
+  std::uint64_t expected_bytes = 0;
+  int sends = 0;
+
+  const http_request& Request() const { return request_; }
+  answer_relay& Relay() { return relay_; }
+
+ private:
+  void ReleaseConnection();
+
+  entry_task& task_;
+  http_request request_;
+  answer_relay relay_;
+  std::unique_ptr<http_connection> connection_;
+  int status_ = 0;
+  bool not_run_ = false;
+  verdict verdict_ = verdict::kRan;
+  std::string refusal_;
+  duration retry_after_{};
+};
+
+}  // namespace citron
+
+#endif  // CITRON_ENTRY_ENTRY_CALL_H_
--- /dev/null
+++ b/src/entry/entry_task.cc
@@ -0,0 +1,833 @@
+#include "citron/entry/entry_task.h"
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <cmath>
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "citron/base/digest.h"
+#include "citron/base/log.h"
+#include "citron/policy/patience.h"
+#include "entry/entry_call.h"
+
+namespace citron {
+
+namespace {
+
+constexpr char kLogPart[] = "entry";
+constexpr double kRetryShare = 0.1;
+// How long an entry that is leaving goes on taking requests on connections
+// that callers keep open, after the last one came.
+constexpr duration kQuietBeforeExit = std::chrono::milliseconds(500);
+constexpr duration kLeaveNotice = std::chrono::milliseconds(1000);
+constexpr duration kFreshnessRetry = std::chrono::seconds(2);
+constexpr std::size_t kMaxKeyBytes = 256;
+constexpr int kMaxIdsPerCall = 100;
+constexpr double kDefaultAnswerBytes = 4096;
+constexpr double kAnswerBytesWeight = 0.1;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kMethodNotAllowed = 405;
+constexpr int kConflict = 409;
+constexpr int kGone = 410;
+constexpr int kTooManyRequests = 429;
+constexpr int kServiceUnavailable = 503;
+
+bool IsIdempotent(const std::string& method) {
+  return method == "GET" || method == "HEAD";
+}
+
+// The last of the classes with the longest matching prefix.
+std::string ClassName(const service_config& service, std::string_view path) {
+  const request_class* best = nullptr;
+  for (const request_class& c : service.classes) {
+    if (path.substr(0, c.path_prefix.size()) != c.path_prefix) continue;
+    if (best == nullptr || c.path_prefix.size() > best->path_prefix.size()) {
+      best = &c;
+    }
+  }
+  return best == nullptr ? "" : best->name;
+}
+
+// "/service/rest" -> {"service", "/rest"}
+std::pair<service_id, std::string> SplitTarget(const std::string& target) {
+  const std::size_t begin = target.find_first_not_of('/');
+  if (begin == std::string::npos) return {};
+  const std::size_t end = target.find_first_of("/?", begin);
+  if (end == std::string::npos) return {service_id(target.substr(begin)), "/"};
+  std::string rest = target.substr(end);
+  if (rest[0] == '?') rest.insert(0, "/");
+  return {service_id(target.substr(begin, end - begin)), rest};
+}
+
+std::optional<std::uint32_t> ParseAddress(const std::string& text) {
+  in_addr address;
+  if (inet_pton(AF_INET, text.c_str(), &address) != 1) return std::nullopt;
+  return ntohl(address.s_addr);
+}
+
+nlohmann::json Milliseconds(duration d) {
+  return std::max(0.0, std::ceil(ToMilliseconds(d)));
+}
+
+}  // namespace
+
+// Request ids are sealed with the fleet's secret, so that no caller makes one.
+class entry_task::id_mac final : public request_id_mac {
+ public:
+  explicit id_mac(const std::string& secret) : secret_(secret) {}
+  std::string Compute(std::string_view text) const override {
+    return HmacSha256Hex(secret_, text).substr(0, 32);
+  }
+
+ private:
+  std::string secret_;
+};
+
+result<std::unique_ptr<entry_task>> entry_task::Make(
+    event_loop& loop, const entry_settings& settings, const std::string& secret,
+    int loop_index) {
+  std::unique_ptr<entry_task> made(
+      new entry_task(loop, settings, secret, loop_index));
+  const status opened = made->Open();
+  if (!IsOk(opened)) return ErrorOf(opened);
+  return made;
+}
+
+entry_task::entry_task(event_loop& loop, const entry_settings& settings,
+                       const std::string& secret, int loop_index)
+    : loop_(loop),
+      settings_(settings),
+      secret_(secret),
+      loop_index_(loop_index),
+      client_(loop),
+      directory_(HashBytes(settings.common.vm.Str(), NewIncarnation())),
+      retries_(kRetryShare),
+      ranker_({3, settings.lookup_lifetime}),
+      clients_(client_routes().Build()),
+      tick_(loop, [this] { OnTick(); }) {}
+
+entry_task::~entry_task() = default;
+
+result<std::unique_ptr<http_server>> entry_task::Listen(const endpoint& at,
+                                                        http_handler handler,
+                                                        bool reuse_port) {
+  http_server_limits limits;
+  limits.max_header_bytes =
+      static_cast<std::size_t>(settings_.max_header_bytes);
+  limits.max_body_bytes = static_cast<std::size_t>(settings_.max_body_bytes);
+  limits.max_connections = settings_.max_connections;
+  limits.request_deadline_after = settings_.request_read_limit;
+  return http_server::Make(loop_, at, limits, std::move(handler), reuse_port);
+}
+
+status entry_task::Open() {
+  endpoint pages = settings_.common.metrics_listen;
+  if (loop_index_ > 0) pages.port = 0;
+  const endpoint any_port{settings_.listen.address, 0};
+  auto server = Listen(
+      settings_.listen, [this](http_exchange& e) { OnCaller(e); },
+      settings_.loops > 1);
+  if (!IsOk(server)) return ErrorOf(server);
+  server_ = std::move(ValueOf(server));
+  auto forward = Listen(
+      any_port, [this](http_exchange& e) { OnForwarded(e); }, false);
+  if (!IsOk(forward)) return ErrorOf(forward);
+  forward_ = std::move(ValueOf(forward));
+  auto page_server = http_server::Make(loop_, pages, {},
+                                       [this](http_exchange& e) { OnPage(e); });
+  if (!IsOk(page_server)) return ErrorOf(page_server);
+  pages_ = std::move(ValueOf(page_server));
+
+  control_link_options options;
+  options.common = settings_.common;
+  options.control = settings_.control;
+  options.secret = secret_;
+  options.role = daemon_role::kEntry;
+  options.loop = loop_index_;
+  options.loops = settings_.loops;
+  auto link = control_link::Make(
+      loop_, options,
+      {[this] { OnConfig(); }, [this] { OnView(); },
+       [this](const envelope& message) { OnMessage(message); }});
+  if (!IsOk(link)) return ErrorOf(link);
+  link_ = std::move(ValueOf(link));
+
+  const std::uint64_t incarnation = link_->Incarnation();
+  const std::uint64_t seed =
+      HashBytes(settings_.common.vm.Str(), incarnation + loop_index_);
+  const monotonic_time now = MonotonicNow();
+  const loan_settings loan_options;
+  mac_ = std::make_unique<id_mac>(secret_);
+  request_registry_options registry;
+  registry.vm = vm_id(RegistryName(settings_.common.vm, loop_index_));
+  registry.incarnation = incarnation;
+  registry_ = std::make_unique<request_registry>(registry, *mac_);
+  admission_ = std::make_unique<admission>(now + loan_options.SettleTime());
+  loans_ = std::make_unique<loan_book>(
+      entry_ref{settings_.common.vm, loop_index_, incarnation}, *admission_,
+      loan_options, seed);
+  placement_options place;
+  place.zone = settings_.common.zone;
+  place.region = settings_.common.region;
+  placement_ = std::make_unique<placement>(place, seed);
+  link_->Start(server_->Address(), forward_->Address());
+  OnTick();
+  return std::monostate{};
+}
+
+std::string entry_task::RegistryName(const vm_id& vm, int loop) const {
+  return loop == 0 ? vm.Str() : fmt::format("{}-loop{}", vm.Str(), loop);
+}
+
+void entry_task::Leave(std::function<void()> left) {
+  if (leaving_) return;
+  leaving_ = true;
+  left_ = std::move(left);
+  const monotonic_time now = MonotonicNow();
+  leave_deadline_ = now + settings_.drain_limit;
+  quiet_at_ = now + kLeaveNotice;
+  Log(kLogPart, "leaving with {} requests here", calls_.size());
+  link_->SetLeaving();
+  Perform(loans_->OnRelease(now));
+  server_->StopAccepting();
+}
+
+void entry_task::ContinueLeaving() {
+  if (!left_) return;
+  const monotonic_time now = MonotonicNow();
+  const bool busy = !calls_.empty() || server_->OpenExchanges() != 0 ||
+                    forward_->OpenExchanges() != 0;
+  if (busy) quiet_at_ = std::max(quiet_at_, now + kQuietBeforeExit);
+  if (now < quiet_at_ && now < leave_deadline_) return;
+  std::exchange(left_, nullptr)();
+}
+
+void entry_task::OnConfig() {
+  const fleet_config& config = link_->Config();
+  const monotonic_time now = MonotonicNow();
+  std::vector<workspace_id> without_contract;
+  for (const auto& [workspace, limit] : admission_->Limits()) {
+    if (config.FindContract(workspace) == nullptr) {
+      without_contract.push_back(workspace);
+    }
+  }
+  for (const workspace_id& workspace : without_contract) {
+    admission_->RemoveContract(workspace, now);
+  }
+  for (const auto& [workspace, terms] : config.contracts) {
+    admission_->SetContract(workspace, terms.rate_per_s, terms.burst, now);
+  }
+  for (const auto& [id, service] : config.services) {
+    const auto planned = config.shifts.find(id);
+    std::optional<shift> wanted;
+    if (planned != config.shifts.end()) {
+      wanted = shift{planned->second.from, planned->second.to,
+                     planned->second.fraction};
+    }
+    placement_->SetShift(id, wanted);
+  }
+  for (const auto& [id, zone] : config.zones) {
+    placement_->SetRegionDrained(zone.region,
+                                 config.drained_regions.contains(zone.region));
+  }
+  client_routes routes;
+  for (const auto& [text, site] : config.client_blocks) {
+    const std::optional<client_block> block = ParseClientBlock(text);
+    if (block) routes.Apply({*block, client_site{site.region, site.zone}});
+  }
+  clients_ = routes.Build();
+}
+
+void entry_task::OnView() {
+  directory_.Update(link_->Vms());
+  for (const zone_report& report : directory_.ZoneReports()) {
+    placement_->OnReport(report);
+  }
+  std::vector<entry_ref> near;
+  std::vector<entry_ref> far;
+  entry_peers_.clear();
+  for (const auto& [vm, seen] : link_->Vms()) {
+    const vm_view& view = seen.view;
+    const bool usable =
+        seen.state == member_state::kLive && !view.entries.empty();
+    if (!usable) {
+      ranker_.Remove(vm);
+    } else {
+      ranker_.Set({vm, view.zone, view.region, view.entries.front().http, 1,
+                   view.leaving});
+    }
+    for (const task_address& task : view.entries) {
+      const entry_ref ref{vm, task.loop, task.incarnation};
+      entry_peers_[ref] = task.peer;
+      if (task.peer == link_->PeerAddress()) continue;
+      const bool is_near = view.region == settings_.common.region;
+      (is_near ? near : far).push_back(ref);
+    }
+  }
+  near.insert(near.end(), far.begin(), far.end());
+  loans_->SetPeers(near);
+}
+
+void entry_task::OnMessage(const envelope& message) {
+  const monotonic_time now = MonotonicNow();
+  const entry_ref self{settings_.common.vm, loop_index_, link_->Incarnation()};
+  switch (static_cast<message_type>(message.type)) {
+    case message_type::kShareUpdate:
+      return control_link::Decode<share_update>(
+          message, [&](const auto& m) { OnShare(m); });
+    case message_type::kLoanAsk:
+      return control_link::Decode<loan_message<loan_ask>>(
+          message, [&](const auto& m) {
+            if (m.to != self) return;
+            Perform(loans_->OnLoanAsk(m.from, m.message, now));
+          });
+    case message_type::kLoanGrant:
+      return control_link::Decode<loan_message<loan_grant>>(
+          message, [&](const auto& m) {
+            if (m.to == self) loans_->OnLoanGrant(m.from, m.message, now);
+          });
+    case message_type::kLoanReturn:
+      return control_link::Decode<loan_message<loan_return>>(
+          message, [&](const auto& m) {
+            if (m.to == self) loans_->OnLoanReturn(m.from, m.message, now);
+          });
+    case message_type::kPermitGrant:
+      return control_link::Decode<permit_grant>(
+          message, [&](const auto& m) { OnPermits(m); });
+    default:
+      Log(kLogPart, "message of unknown type {} from {}", message.type,
+          message.sender);
+  }
+}
+
+void entry_task::OnShare(const share_update& update) {
+  const monotonic_time now = MonotonicNow();
+  admission_->SetShare(update.share, update.divisor, now);
+  placement_->SetLinkShare(update.link_fraction / update.divisor, now);
+  link_->SendToControl(message_type::kShareApplied,
+                       share_applied{loop_index_, update.share.sequence});
+}
+
+void entry_task::OnPermits(const permit_grant& grant) {
+  placement_->OnPermits(grant.service, grant.region, grant.count,
+                        grant.asked + grant.lifetime);
+}
+
+void entry_task::Perform(const loan_actions& actions) {
+  const entry_ref self{settings_.common.vm, loop_index_, link_->Incarnation()};
+  const auto send = [&](const entry_ref& to, message_type type,
+                        const auto& message) {
+    const auto peer = entry_peers_.find(to);
+    if (peer == entry_peers_.end()) return;
+    using body = std::decay_t<decltype(message)>;
+    link_->Send(peer->second, type, loan_message<body>{self, to, message});
+  };
+  for (const loan_action& action : actions) {
+    if (const auto* ask = std::get_if<send_loan_ask>(&action)) {
+      send(ask->to, message_type::kLoanAsk, ask->message);
+    } else if (const auto* grant = std::get_if<send_loan_grant>(&action)) {
+      send(grant->to, message_type::kLoanGrant, grant->message);
+    } else if (const auto* back = std::get_if<send_loan_return>(&action)) {
+      send(back->to, message_type::kLoanReturn, back->message);
+    }
+  }
+}
+
+void entry_task::OnTick() {
+  const monotonic_time now = MonotonicNow();
+  tick_.Arm(now + loan_settings{}.tick);
+  Perform(loans_->OnTimer(now));
+  for (const permit_want& want : placement_->TakeWants()) {
+    const auto peer = directory_.PermitPeer(want.region, want.service);
+    if (!peer) continue;
+    permit_ask ask{
+        want.service, settings_.common.vm, settings_.common.zone, want.count,
+        now,          link_->PeerAddress()};
+    link_->Send(*peer, message_type::kPermitAsk, ask);
+  }
+  if (leaving_) ContinueLeaving();
+}
+
+void entry_task::OnCaller(http_exchange& exchange) {
+  const std::string_view path = exchange.Request().Path();
+  if (path == "/v1/lookup") return OnLookup(exchange);
+  if (path == "/v1/request-ids") return OnRequestIds(exchange);
+  if (path == "/healthz") {
+    const char* state = leaving_ ? "leaving" : "live";
+    return exchange.Reply({{kOk, {{"Content-Type", "application/json"}}},
+                           nlohmann::json({{"state", state}}).dump()});
+  }
+  OnServiceRequest(exchange);
+}
+
+void entry_task::OnLookup(http_exchange& exchange) {
+  const monotonic_time now = MonotonicNow();
+  const std::string client =
+      exchange.Request().Query("client").value_or(exchange.PeerAddress());
+  const std::optional<std::uint32_t> address = ParseAddress(client);
+  if (!address) {
+    return ReplyError(exchange,
+                      {kBadRequest, "bad_client", "client is no IPv4 address"});
+  }
+  const client_site* site = clients_->Find(*address);
+  const client_site own{settings_.common.region, settings_.common.zone};
+  const vm_answer answer =
+      ranker_.Rank(site == nullptr ? &own : site, HashBytes(client), now);
+  if (answer.vms.empty()) {
+    return ReplyError(exchange,
+                      {kServiceUnavailable, "no_vm", "no entry VM is known yet",
+                       verdict::kNotRun, now + kFreshnessRetry});
+  }
+  nlohmann::json page;
+  for (const ranked_vm& vm : answer.vms) {
+    page["vms"].push_back({{"vm", vm.id.Str()},
+                           {"address", vm.address.Str()},
+                           {"weight", vm.weight}});
+  }
+  page["expires_ms"] = Milliseconds(answer.expires_at - now);
+  LogDecision("lookup", "{} sent to {}: {}", client, answer.vms[0].id.Str(),
+              site == nullptr ? "its block is unknown, own zone first"
+                              : "nearest to its block");
+  stats_.Count("citron_lookups_total", {});
+  exchange.Reply({{kOk, {{"Content-Type", "application/json"}}}, page.dump()});
+}
+
+void entry_task::OnRequestIds(http_exchange& exchange) {
+  const http_request& request = exchange.Request();
+  const auto identified = Identify(request);
+  if (const auto* problem = std::get_if<caller_error>(&identified)) {
+    return ReplyError(exchange, *problem);
+  }
+  if (request.method != "POST") {
+    return ReplyError(exchange, {kMethodNotAllowed, "method",
+                                 "request ids are issued by POST"});
+  }
+  const int count = std::atoi(request.Query("count").value_or("1").c_str());
+  if (count < 1 || count > kMaxIdsPerCall) {
+    return ReplyError(exchange,
+                      {kBadRequest, "bad_count",
+                       fmt::format("count is not 1 to {}", kMaxIdsPerCall)});
+  }
+  const monotonic_time now = MonotonicNow();
+  nlohmann::json page;
+  for (int i = 0; i < count; ++i) {
+    const result<request_id> issued = registry_->IssueId(now);
+    if (!IsOk(issued)) {
+      return ReplyError(exchange, {kServiceUnavailable, "ids_exhausted",
+                                   ErrorOf(issued).message, verdict::kNotRun,
+                                   now + kFreshnessRetry});
+    }
+    page["ids"].push_back(ValueOf(issued).Str());
+  }
+  page["expires_ms"] = Milliseconds(request_registry_options{}.lifetime);
+  exchange.Reply({{kOk, {{"Content-Type", "application/json"}}}, page.dump()});
+}
+
+std::variant<entry_task::identity, entry_task::caller_error>
+entry_task::Identify(const http_request& request) const {
+  constexpr std::string_view kScheme = "Bearer ";
+  const auto header = FindHeader(request.headers, "Authorization");
+  if (!header) {
+    return caller_error{kUnauthorized, "key_missing",
+                        "no Authorization: Bearer header"};
+  }
+  const bool well_formed =
+      header->size() > kScheme.size() && header->size() < kMaxKeyBytes &&
+      HeaderNameIs(header->substr(0, kScheme.size()), kScheme);
+  if (!well_formed) {
+    return caller_error{kUnauthorized, "key_malformed",
+                        "Authorization is not \"Bearer KEY\""};
+  }
+  identity who;
+  who.key_digest = Sha256Hex(header->substr(kScheme.size()));
+  const key_grant* grant = link_->Config().FindKey(who.key_digest);
+  if (grant != nullptr)
+    who.terms = link_->Config().FindContract(grant->workspace);
+  if (who.terms == nullptr) {
+    return caller_error{kUnauthorized, "key_refused",
+                        "the key is unknown or was withdrawn"};
+  }
+  if (auto stale = CheckFreshness(*who.terms)) return *stale;
+  return who;
+}
+
+// A VM that is cut off can't hear of a withdrawn key. The contract says how
+// long it may go on with what it last heard.
+std::optional<entry_task::caller_error> entry_task::CheckFreshness(
+    const contract& terms) const {
+  const monotonic_time now = MonotonicNow();
+  if (now - link_->FreshAsOf() <= terms.stale_key_limit) return std::nullopt;
+  return caller_error{kServiceUnavailable, "configuration_stale",
+                      "this VM is cut off; ask another one", verdict::kNotRun,
+                      now + kFreshnessRetry};
+}
+
+std::variant<monotonic_time, entry_task::caller_error> entry_task::DeadlineOf(
+    const http_request& request, const contract& terms,
+    const service_id& service) const {
+  const monotonic_time now = MonotonicNow();
+  std::optional<duration> asked;
+  if (const auto text = FindHeader(request.headers, "Citron-Deadline-Ms")) {
+    double ms = 0;
+    const char* end = text->data() + text->size();
+    const auto [rest, problem] = std::from_chars(text->data(), end, ms);
+    constexpr double kMaxMs = 24.0 * 3600 * 1000;
+    if (problem != std::errc() || rest != end || !(ms <= kMaxMs)) {
+      return caller_error{kBadRequest, "bad_deadline",
+                          "Citron-Deadline-Ms is no number of milliseconds"};
+    }
+    if (ms <= 0) {
+      return caller_error{kBadRequest, "deadline_passed",
+                          "the deadline has passed already"};
+    }
+    asked = FromMilliseconds(ms);
+  }
+  return DeadlineFor(terms, service, std::chrono::system_clock::now(), now,
+                     asked);
+}
+
+void entry_task::OnServiceRequest(http_exchange& exchange) {
+  const http_request& request = exchange.Request();
+  const auto identified = Identify(request);
+  if (const auto* problem = std::get_if<caller_error>(&identified)) {
+    return ReplyError(exchange, *problem);
+  }
+  const identity& who = std::get<identity>(identified);
+  const auto [service, rest] = SplitTarget(request.target);
+  const service_config* known = link_->Config().FindService(service);
+  if (known == nullptr) {
+    return ReplyError(
+        exchange, {kNotFound, "unknown_service", "no service has this name"});
+  }
+  const auto deadline = DeadlineOf(request, *who.terms, service);
+  if (const auto* problem = std::get_if<caller_error>(&deadline)) {
+    return ReplyError(exchange, *problem);
+  }
+  const workspace_id& workspace = who.terms->workspace;
+  const monotonic_time now = MonotonicNow();
+  const admit_result admitted = admission_->Admit(workspace, now);
+  if (const auto* over = std::get_if<over_rate>(&admitted)) {
+    Perform(loans_->OnDemand(workspace, now));
+    CountRefusal(workspace, "over_rate");
+    LogDecision(kLogPart, "request of {} refused: over its rate here",
+                workspace.Str());
+    return ReplyError(exchange, {kTooManyRequests, "over_rate",
+                                 "the workspace is over its rate",
+                                 verdict::kNotRun, over->retry_at});
+  }
+  auto started = std::make_unique<call>(*this, exchange);
+  started->key_digest = who.key_digest;
+  started->weight = who.terms->weight;
+  started->workspace = workspace;
+  started->service = service;
+  started->target = rest;
+  started->request_class =
+      ClassName(*known, std::string_view(rest).substr(0, rest.find('?')));
+  started->deadline = std::get<monotonic_time>(deadline);
+  started->idempotent = IsIdempotent(request.method);
+  started->caller_id = request_id(std::string(
+      FindHeader(request.headers, "Citron-Request-Id").value_or("")));
+  started->id =
+      started->caller_id.IsEmpty() ? NextForwardId() : started->caller_id;
+  retries_.OnRequest();
+  Run(exchange, std::move(started));
+}
+
+// A request that another entry forwarded, because its id was issued here. The
+// other entry has admitted it.
+void entry_task::OnForwarded(http_exchange& exchange) {
+  const http_request& request = exchange.Request();
+  const result<forward_head> read = ReadForwardHeaders(
+      request.headers, {request.method, request.target, request.body}, secret_);
+  if (!IsOk(read)) {
+    Log(kLogPart, "request from {} refused: {}", exchange.PeerAddress(),
+        ErrorOf(read).message);
+    return ReplyError(exchange, {kUnauthorized, "not_from_the_fleet",
+                                 "only entries of the fleet are served here"});
+  }
+  const forward_head& head = ValueOf(read);
+  const key_grant* grant = link_->Config().FindKey(head.key_digest);
+  const contract* terms = link_->Config().FindContract(head.workspace);
+  if (grant == nullptr || terms == nullptr ||
+      grant->workspace != head.workspace) {
+    return ReplyError(exchange, {kUnauthorized, "key_refused",
+                                 "the key is unknown or was withdrawn"});
+  }
+  auto started = std::make_unique<call>(*this, exchange);
+  started->key_digest = head.key_digest;
+  started->weight = terms->weight;
+  started->workspace = head.workspace;
+  started->service = head.service;
+  started->target = request.target;
+  if (const service_config* known = link_->Config().FindService(head.service)) {
+    started->request_class = ClassName(*known, request.Path());
+  }
+  started->deadline = started->arrived_at + head.time_left;
+  started->idempotent = head.idempotent;
+  started->caller_id = request_id(head.caller_request_id);
+  started->id = started->caller_id;
+  Run(exchange, std::move(started));
+}
+
+void entry_task::Run(http_exchange&, std::unique_ptr<call> started) {
+  call& c = *started;
+  calls_[&c] = std::move(started);
+  if (!c.caller_id.IsEmpty()) {
+    if (const auto problem = BeginOnce(c)) {
+      c.ReplyError(*problem);
+      return End(c, problem->ran, problem->status);
+    }
+    if (c.to_issuer) return;
+  }
+  Place(c);
+}
+
+// Only the process that issued an id may run it, and it remembers what became
+// of it; so that a caller can ask again with the same id, at any entry, without
+// the work being done twice.
+std::optional<entry_task::caller_error> entry_task::BeginOnce(call& c) {
+  std::string like = c.workspace.Str();
+  like.append("\n").append(c.Request().method).append("\n");
+  like.append(c.target).append("\n").append(c.Request().body);
+  const monotonic_time now = MonotonicNow();
+  const begin_result begun =
+      registry_->Begin(c.caller_id, HashBytes(like), now);
+  namespace ans = begin_answer;
+  if (std::holds_alternative<ans::run>(begun)) {
+    c.in_registry = true;
+    return std::nullopt;
+  }
+  if (const auto* other = std::get_if<ans::other_issuer>(&begun)) {
+    const std::optional<endpoint> issuer = IssuerOf(*other);
+    if (!issuer) {
+      return caller_error{kGone, "issuer_gone",
+                          "the process that issued the id is not there; "
+                          "whether the work was done is not known",
+                          verdict::kMayHaveRun, std::nullopt};
+    }
+    LogDecision(kLogPart, "{} forwarded to its issuer {}", c.id.Str(),
+                other->vm.Str());
+    c.to_issuer = true;
+    c.Send(*issuer, NextForwardId());
+    return std::nullopt;
+  }
+  if (std::holds_alternative<ans::already_running>(begun)) {
+    return caller_error{kConflict, "already_running",
+                        "a request with this id is running",
+                        verdict::kMayHaveRun, now + kFreshnessRetry};
+  }
+  if (const auto* done = std::get_if<ans::answered>(&begun)) {
+    return caller_error{kConflict, "already_done",
+                        fmt::format("a request with this id ended before, "
+                                    "with status {}",
+                                    done->status),
+                        done->ran, std::nullopt};
+  }
+  if (std::holds_alternative<ans::expired>(begun)) {
+    return caller_error{kGone, "id_expired", "the id is too old to be run",
+                        verdict::kMayHaveRun, std::nullopt};
+  }
+  if (std::holds_alternative<ans::fingerprint_differs>(begun)) {
+    return caller_error{kConflict, "id_reused",
+                        "the id was used for another request"};
+  }
+  return caller_error{kBadRequest, "bad_request_id",
+                      "the id was not issued by this fleet"};
+}
+
+std::optional<endpoint> entry_task::IssuerOf(
+    const begin_answer::other_issuer& issuer) {
+  for (const auto& [vm, seen] : link_->Vms()) {
+    for (const task_address& task : seen.view.entries) {
+      if (task.incarnation != issuer.incarnation) continue;
+      if (RegistryName(vm, task.loop) == issuer.vm.Str()) return task.forward;
+    }
+  }
+  return std::nullopt;
+}
+
+void entry_task::Place(call& c) {
+  const monotonic_time now = MonotonicNow();
+  c.expected_bytes = ExpectedBytes(c);
+  const place_result placed = placement_->Choose(
+      {c.service, c.request_class, c.deadline, c.expected_bytes, c.tried_zones},
+      now);
+  if (const auto* no = std::get_if<refusal>(&placed)) {
+    const std::string reason(RefusalName(no->reason));
+    LogDecision("placement", "{} of {} refused: {}", c.id.Str(),
+                c.workspace.Str(), reason);
+    CountRefusal(c.workspace, reason);
+    c.ReplyError({kServiceUnavailable, reason,
+                  "no place can answer it in time now", verdict::kNotRun,
+                  no->retry_at});
+    return End(c, verdict::kNotRun, kServiceUnavailable);
+  }
+  const place_choice& choice = std::get<place_choice>(placed);
+  std::string others;
+  for (const passed_over& other : choice.others) {
+    fmt::format_to(std::back_inserter(others), "; not {}: {}", other.zone.Str(),
+                   other.reason);
+  }
+  const auto target =
+      directory_.Choose(choice.zone, c.service, c.tried_dispatches);
+  if (!target) {
+    placement_->OnRefused(c.service, choice.zone, now);
+    c.tried_zones.push_back(choice.zone);
+    return TryElsewhere(c, "no_dispatch", verdict::kNotRun, duration::zero());
+  }
+  LogDecision("placement", "{} of {} to {} at {}: {}{}", c.id.Str(),
+              c.workspace.Str(), choice.zone.Str(), target->vm.Str(),
+              choice.reason, others);
+  c.zone = choice.zone;
+  c.region = choice.region;
+  SendTo(c, *target);
+}
+
+void entry_task::SendTo(call& c, const dispatch_directory::choice& target) {
+  c.dispatch = target.http;
+  c.tried_dispatches.insert(target.http);
+  directory_.OnSent(target.http);
+  placement_->OnSent(c.service, c.zone, MonotonicNow());
+  c.Send(target.http, NextForwardId());
+}
+
+void entry_task::TryElsewhere(call& c, const std::string& reason, verdict ran,
+                              duration retry_after) {
+  const monotonic_time now = MonotonicNow();
+  if (!c.dispatch.IsEmpty()) {
+    directory_.OnDone(c.dispatch);
+    placement_->OnRefused(c.service, c.zone, now);
+    c.tried_zones.push_back(c.zone);
+    c.dispatch = {};
+  }
+  constexpr int kMaxSends = 2;
+  const bool is_final = reason == "key_refused" || reason == "poison" ||
+                        c.to_issuer || now >= c.deadline;
+  if (!is_final && c.sends < kMaxSends && retries_.TryTake()) {
+    LogDecision(kLogPart, "{} tried elsewhere after {}", c.id.Str(), reason);
+    return Place(c);
+  }
+  CountRefusal(c.workspace, reason);
+  const int status =
+      reason == "key_refused" ? kUnauthorized : kServiceUnavailable;
+  c.ReplyError({status, reason,
+                ran == verdict::kNotRun ? "it was turned away before it ran"
+                                        : "no whole answer came",
+                ran, now + std::max(retry_after, duration::zero())});
+  End(c, ran, status);
+}
+
+void entry_task::End(call& c, verdict ran, int status) {
+  const auto found = calls_.find(&c);
+  if (found == calls_.end()) return;
+  const monotonic_time now = MonotonicNow();
+  if (!c.dispatch.IsEmpty()) {
+    directory_.OnDone(c.dispatch);
+    placement_->OnDone(c.service, c.zone, now);
+    if (c.region != settings_.common.region) {
+      placement_->OnCrossed(c.region, c.expected_bytes, c.Relay().BodyBytes(),
+                            now);
+    }
+    double& typical = answer_bytes_[{c.service, c.request_class}];
+    const auto bytes = static_cast<double>(c.Relay().BodyBytes());
+    typical += kAnswerBytesWeight * (bytes - typical);
+  }
+  if (c.in_registry) registry_->OnOutcome(c.caller_id, ran, status);
+  const metric_labels labels{{"service", c.service.Str()},
+                             {"verdict", std::string(VerdictName(ran))}};
+  stats_.Count("citron_requests_total", labels);
+  stats_.ObserveSeconds("citron_request_seconds",
+                        {{"service", c.service.Str()}},
+                        ToSeconds(now - c.arrived_at));
+  stats_.Count("citron_workspace_requests_total",
+               {{"workspace", c.workspace.Str()},
+                {"answered", ran == verdict::kRan ? "yes" : "no"}});
+  LogDecision(kLogPart, "{} of {} ended: status {}, {}, {:.1f} ms", c.id.Str(),
+              c.workspace.Str(), status, VerdictName(ran),
+              ToMilliseconds(now - c.arrived_at));
+  // The call may be on the stack still.
+  loop_.Defer([held = std::make_shared<std::unique_ptr<call>>(
+                   std::move(found->second))] { held->reset(); });
+  calls_.erase(found);
+}
+
+std::uint64_t entry_task::ExpectedBytes(const call& c) const {
+  const auto found = answer_bytes_.find({c.service, c.request_class});
+  const double bytes =
+      found == answer_bytes_.end() ? kDefaultAnswerBytes : found->second;
+  return static_cast<std::uint64_t>(bytes);
+}
+
+request_id entry_task::NextForwardId() {
+  return request_id(fmt::format("{}.{}.{}.{}", settings_.common.vm.Str(),
+                                loop_index_, link_->Incarnation(),
+                                ++last_forward_));
+}
+
+void entry_task::CountRefusal(const workspace_id& workspace,
+                              const std::string& reason) {
+  stats_.Count("citron_refusals_total",
+               {{"workspace", workspace.Str()}, {"reason", reason}});
+  // What was let in and refused later was inside the workspace's rate.
+  if (reason != "over_rate") {
+    stats_.Count("citron_refused_inside_rate_total",
+                 {{"workspace", workspace.Str()}});
+  }
+}
+
+void entry_task::ReplyError(http_exchange& exchange,
+                            const caller_error& problem) {
+  stats_.Count("citron_errors_total", {{"code", problem.code}});
+  exchange.Reply(ErrorResponse(problem, ""));
+}
+
+http_response entry_task::ErrorResponse(const caller_error& problem,
+                                        const std::string& id) const {
+  nlohmann::json body;
+  nlohmann::json& inner = body["error"];
+  inner["code"] = problem.code;
+  inner["message"] = problem.message;
+  inner["verdict"] = VerdictName(problem.ran);
+  http_response response;
+  response.head.status = problem.status;
+  response.head.headers = {
+      {"Content-Type", "application/json"},
+      {"Citron-Verdict", std::string(VerdictName(problem.ran))}};
+  if (!id.empty()) {
+    inner["request_id"] = id;
+    response.head.headers.push_back({"Citron-Request-Id", id});
+  }
+  if (problem.retry_at) {
+    const duration wait =
+        std::max(duration::zero(), *problem.retry_at - MonotonicNow());
+    inner["retry_after_ms"] = Milliseconds(wait);
+    // The header counts whole seconds; the body is exact.
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(wait).count();
+    response.head.headers.push_back(
+        {"Retry-After", std::to_string(std::max<std::int64_t>(1, seconds))});
+  }
+  response.body = body.dump();
+  return response;
+}
+
+void entry_task::OnPage(http_exchange& exchange) {
+  stats_.Set("citron_config_revision", {},
+             static_cast<double>(link_->Config().revision));
+  stats_.Set("citron_requests_in_flight", {},
+             static_cast<double>(calls_.size()));
+  stats_.Set("citron_request_ids", {}, static_cast<double>(registry_->Size()));
+  exchange.Reply(
+      {{kOk, {{"Content-Type", "text/plain; version=0.0.4"}}}, stats_.Page()});
+}
+
+}  // namespace citron
--- a/src/link/control_link.cc
+++ b/src/link/control_link.cc
@@ -45,8 +45,9 @@
       callbacks_(std::move(callbacks)),
       hello_timer_(loop, [this] { SayHello(); }) {}
 
-void control_link::Start(const endpoint& http) {
+void control_link::Start(const endpoint& http, const endpoint& forward) {
   http_ = http;
+  forward_ = forward;
   SayHello();
 }
 
@@ -59,7 +60,8 @@
   hello_timer_.Arm(MonotonicNow() + kHelloInterval);
   hello message;
   message.role = options_.role;
-  message.address = {options_.loop, Incarnation(), http_, PeerAddress()};
+  message.address = {options_.loop, Incarnation(), http_, PeerAddress(),
+                     forward_};
   message.loops = options_.loops;
   message.revision = config_.revision;
   message.leaving = leaving_;
