--- a/bench/protocol_state_bench.cc
+++ b/bench/protocol_state_bench.cc
@@ -75,7 +75,13 @@
   membership_options options;
   options.self = Vm(0, 0);
   membership m(options);
-  for (int n = 1; n <= peers; ++n) m.OnHeartbeat(Beat(Vm(0, n), 1), At(0));
+  std::vector<listed_vm> list;
+  for (int n = 1; n <= peers; ++n) {
+    const member_info vm = Vm(0, n);
+    list.push_back({vm.vm, vm.zone, vm.region, vm.control, false});
+    m.OnHeartbeat(Beat(vm, 1), At(0));
+  }
+  m.OnPlatformList(list, At(0));
   return m;
 }
 
