--- /dev/null
+++ b/include/citron/policy/client_table.h
@@ -0,0 +1,78 @@
+#ifndef CITRON_POLICY_CLIENT_TABLE_H_
+#define CITRON_POLICY_CLIENT_TABLE_H_
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "citron/base/strong_id.h"
+
+namespace citron {
+
+// A block of IPv4 addresses; the bits after the prefix are 0.
+struct client_block {
+  std::uint32_t address = 0;  // Host byte order.
+  int prefix_length = 0;      // 0 to 32.
+
+  friend auto operator<=>(const client_block&, const client_block&) = default;
+};
+
+// Accepts "a.b.c.d/n" without bits after the prefix.
+std::optional<client_block> ParseClientBlock(std::string_view text);
+
+struct client_site {
+  region_id region;
+  zone_id zone;  // May be empty: any zone of the region.
+
+  friend auto operator<=>(const client_site&, const client_site&) = default;
+};
+
+// An immutable longest-prefix-match table. Readers share it while the next one
+// is built.
+class client_table {
+ public:
+  using route_map = std::map<client_block, client_site>;
+
+  explicit client_table(const route_map& routes);
+
+  // The site of the longest matching block; nullptr without one.
+  const client_site* Find(std::uint32_t address) const;
+
+  std::size_t RangeCount() const { return starts_.size(); }
+  std::size_t MemoryBytes() const;
+
+ private:
+  void AddRange(std::uint64_t start, std::uint32_t site);
+  void IndexRanges();
+
+  std::vector<client_site> sites_;     // The first one means "no site".
+  std::vector<std::uint32_t> starts_;  // Of ranges of one site, ascending.
+  std::vector<std::uint32_t> values_;  // Index of each range's site.
+  // By an address's upper 16 bits: the range that holds their first address.
+  std::vector<std::uint32_t> index_;
+};
+
+struct client_delta {
+  client_block block;
+  std::optional<client_site> site;  // Nothing removes the block.
+};
+
+// The routes behind a client_table; kept off the request path.
+class client_routes {
+ public:
+  void Apply(const client_delta& delta);
+  std::size_t Size() const { return routes_.size(); }
+  std::shared_ptr<const client_table> Build() const;
+
+ private:
+  client_table::route_map routes_;
+};
+
+}  // namespace citron
+
+#endif  // CITRON_POLICY_CLIENT_TABLE_H_
