--- a/include/citron/protocol/share_holder.h
+++ b/include/citron/protocol/share_holder.h
@@ -17,7 +17,7 @@
 namespace citron {
 
 struct share_settings {
-  int floor_ppm = 750'000;  // Part of a VM's share that is its floor.
+  int floor_ppm = 950'000;  // Part of a VM's share that is its floor.
   duration lease = std::chrono::seconds(9);
   // What clocks of two VMs may drift apart during one lease.
   duration margin = std::chrono::seconds(1);
--- a/src/protocol/loan_book.cc
+++ b/src/protocol/loan_book.cc
@@ -22,10 +22,10 @@
 constexpr double kSurprise = 2.5;
 
 // So many arrivals that didn't come mean that none will: by chance that
-// happens once in fifty. Demand is taken for at least one request in five
-// seconds' time, so that after a single one the room for it stays as long.
-constexpr double kSilentArrivals = 4;
-constexpr double kLeastDemand = 0.8;
+// happens once in four hundred. Demand is taken for at least the one here, so
+// that after a single request the room for the next stays for six seconds.
+constexpr double kSilentArrivals = 6;
+constexpr double kLeastDemand = 1;  // Requests a second.
 
 // Tokens that should last until a lender's answer from another region, and
 // those to ask for, as time at the present demand.
@@ -155,8 +155,10 @@
   const std::int64_t spare = SparePpb(ask.workspace, bucket, from, now, until);
   const std::int64_t more = std::clamp<std::int64_t>(
       ask.ppb - lent_before, 0, std::max<std::int64_t>(0, spare));
-  // A share that shrinks before the end can't carry what is lent on.
-  const bool may_extend = spare >= 0;
+  // A share that shrinks before the end can't carry what is lent on; and what
+  // the demand here needs again comes back when the loan ends.
+  const bool may_extend =
+      spare >= 0 && WantedPpb(ask.workspace, bucket) <= ppb_before;
   loan_grant grant{ask.workspace, ask.number, 0, 0, ask.duration_ms};
   if (may_extend && lent_before + more > 0) {
     grant.ppb = lent_before + more;
--- a/tools/limits_experiment/limits_experiment.cc
+++ b/tools/limits_experiment/limits_experiment.cc
@@ -3,6 +3,7 @@
 
 #include <cxxopts.hpp>
 
+#include "citron/base/digest.h"
 #include "simulated_fleet.h"
 
 namespace citron {
@@ -178,7 +179,20 @@
 
 // --- One workspace far over its rate ---
 
-void PlayOverload(const fleet_options& options, bool in_one_zone) {
+struct overload {
+  bool in_one_zone = false;
+  // VMs that the callers of a workspace with fewer tokens than 100 are told to
+  // use; 0: all.
+  int vms_of_small = 0;
+};
+
+int FewVms(const simulated_fleet& fleet, const char* name, int count,
+           pcg32& random) {
+  const int first = static_cast<int>(HashBytes(name) % fleet.Size());
+  return (first + static_cast<int>(random() % count)) % fleet.Size();
+}
+
+void PlayOverload(const fleet_options& options, const overload& play) {
   constexpr int kSpan = 60;
   simulated_fleet fleet(options);
   SetContracts(fleet);
@@ -186,17 +200,22 @@
   for (const workspace_size& w : kWorkspaces) {
     const bool is_hot = w.name == std::string("w2");
     fleet.Demand(workspace_id(w.name), w.rate * (is_hot ? 8 : 0.8), end,
-                 [&fleet, is_hot, in_one_zone](pcg32& random) {
-                   return is_hot && in_one_zone ? fleet.RandomInZone(2, random)
-                                                : fleet.RandomVm(random);
+                 [&fleet, is_hot, play, w](pcg32& random) {
+                   if (is_hot && play.in_one_zone) {
+                     return fleet.RandomInZone(2, random);
+                   }
+                   if (w.burst < 100 && play.vms_of_small > 0) {
+                     return FewVms(fleet, w.name, play.vms_of_small, random);
+                   }
+                   return fleet.RandomVm(random);
                  });
   }
   fleet.Run(kWarmUp);
   fleet.ResetCounts();
   fleet.Run(end);
-  PrintTotals(fmt::format("w2 at 8x its rate {}, others 0.8, loans {}",
-                          in_one_zone ? "in one zone" : "everywhere",
-                          options.loans ? "on" : "off"),
+  PrintTotals(fmt::format("w2 at 8x {}, others 0.8, VMs of small {}, loans {}",
+                          play.in_one_zone ? "in one zone" : "everywhere",
+                          play.vms_of_small, options.loans ? "on" : "off"),
               fleet, seconds(kSpan));
   for (auto& [id, r] : fleet.Records()) {
     fmt::print(
@@ -276,9 +295,11 @@
   if (is_played("overload")) {
     fleet_options without = options;
     without.loans = false;
-    PlayOverload(without, false);
-    PlayOverload(options, false);
-    PlayOverload(options, true);
+    PlayOverload(without, {});
+    PlayOverload(options, {});
+    PlayOverload(options, {.in_one_zone = true});
+    PlayOverload(options, {.vms_of_small = 2});
+    PlayOverload(options, {.vms_of_small = 4});
   }
   if (is_played("sizes")) PlaySizes(options);
   if (is_played("outages")) {
