--- a/include/citron/policy/client_table.h
+++ b/include/citron/policy/client_table.h
@@ -1,13 +1,13 @@
 #ifndef CITRON_POLICY_CLIENT_TABLE_H_
 #define CITRON_POLICY_CLIENT_TABLE_H_
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "citron/base/strong_id.h"
@@ -19,7 +19,12 @@
   std::uint32_t address = 0;  // Host byte order.
   int prefix_length = 0;      // 0 to 32.
 
-  friend auto operator<=>(const client_block&, const client_block&) = default;
+  friend bool operator==(const client_block&, const client_block&) = default;
+  // An enclosing block comes before those inside it.
+  friend bool operator<(const client_block& a, const client_block& b) {
+    return std::tie(a.address, a.prefix_length) <
+           std::tie(b.address, b.prefix_length);
+  }
 };
 
 // Accepts "a.b.c.d/n" without bits after the prefix.
@@ -29,7 +34,10 @@
   region_id region;
   zone_id zone;  // May be empty: any zone of the region.
 
-  friend auto operator<=>(const client_site&, const client_site&) = default;
+  friend bool operator==(const client_site&, const client_site&) = default;
+  friend bool operator<(const client_site& a, const client_site& b) {
+    return std::tie(a.region, a.zone) < std::tie(b.region, b.zone);
+  }
 };
 
 // An immutable longest-prefix-match table. Readers share it while the next one
--- a/src/policy/upstream_chooser.cc
+++ b/src/policy/upstream_chooser.cc
@@ -101,7 +101,7 @@
 }
 
 upstream_chooser::upstream_chooser(upstream_chooser_options options)
-    : options_(std::move(options)) {}
+    : options_(options) {}
 
 void upstream_chooser::SetUpstreams(
     const std::vector<upstream_capacity>& upstreams, monotonic_time now) {
--- a/src/policy/vm_ranker.cc
+++ b/src/policy/vm_ranker.cc
@@ -31,10 +31,23 @@
 
 double Score(std::uint64_t vm_hash, std::uint64_t spread, double weight) {
   const std::uint64_t mixed = Mix(vm_hash ^ Mix(spread + 0x9e3779b97f4a7c15u));
-  const double unit = (std::ldexp(static_cast<double>(mixed >> 11), -53));
+  const double unit = std::ldexp(static_cast<double>(mixed >> 11), -53);
   return -weight / std::log(std::max(unit, 1e-300));
 }
 
+struct scored_vm {
+  const entry_vm* vm = nullptr;
+  double score = 0;
+};
+
+void KeepBest(std::vector<scored_vm>& vms, std::size_t count) {
+  const std::size_t kept = std::min(count, vms.size());
+  std::partial_sort(
+      vms.begin(), vms.begin() + kept, vms.end(),
+      [](const scored_vm& a, const scored_vm& b) { return a.score > b.score; });
+  vms.resize(kept);
+}
+
 }  // namespace
 
 vm_ranker::vm_ranker(vm_ranker_options options) : options_(options) {}
@@ -68,37 +81,27 @@
     if (region != by_region_.end()) from = &region->second;
     zone = site->zone;
   }
-  struct scored_vm {
-    const stored_vm* stored;
-    double score;
-  };
   std::vector<scored_vm> near;
   std::vector<scored_vm> elsewhere;
+  near.reserve(from->size());
   for (const stored_vm* stored : *from) {
-    const double score = Score(stored->hash, spread, stored->vm.weight);
-    const bool is_near = zone.IsEmpty() || stored->vm.zone == zone;
-    (is_near ? near : elsewhere).push_back({stored, score});
-  }
-  const auto by_score = [](const scored_vm& a, const scored_vm& b) {
-    return a.score > b.score;
-  };
-  std::sort(near.begin(), near.end(), by_score);
-  std::sort(elsewhere.begin(), elsewhere.end(), by_score);
-  const std::size_t kept = std::min(elsewhere.size(), kPlacesElsewhere);
-  if (near.size() + kept > options_.answer_size) {
-    near.resize(options_.answer_size - std::min(kept, options_.answer_size));
+    const entry_vm& vm = stored->vm;
+    const bool is_near = zone.IsEmpty() || vm.zone == zone;
+    const double score = Score(stored->hash, spread, vm.weight);
+    (is_near ? near : elsewhere).push_back({&vm, score});
   }
-  const std::size_t room = options_.answer_size - near.size();
-  if (elsewhere.size() > room) elsewhere.resize(room);
+  const std::size_t size = options_.answer_size;
+  const std::size_t kept = std::min({elsewhere.size(), kPlacesElsewhere, size});
+  KeepBest(near, size - kept);
+  KeepBest(elsewhere, size - near.size());
   near.insert(near.end(), elsewhere.begin(), elsewhere.end());
 
   vm_answer answer;
   answer.expires_at = now + options_.lifetime;
   double sum = 0;
-  for (const scored_vm& s : near) sum += s.stored->vm.weight;
+  for (const scored_vm& s : near) sum += s.vm->weight;
   for (const scored_vm& s : near) {
-    const entry_vm& vm = s.stored->vm;
-    answer.vms.push_back({vm.id, vm.address, vm.weight / sum});
+    answer.vms.push_back({s.vm->id, s.vm->address, s.vm->weight / sum});
   }
   return answer;
 }
