--- /dev/null
+++ b/include/citron/protocol/request_registry.h
@@ -0,0 +1,123 @@
+#ifndef CITRON_PROTOCOL_REQUEST_REGISTRY_H_
+#define CITRON_PROTOCOL_REQUEST_REGISTRY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "citron/base/result.h"
+#include "citron/base/strong_id.h"
+#include "citron/base/time.h"
+#include "citron/base/verdict.h"
+#include "citron/protocol/incarnation.h"
+
+namespace citron {
+
+// Proves that the fleet issued an id. Both sides hold the fleet's secret.
+class request_id_mac {
+ public:
+  virtual ~request_id_mac() = default;
+  // Hexadecimal, of a fixed length.
+  virtual std::string Compute(std::string_view text) const = 0;
+};
+
+// What a request id says: "<vm>.<incarnation>.<number>.<expiry>.<mac>".
+struct request_id_parts {
+  vm_id vm;
+  incarnation_number incarnation = 0;
+  std::uint64_t number = 0;
+  // Milliseconds of the issuer's monotonic clock; means nothing to others.
+  std::uint64_t expires_at_ms = 0;
+  std::string mac;
+};
+
+// Strict: bounded length, every part there, no leading zeros, lower-case MAC.
+std::optional<request_id_parts> ParseRequestId(std::string_view text);
+
+struct request_registry_options {
+  vm_id vm;
+  incarnation_number incarnation = 0;
+  duration lifetime = FromSeconds(600);
+  // Ids that were run and have not expired.
+  std::size_t max_ids = 250000;
+};
+
+namespace begin_answer {
+
+// The request may be sent, and this call was the only one to say so.
+struct run {};
+// It is in flight; its outcome is not known yet.
+struct already_running {};
+// It has an outcome; nothing is sent.
+struct answered {
+  verdict ran = verdict::kMayHaveRun;
+  int status = 0;  // HTTP status given to the first caller.
+};
+// The id is too old to be run. It may have run.
+struct expired {};
+// Issued by another process, which alone may run it.
+struct other_issuer {
+  vm_id vm;
+  incarnation_number incarnation = 0;
+};
+// The same id with another request; nothing is sent.
+struct fingerprint_differs {};
+// Malformed or forged.
+struct refused {};
+// No memory for another id. Not run; the same id may be tried later.
+struct full {};
+
+}  // namespace begin_answer
+
+using begin_result =
+    std::variant<begin_answer::run, begin_answer::already_running,
+                 begin_answer::answered, begin_answer::expired,
+                 begin_answer::other_issuer, begin_answer::fingerprint_differs,
+                 begin_answer::refused, begin_answer::full>;
+
+// At-most-once: runs a request id that this process issued once, and remembers
+// it until it expires.
+class request_registry {
+ public:
+  // `mac` must outlive the registry.
+  request_registry(request_registry_options options, const request_id_mac& mac);
+
+  // kUnavailable when full. An id costs no memory until it is run.
+  result<request_id> IssueId(monotonic_time now);
+  // `fingerprint` is a digest of workspace, method, path and body.
+  begin_result Begin(const request_id& id, std::uint64_t fingerprint,
+                     monotonic_time now);
+  // kNotRun makes the id free to be begun again.
+  void OnOutcome(const request_id& id, verdict ran, int status);
+  // Forgets ids that expired; also done by IssueId and Begin.
+  void Expire(monotonic_time now);
+
+  std::size_t Size() const { return entries_.size(); }
+
+ private:
+  struct entry {
+    std::uint64_t expires_at_ms = 0;
+    std::uint64_t fingerprint = 0;
+    bool running = true;
+    verdict ran = verdict::kMayHaveRun;
+    int status = 0;
+  };
+
+  std::optional<request_id_parts> Verified(const request_id& id) const;
+  bool IsOwn(const request_id_parts& parts) const;
+
+  request_registry_options options_;
+  const request_id_mac& mac_;
+  // Ids that were run. Numbers grow and each id lives equally long, so the
+  // order of numbers is the order of expiry.
+  std::map<std::uint64_t, entry> entries_;
+  std::uint64_t next_number_ = 1;
+};
+
+}  // namespace citron
+
+#endif  // CITRON_PROTOCOL_REQUEST_REGISTRY_H_
