--- a/src/ctl/deployment_files.cc
+++ b/src/ctl/deployment_files.cc
@@ -221,8 +221,9 @@
   for (const deployed_vm& vm : vms) entries.push_back(At(vm.address, 7200));
   json workspaces = json::array();
   for (const deployed_workspace& workspace : deployed.workspaces) {
-    workspaces.push_back(
-        {{"name", workspace.name}, {"rate_per_s", workspace.rate_per_s}});
+    workspaces.push_back({{"name", workspace.name},
+                          {"rate_per_s", workspace.rate_per_s},
+                          {"burst", workspace.burst}});
   }
   json requests = json::array();
   for (const deployed_service& service : deployed.services) {
