--- a/include/citron/control/view_exchange.h
+++ b/include/citron/control/view_exchange.h
@@ -13,8 +13,6 @@
 // daemons are told of all that.
 class view_exchange {
  public:
-  explicit view_exchange(const control_context& context);
-
   void OnMember(const vm_id& vm, member_state state);
   void OnView(const vm_view& view, monotonic_time now);
   // The VM's own view, for its own daemons.
@@ -28,7 +26,6 @@
   const std::map<vm_id, vm_seen>& Vms() const { return vms_; }
 
  private:
-  const control_context& context_;
   std::map<vm_id, vm_seen> vms_;
   std::map<vm_id, bool> changed_;
   int updates_since_full_ = 0;
--- a/src/control/control_task.cc
+++ b/src/control/control_task.cc
@@ -87,7 +87,7 @@
   options.self.control = peers_->Address();
   options.self.incarnation = incarnation;
   membership_ = std::make_unique<membership>(options);
-  views_ = std::make_unique<view_exchange>(*context_);
+  views_ = std::make_unique<view_exchange>();
   config_ = std::make_unique<config_feed>(
       *context_, [this](const fleet_config& c) { OnConfigChanged(c); });
   shares_ = std::make_unique<share_feed>(
--- a/src/control/view_exchange.cc
+++ b/src/control/view_exchange.cc
@@ -29,9 +29,6 @@
 
 }  // namespace
 
-view_exchange::view_exchange(const control_context& context)
-    : context_(context) {}
-
 void view_exchange::OnMember(const vm_id& vm, member_state state) {
   vm_seen& seen = vms_[vm];
   if (seen.view.vm.IsEmpty()) seen.view.vm = vm;
