--- a/bench/protocol_state_bench.cc
+++ b/bench/protocol_state_bench.cc
@@ -165,7 +165,7 @@
   table.epoch = static_cast<std::uint64_t>(members);
   std::set<upstream_id> ids;
   for (int n = 0; n < members; ++n) {
-    const auto joined = static_cast<std::uint64_t>(n + 1);
+    const std::uint64_t joined = static_cast<std::uint64_t>(n) + 1;
     table.members[Vm(0, n).vm] = {7,      Vm(0, n).dispatch, 100,
                                   joined, table.epoch,       false};
   }
--- a/include/citron/protocol/config_replica.h
+++ b/include/citron/protocol/config_replica.h
@@ -47,7 +47,7 @@
 };
 
 struct config_replica_options {
-  std::size_t page_bytes = 64 * 1024;
+  std::size_t page_bytes = 65536;
   // About a day of the fleet's changes, so that a VM that was cut off for
   // hours still gets changes instead of a snapshot.
   std::size_t max_tombstones = 30000;
--- a/src/protocol/membership.cc
+++ b/src/protocol/membership.cc
@@ -10,7 +10,13 @@
 
 namespace {
 
-using namespace membership_action;  // NOLINT(google-build-using-namespace)
+using membership_action::arm_timer;
+using membership_action::member_changed;
+using membership_action::peer_revision;
+using membership_action::send_heartbeat;
+using membership_action::send_zone_digest;
+using membership_action::send_zone_members;
+using membership_action::send_zone_pull;
 
 // A heartbeat may not claim that the next one is due next week: its sender
 // would look alive for as long after its death.
--- a/src/protocol/ownership.cc
+++ b/src/protocol/ownership.cc
@@ -32,7 +32,13 @@
 
 namespace {
 
-using namespace ownership_action;  // NOLINT(google-build-using-namespace)
+using ownership_action::arm_timer;
+using ownership_action::left;
+using ownership_action::ownership_changed;
+using ownership_action::read_table;
+using ownership_action::send_promise;
+using ownership_action::send_promise_ask;
+using ownership_action::write_table;
 
 // Answers to older questions are of no use: their ttl has passed.
 constexpr std::size_t kMaxAsks = 8;
--- a/tests/protocol/config_replica_test.cc
+++ b/tests/protocol/config_replica_test.cc
@@ -3,7 +3,8 @@
 #include <boost/test/unit_test.hpp>
 #include <pcg_random.hpp>
 
-using namespace citron;
+namespace citron {
+
 using config_replica_action::apply;
 using config_replica_action::pull_from_peer;
 using config_replica_action::read_store_snapshot;
@@ -251,3 +252,5 @@
     }
   }
 }
+
+}  // namespace citron
--- a/tests/protocol/membership_test.cc
+++ b/tests/protocol/membership_test.cc
@@ -5,8 +5,12 @@
 #include <deque>
 #include <pcg_random.hpp>
 
-using namespace citron;
-using namespace citron::membership_action;
+namespace citron {
+
+using membership_action::send_heartbeat;
+using membership_action::send_zone_digest;
+using membership_action::send_zone_members;
+using membership_action::send_zone_pull;
 
 namespace {
 
@@ -247,3 +251,5 @@
   fleet.Run(60);
   CheckAllSee(fleet, dead);
 }
+
+}  // namespace citron
--- a/tests/protocol/ownership_test.cc
+++ b/tests/protocol/ownership_test.cc
@@ -5,8 +5,15 @@
 #include <memory>
 #include <queue>
 
-using namespace citron;
-using namespace citron::ownership_action;
+namespace citron {
+
+using ownership_action::arm_timer;
+using ownership_action::left;
+using ownership_action::ownership_changed;
+using ownership_action::read_table;
+using ownership_action::send_promise;
+using ownership_action::send_promise_ask;
+using ownership_action::write_table;
 
 namespace {
 
@@ -14,6 +21,10 @@
 constexpr int kUpstreams = 5;
 constexpr int kSlots = 4;
 
+constexpr const char* kEpochsOutOfOrder =
+    R"({"epoch":1,"members":{"a":{"incarnation":1,"address":"1.2.3.4:5",)"
+    R"("counter":1,"joined":2,"seen":1}}})";
+
 upstream_id Upstream(int n) { return upstream_id("u" + std::to_string(n)); }
 
 std::set<upstream_id> AllUpstreams() {
@@ -337,8 +348,8 @@
   for (const char* bad :
        {"{}", "[]", R"({"epoch":1,"more":2})", R"({"epoch":-1})",
         R"({"epoch":1,"assignments":{"u":{"owner":"nobody"}}})",
-        R"({"epoch":1,"members":{"a":{"incarnation":1,"address":"1.2.3.4:5",)"
-        R"("counter":1,"joined":2,"seen":1}}})"}) {
+        R"({"epoch":1,"members":{"a":{"incarnation":1}}})",
+        kEpochsOutOfOrder}) {
     BOOST_TEST_INFO(bad);
     BOOST_TEST(!IsOk(ParseOwnershipTable(bad)));
   }
@@ -598,3 +609,5 @@
     BOOST_REQUIRE_EQUAL(zone.exclusive_failures, 0);
   }
 }
+
+}  // namespace citron
--- a/tests/protocol/request_registry_test.cc
+++ b/tests/protocol/request_registry_test.cc
@@ -5,8 +5,16 @@
 
 #include "citron/base/digest.h"
 
-using namespace citron;
-using namespace citron::begin_answer;
+namespace citron {
+
+using begin_answer::already_running;
+using begin_answer::answered;
+using begin_answer::expired;
+using begin_answer::fingerprint_differs;
+using begin_answer::full;
+using begin_answer::other_issuer;
+using begin_answer::refused;
+using begin_answer::run;
 
 namespace {
 
@@ -148,3 +156,5 @@
   BOOST_TEST(ParseRequestId(good)->vm.Str() == "vm-1.scl");
   BOOST_TEST(registry.Size() == 0u);
 }
+
+}  // namespace citron
