--- a/bench/protocol_limits_bench.cc
+++ b/bench/protocol_limits_bench.cc
@@ -26,7 +26,7 @@
 }
 
 // One decision, half of them refusals. Argument: number of workspaces.
-void BM_Admit(benchmark::State& state) {
+void Admit(benchmark::State& state) {
   const int workspaces = static_cast<int>(state.range(0));
   admission limits(kStart);
   Fill(limits, workspaces);
@@ -42,10 +42,10 @@
   }
   state.SetItemsProcessed(state.iterations());
 }
-BENCHMARK(BM_Admit)->Arg(8)->Arg(1000);
+BENCHMARK(Admit)->Arg(8)->Arg(1000);
 
 // The timer of one loop. Arguments: workspaces, peers.
-void BM_LoanTimer(benchmark::State& state) {
+void LoanTimer(benchmark::State& state) {
   const int workspaces = static_cast<int>(state.range(0));
   admission limits(kStart);
   Fill(limits, workspaces);
@@ -62,10 +62,10 @@
     benchmark::DoNotOptimize(book.OnTimer(now));
   }
 }
-BENCHMARK(BM_LoanTimer)->Args({8, 10})->Args({8, 64})->Args({1000, 64});
+BENCHMARK(LoanTimer)->Args({8, 10})->Args({8, 64})->Args({1000, 64});
 
 // Argument: number of VMs in the table.
-void BM_ParseTable(benchmark::State& state) {
+void ParseTable(benchmark::State& state) {
   share_table table;
   for (int i = 0; i < state.range(0); ++i) {
     share_entry& entry = table.FindOrAdd(vm_id("vm" + std::to_string(i)));
@@ -76,7 +76,7 @@
   for (auto _ : state) benchmark::DoNotOptimize(ParseShareTable(json));
   state.counters["bytes"] = static_cast<double>(json.size());
 }
-BENCHMARK(BM_ParseTable)->Arg(2)->Arg(10)->Arg(42)->Arg(200)->Arg(2200);
+BENCHMARK(ParseTable)->Arg(2)->Arg(10)->Arg(42)->Arg(200)->Arg(2200);
 
 }  // namespace
 
--- a/include/citron/protocol/entry_ref.h
+++ b/include/citron/protocol/entry_ref.h
@@ -15,6 +15,7 @@
   int loop = 0;
   std::uint64_t incarnation = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on a default <=>.
   friend auto operator<=>(const entry_ref&, const entry_ref&) = default;
 };
 
--- a/include/citron/protocol/loan_book.h
+++ b/include/citron/protocol/loan_book.h
@@ -74,7 +74,7 @@
   duration slow_smoothing = std::chrono::seconds(2);
   duration ask_timeout = std::chrono::milliseconds(300);
   // How long a lender that had nothing to spare isn't asked again.
-  duration refused_pause = std::chrono::milliseconds(100);
+  duration refused_pause = std::chrono::milliseconds(50);
   int max_lenders = 16;  // Asked at once for one workspace.
   // Part of its own share that a lender without demand keeps.
   std::int64_t keep_ppm = 20'000;
--- a/src/protocol/loan_book.cc
+++ b/src/protocol/loan_book.cc
@@ -29,8 +29,8 @@
 
 // Tokens that should last until a lender's answer from another region, and
 // those to ask for, as time at the present demand.
-constexpr double kLowSeconds = 0.1;
-constexpr double kEnoughSeconds = 0.5;
+constexpr double kLowSeconds = 0.3;
+constexpr double kEnoughSeconds = 1.0;
 constexpr double kLowTokens = 1.5;
 constexpr double kFewTokens = 0.25;
 
--- a/tests/protocol/share_table_test.cc
+++ b/tests/protocol/share_table_test.cc
@@ -6,7 +6,6 @@
 
 using citron::IsOk;
 using citron::ParseShareTable;
-using citron::share_entry;
 using citron::share_table;
 using citron::vm_id;
 
--- a/tools/limits_experiment/simulated_fleet.h
+++ b/tools/limits_experiment/simulated_fleet.h
@@ -56,9 +56,9 @@
 
  private:
   friend class simulated_fleet;
-  double bound_tokens = 0;
-  double ideal_tokens = 0;
-  duration at{};
+  double bound_tokens_ = 0;
+  double ideal_tokens_ = 0;
+  duration at_{};
 };
 
 // Many VMs of the limits' protocols in one process, with a simulated clock for
@@ -434,20 +434,20 @@
       }
     }
     if (r.rate == 0) {
-      r.bound_tokens = r.ideal_tokens = most.burst;
+      r.bound_tokens_ = r.ideal_tokens_ = most.burst;
     }
     r.rate = most.rate;
     r.burst = most.burst;
-    r.bound_tokens = std::min(r.bound_tokens, r.burst);
-    r.ideal_tokens = std::min(r.ideal_tokens, r.burst);
+    r.bound_tokens_ = std::min(r.bound_tokens_, r.burst);
+    r.ideal_tokens_ = std::min(r.ideal_tokens_, r.burst);
   }
   void AdvanceRecord(workspace_record& r) {
-    const double seconds = ToSeconds(now_ - r.at);
-    r.at = now_;
+    const double seconds = ToSeconds(now_ - r.at_);
+    r.at_ = now_;
     // A clock that runs fast by the drift allowed refills that much faster.
     const double rate = r.rate * (1 + 2 * options_.clock_drift);
-    r.bound_tokens = std::min(r.burst, r.bound_tokens + rate * seconds);
-    r.ideal_tokens = std::min(r.burst, r.ideal_tokens + r.rate * seconds);
+    r.bound_tokens_ = std::min(r.burst, r.bound_tokens_ + rate * seconds);
+    r.ideal_tokens_ = std::min(r.burst, r.ideal_tokens_ + r.rate * seconds);
   }
   void Record(const workspace_id& id, bool was_admitted) {
     workspace_record& r = records_.at(id);
@@ -455,15 +455,15 @@
     const int second = static_cast<int>(ToSeconds(now_));
     ++r.arrivals;
     ++r.arrivals_by_second[second];
-    const bool is_in_rate = r.ideal_tokens >= 1;
+    const bool is_in_rate = r.ideal_tokens_ >= 1;
     if (is_in_rate) {
-      r.ideal_tokens -= 1;
+      r.ideal_tokens_ -= 1;
       ++r.in_rate;
     }
     if (was_admitted) {
       ++r.admitted;
-      r.bound_tokens -= 1;
-      r.least_slack = std::min(r.least_slack, r.bound_tokens);
+      r.bound_tokens_ -= 1;
+      r.least_slack = std::min(r.least_slack, r.bound_tokens_);
     } else if (is_in_rate) {
       ++r.refused_in_rate;
       ++r.refused_by_second[second];
