An entry moves a part of its traffic past its own zone, step by step

Cause: the first placement acted on each report in full.

Now a part moves that grows by a twentieth a report while the own queue lasts and shrinks again, and goes to the roomier of two zones by smoothed loads.

--- a/include/citron/policy/placement.h
+++ b/include/citron/policy/placement.h
@@ -14,6 +14,7 @@
 #include "citron/base/strong_id.h"
 #include "citron/base/time.h"
 #include "citron/policy/link_budget.h"
+#include "citron/policy/overflow_control.h"
 #include "citron/policy/refusal.h"
 #include "citron/policy/shift_ramp.h"
 
@@ -116,6 +117,7 @@
  private:
   struct zone_state {
     zone_report report;
+    double busy = 0;       // Slots' worth of work, smoothed over reports.
     int in_flight = 0;     // Sent from here, not done.
     int since_report = 0;  // Sent less done since the report.
     monotonic_time avoid_until;
@@ -127,7 +129,7 @@
   struct candidate {
     zone_id zone;
     region_id region;
-    duration wait{};
+    double free_slots = 0;
     duration completion{};
   };
   using service_zones = std::map<zone_id, zone_state>;
@@ -143,21 +145,23 @@
   std::string Unfit(const zone_state& z, const place_request& request,
                     monotonic_time now) const;
 
-  std::optional<candidate> ChooseLocal(const service_zones& zones,
-                                       const place_request& request,
-                                       monotonic_time now,
-                                       place_choice& choice);
+  bool OwnZoneServes(const service_zones& zones,
+                     const place_request& request) const;
+  std::optional<candidate> ChooseInRegion(const service_zones& zones,
+                                          const place_request& request,
+                                          monotonic_time now,
+                                          place_choice& choice);
   std::optional<candidate> ChooseAbroad(const service_zones& zones,
                                         const place_request& request,
                                         const region_id& only,
                                         monotonic_time now,
                                         place_choice& choice,
                                         std::optional<refusal>& blocked);
-  std::optional<candidate> LastResort(const service_zones& zones,
-                                      const place_request& request,
-                                      monotonic_time now) const;
-  const candidate& BetterOfTwo(const candidates& from);
-  bool TakesShift(const service_id& service, monotonic_time now);
+  std::optional<candidate> ChooseWithoutFreeSlots(const service_zones& zones,
+                                                  const place_request& request,
+                                                  monotonic_time now);
+  const candidate& RoomierOfTwo(const candidates& from);
+  bool TakesShift(const service_id& service);
 
   std::optional<refusal> TakeCrossing(const place_request& request,
                                       const region_id& region,
@@ -170,6 +174,7 @@
   std::map<service_id, service_zones> zones_;
   std::map<service_id, shift> shifts_;
   std::map<service_id, double> shift_credit_;
+  std::map<service_id, overflow_control> overflow_;
   std::set<region_id> drained_;
   std::map<region_id, link_budget> links_;
   double link_share_ = 0;
--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -12,19 +12,22 @@
 // Answers: a zone that has more work than it can end in time while another one
 // has slots free, and the herd that forms when all entries hear of it at once.
 //
-// The own zone serves while it has a slot free: going elsewhere costs time and
-// link, and caches are warm at home. When it has none, the zone of the region
-// with the least expected completion takes the request, and only if no zone of
-// the region can end it in time, another region with slots free does. A report
-// is up to a second old, and by then every entry has acted on it; so each one
-// counts what it sent since, picks the better of two at random instead of the
-// best of all, and the owner at the far side has the last word.
+// The own zone serves: going elsewhere costs time and link, and caches are warm
+// at home. Only the part that overflow_control gives goes to other zones of the
+// region, and if none of them has room, to other regions. A report is up to a
+// second old and every entry has acted on it; so each one counts what it sent
+// since, goes by loads smoothed over reports, and takes the roomier of two
+// zones picked at random instead of the roomiest of all, which would be
+// everybody's. The owner at the far side has the last word.
 
 // A zone that refused is full or behind; its next report is about this far
 // away. It goes behind the others meanwhile, but isn't shut: it refused one
 // workspace's request, and another one's may still be in its fair part.
 constexpr duration kAvoidAfterRefusal = std::chrono::milliseconds(200);
 
+// Of the newest report; the last three or so count.
+constexpr double kSmoothing = 0.4;
+
 constexpr duration kRetry = std::chrono::milliseconds(200);
 
 bool Contains(const std::vector<zone_id>& zones, const zone_id& zone) {
@@ -37,9 +40,16 @@
     : options_(std::move(options)), random_(seed) {}
 
 void placement::OnReport(const zone_report& report) {
-  zone_state& z = zones_[report.service][report.zone];
+  const auto [at, added] =
+      zones_[report.service].try_emplace(report.zone, zone_state());
+  zone_state& z = at->second;
+  const double busy = report.in_flight + report.queued;
+  z.busy += (added ? 1 : kSmoothing) * (busy - z.busy);
   z.report = report;
   z.since_report = 0;
+  if (report.zone == options_.zone) {
+    overflow_[report.service].OnReport(report.expected_wait);
+  }
 }
 
 void placement::Forget(const zone_id& zone, const service_id& service) {
@@ -124,6 +134,7 @@
   const auto z = found->second.find(zone);
   if (z == found->second.end()) return;
   z->second.avoid_until = now + kAvoidAfterRefusal;
+  if (zone == options_.zone) overflow_[service].OnRefused();
 }
 
 void placement::OnCrossed(const region_id& region, std::uint64_t expected_bytes,
@@ -156,9 +167,9 @@
 }
 
 placement::candidate placement::Estimate(const zone_state& z) const {
-  const duration wait = Wait(z);
-  return {z.report.zone, z.report.region, wait,
-          Latency(z.report) + wait + z.report.mean_service_time};
+  const double free = z.report.slots - z.busy - std::max(0, z.since_report);
+  return {z.report.zone, z.report.region, free,
+          Latency(z.report) + Wait(z) + z.report.mean_service_time};
 }
 
 std::string placement::Unfit(const zone_state& z, const place_request& request,
@@ -173,49 +184,43 @@
   return "";
 }
 
-// The better of two picked at random: the best of all would be everybody's
-// choice until its next report.
-const placement::candidate& placement::BetterOfTwo(const candidates& from) {
+const placement::candidate& placement::RoomierOfTwo(const candidates& from) {
   const auto count = static_cast<std::uint32_t>(from.size());
   if (count == 1) return from.front();
   const std::uint32_t first = random_(count);
   const std::uint32_t second = (first + 1 + random_(count - 1)) % count;
-  return from[first].completion <= from[second].completion ? from[first]
+  return from[first].free_slots >= from[second].free_slots ? from[first]
                                                            : from[second];
 }
 
-std::optional<placement::candidate> placement::ChooseLocal(
+bool placement::OwnZoneServes(const service_zones& zones,
+                              const place_request& request) const {
+  const auto own = zones.find(options_.zone);
+  if (own == zones.end() || Contains(request.excluded, own->first)) {
+    return false;
+  }
+  // Without recent reports it is asked all the same: a lone zone still has to
+  // serve itself.
+  return !own->second.report.leaving && own->second.report.slots > 0;
+}
+
+std::optional<placement::candidate> placement::ChooseInRegion(
     const service_zones& zones, const place_request& request,
     monotonic_time now, place_choice& choice) {
-  std::optional<candidate> own;
   candidates others;
   for (const auto& [id, z] : zones) {
-    if (!IsOwnRegion(z)) continue;
+    if (!IsOwnRegion(z) || id == options_.zone) continue;
     std::string unfit = Unfit(z, request, now);
-    if (!unfit.empty()) {
-      choice.others.push_back({id, std::move(unfit)});
-    } else if (id == options_.zone) {
-      own = Estimate(z);
+    candidate c = Estimate(z);
+    if (unfit.empty() && c.free_slots <= 0) unfit = "no slot free";
+    if (unfit.empty()) {
+      others.push_back(std::move(c));
     } else {
-      others.push_back(Estimate(z));
+      choice.others.push_back({id, std::move(unfit)});
     }
   }
-  if (own && own->wait == duration()) {
-    choice.reason = "own zone has a slot free";
-    return own;
-  }
-  if (others.empty()) {
-    choice.reason = "own zone ends it in time";
-    return own;
-  }
-  const candidate& other = BetterOfTwo(others);
-  if (own && own->completion <= other.completion) {
-    choice.reason = "own zone is expected to end it first";
-    return own;
-  }
-  if (own) choice.others.push_back({own->zone, "expected to end it later"});
-  choice.reason = "zone of the region expected to end it first";
-  return other;
+  if (others.empty()) return std::nullopt;
+  return RoomierOfTwo(others);
 }
 
 std::optional<placement::candidate> placement::ChooseAbroad(
@@ -227,17 +232,17 @@
     if (IsOwnRegion(z) || drained_.contains(z.report.region)) continue;
     if (!only.IsEmpty() && z.report.region != only) continue;
     std::string unfit = Unfit(z, request, now);
-    const candidate c = Estimate(z);
+    candidate c = Estimate(z);
     // Work from outside must not queue in front of the region's own.
-    if (unfit.empty() && c.wait > duration()) unfit = "no slot free";
+    if (unfit.empty() && c.free_slots <= 0) unfit = "no slot free";
     if (unfit.empty()) {
-      abroad.push_back(c);
+      abroad.push_back(std::move(c));
     } else {
       choice.others.push_back({id, std::move(unfit)});
     }
   }
   while (!abroad.empty()) {
-    const candidate c = BetterOfTwo(abroad);
+    const candidate c = RoomierOfTwo(abroad);
     const std::optional<refusal> problem = TakeCrossing(request, c.region, now);
     if (!problem) return c;
     if (!blocked || problem->retry_at < blocked->retry_at) blocked = problem;
@@ -273,7 +278,7 @@
 
 // Moves exactly the fraction, spread evenly: each request earns the fraction,
 // and a whole one is spent on a move.
-bool placement::TakesShift(const service_id& service, monotonic_time) {
+bool placement::TakesShift(const service_id& service) {
   const auto found = shifts_.find(service);
   if (found == shifts_.end()) return false;
   const shift& s = found->second;
@@ -285,21 +290,21 @@
   return true;
 }
 
-// Nothing is expected to do; but reports lag, and a lone zone without reports
-// still has to serve itself. The owner refuses what it can't do.
-std::optional<placement::candidate> placement::LastResort(
+// For an entry whose own zone doesn't serve: reports lag, so a zone without
+// room by its report is still asked. A request that was refused once isn't sent
+// round any more.
+std::optional<placement::candidate> placement::ChooseWithoutFreeSlots(
     const service_zones& zones, const place_request& request,
-    monotonic_time now) const {
-  std::optional<candidate> best;
+    monotonic_time now) {
+  if (!request.excluded.empty()) return std::nullopt;
+  candidates region;
   for (const auto& [id, z] : zones) {
-    if (!IsOwnRegion(z) || z.report.leaving) continue;
-    if (Contains(request.excluded, id)) continue;
-    if (id == options_.zone) return Estimate(z);
-    if (now < z.avoid_until) continue;
-    const candidate c = Estimate(z);
-    if (!best || c.completion < best->completion) best = c;
+    const bool serves = !z.report.leaving && z.report.slots > 0;
+    if (!IsOwnRegion(z) || !serves || now < z.avoid_until) continue;
+    region.push_back(Estimate(z));
   }
-  return best;
+  if (region.empty()) return std::nullopt;
+  return RoomierOfTwo(region);
 }
 
 place_result placement::Choose(const place_request& request,
@@ -309,36 +314,44 @@
     return refusal{refusal_reason::kUnknownService, RetryAt(now)};
   }
   const service_zones& zones = found->second;
-  const auto chosen = [](const candidate& c, place_choice choice) {
+  place_choice choice;
+  std::optional<refusal> blocked;
+  const auto to = [&](const candidate& c, const char* reason) {
     choice.zone = c.zone;
     choice.region = c.region;
+    choice.reason = reason;
     return place_result(std::move(choice));
   };
-  place_choice choice;
-  std::optional<refusal> blocked;
   const bool drained = drained_.contains(options_.region);
-  const bool shifted = TakesShift(request.service, now);
+  const bool shifted = TakesShift(request.service);
   if (shifted || drained) {
     const region_id only =
         shifted ? shifts_.at(request.service).to : region_id();
-    const auto c = ChooseAbroad(zones, request, only, now, choice, blocked);
-    choice.reason = shifted ? "planned shift" : "own region is drained";
-    if (c) return chosen(*c, std::move(choice));
+    if (const auto c =
+            ChooseAbroad(zones, request, only, now, choice, blocked)) {
+      return to(*c, shifted ? "planned shift" : "own region is drained");
+    }
   }
   // What can't move yet is served here: a drain must not turn requests away
   // that the region can still carry.
-  if (const auto c = ChooseLocal(zones, request, now, choice)) {
-    return chosen(*c, std::move(choice));
+  const bool own_serves = OwnZoneServes(zones, request);
+  if (own_serves && !overflow_[request.service].TakesMove()) {
+    return to(Estimate(zones.at(options_.zone)), "own zone");
+  }
+  if (const auto c = ChooseInRegion(zones, request, now, choice)) {
+    return to(*c, "own zone has too much, this one has a slot free");
   }
   if (!drained && !shifted) {
-    const auto c =
-        ChooseAbroad(zones, request, region_id(), now, choice, blocked);
-    choice.reason = "no zone of the own region ends it in time";
-    if (c) return chosen(*c, std::move(choice));
+    if (const auto c =
+            ChooseAbroad(zones, request, region_id(), now, choice, blocked)) {
+      return to(*c, "no slot is free in the own region");
+    }
+  }
+  if (own_serves) {
+    return to(Estimate(zones.at(options_.zone)), "no slot is free elsewhere");
   }
-  if (const auto c = LastResort(zones, request, now)) {
-    choice.reason = "nothing better is known";
-    return chosen(*c, std::move(choice));
+  if (const auto c = ChooseWithoutFreeSlots(zones, request, now)) {
+    return to(*c, "no slot is free anywhere");
   }
   if (blocked) return *blocked;
   return refusal{refusal_reason::kNoCapacity, RetryAt(now)};
--- a/tools/policy_experiment/experiment.cc
+++ b/tools/policy_experiment/experiment.cc
@@ -8,6 +8,7 @@
 
 #include "baselines.h"
 #include "policy/zone_simulation.h"
+#include "region_simulation.h"
 
 namespace citron {
 namespace {
@@ -304,6 +305,55 @@
       seed);
 }
 
+struct region_scenario {
+  std::string name;
+  std::vector<zone_load> zones;
+};
+
+experiment_row MeasureRegion(const region_scenario& s, const std::string& name,
+                             const zone_choice_maker& maker,
+                             std::uint64_t seed) {
+  region_simulation simulation(s.zones, maker, seed);
+  const region_result result = simulation.Run(kTime, kSkip);
+  const double time_s = ToSeconds(kTime - kSkip);
+  experiment_row row;
+  row.load = s.name;
+  row.decision = name;
+  row.worst_part = 1;
+  double good = 0;
+  for (std::size_t z = 0; z < s.zones.size(); ++z) {
+    row.offered_per_s += result.offered[z] / time_s;
+    good += result.good[z];
+    const double part = 1.0 * result.good[z] / std::max(1, result.offered[z]);
+    row.worst_part = std::min(row.worst_part, part);
+  }
+  row.good_per_s = good / time_s;
+  row.p50_ms = Percentile(result.latency_ms, 0.5);
+  row.p99_ms = Percentile(result.latency_ms, 0.99);
+  row.refused_per_s = result.refused / time_s;
+  row.late_per_s = result.late / time_s;
+  row.sends_for_good = result.asked / std::max(1.0, good);
+  return row;
+}
+
+// Here the worst-served are the callers of a zone, and sends are those from
+// entries to owners.
+experiment_rows RunPlacement(std::uint64_t seed) {
+  const std::vector<region_scenario> scenarios = {
+      {"even, 0.8 of capacity", {{4, 320}, {4, 320}, {4, 320}}},
+      {"one zone at 1.8", {{4, 720}, {4, 160}, {4, 160}}},
+      {"one zone lost 3 of 4 servers", {{1, 240}, {4, 240}, {4, 240}}},
+      {"all at 1.5", {{4, 600}, {4, 600}, {4, 600}}},
+  };
+  experiment_rows rows;
+  for (const region_scenario& s : scenarios) {
+    rows.push_back(MeasureRegion(s, "placement", MakePlacement, seed));
+    rows.push_back(MeasureRegion(s, "own zone only", MakeOwnZoneOnly, seed));
+    rows.push_back(MeasureRegion(s, "best report", MakeBestReport, seed));
+  }
+  return rows;
+}
+
 }  // namespace
 
 const std::vector<experiment>& AllExperiments() {
@@ -316,6 +366,8 @@
       {"fairness", "What are shares in the queue worth?", RunFairness},
       {"reserve", "What are slots kept for short work worth?", RunReserve},
       {"upstream", "One bad upstream of four.", RunBadUpstream},
+      {"placement", "Which zone of the region? Three zones, four entries each.",
+       RunPlacement},
       {"poison", "One request that crashes servers.", RunPoison},
   };
   return kAll;
