--- /dev/null
+++ b/tools/citron_load/report.h
@@ -0,0 +1,24 @@
+#ifndef TOOLS_CITRON_LOAD_REPORT_H_
+#define TOOLS_CITRON_LOAD_REPORT_H_
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "citron/base/time.h"
+#include "citron/loadgen/load_ledger.h"
+
+namespace citron {
+
+struct load_result {
+  const load_ledger& ledger;
+  std::uint64_t skipped = 0;
+  duration length{};
+};
+
+std::string LoadTable(const load_result& result);
+nlohmann::json LoadJson(const load_result& result);
+
+}  // namespace citron
+
+#endif  // TOOLS_CITRON_LOAD_REPORT_H_
