--- /dev/null
+++ b/run_local.sh
@@ -0,0 +1,147 @@
+#!/usr/bin/env bash
+# A scaled-down deployment on loopback: stand-ins, one entry VM in each zone, keys, and a mixed
+# load with one table at the end. Ends everything that it started.
+set -euo pipefail
+cd "$(dirname "$0")"
+
+usage() {
+  echo "usage: ./run_local.sh [--deployment tarimas|kitaboshi] [--seconds N] [--stay]"
+}
+
+deployment=tarimas
+seconds=10
+stay=no
+while [ $# -gt 0 ]; do
+  case "$1" in
+    --deployment) deployment=${2:?}; shift 2 ;;
+    --seconds) seconds=${2:?}; shift 2 ;;
+    --stay) stay=yes; shift ;;
+    --help | -h) usage; exit 0 ;;
+    *) usage >&2; exit 2 ;;
+  esac
+done
+if [ ! -f "deployments/$deployment.json" ] || [[ ! "$seconds" =~ ^[0-9]+$ ]]; then
+  usage >&2
+  exit 2
+fi
+
+source .ci/packages.sh
+citron_install_packages
+build=${CITRON_BUILD_DIR:-build}
+cmake -S . -B "$build" -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >/dev/null
+cmake --build "$build" -j "${CITRON_JOBS:-$(nproc)}"
+
+base=${CITRON_ADDRESS_BASE:-127.20}
+export CITRON_PLATFORM="$base.200.1:7401"
+CITRON_SECRET=$(od -An -tx1 -N24 /dev/urandom | tr -d ' \n')
+export CITRON_SECRET
+work=$(mktemp -d)
+export CITRON_FLEET="$work/fleet.json"
+started=()
+
+# Daemons first, since they give back what they hold; each by its own id.
+stop_all() {
+  trap - EXIT
+  local i pid
+  for ((i = ${#started[@]} - 1; i >= 0; i--)); do
+    kill -TERM "${started[i]}" 2>/dev/null || true
+  done
+  for _ in $(seq 100); do
+    local alive=no
+    for pid in "${started[@]}"; do
+      if kill -0 "$pid" 2>/dev/null; then alive=yes; fi
+    done
+    [ "$alive" = no ] && break
+    sleep 0.1
+  done
+  for pid in "${started[@]}"; do
+    if kill -KILL "$pid" 2>/dev/null; then echo "did not stop in time: $pid" >&2; fi
+  done
+  rm -rf "$work"
+}
+trap stop_all EXIT
+trap 'exit 130' INT
+trap 'exit 143' TERM
+
+# start LOG PROGRAM ARGUMENTS...: in a session of its own, so that Ctrl-C reaches this script
+# alone and the daemons stop in order.
+start() {
+  local log="$work/$1.log" program="$build/$2"
+  shift 2
+  setsid "$program" "$@" >"$log" 2>&1 &
+  started+=($!)
+}
+
+# wait_for WORDS SECONDS COMMAND...
+wait_for() {
+  local what=$1 left=$(($2 * 5))
+  shift 2
+  until "$@" >/dev/null 2>&1; do
+    left=$((left - 1))
+    if [ "$left" -le 0 ]; then
+      echo "gave up waiting for $what; the last lines of each log:" >&2
+      tail -n 3 "$work"/*.log >&2
+      exit 1
+    fi
+    sleep 0.2
+  done
+}
+
+lookup_has_all() {
+  [ "$(curl -sf -m 2 "http://$1/v1/lookup" | jq '.vms | length')" = "$vm_count" ]
+}
+
+"$build/citronctl" expand "deployments/$deployment.json" --address-base "$base" --out "$work"
+start platform standin_platform --listen "$CITRON_PLATFORM" --data "$work/platform.json"
+wait_for "the platform" 10 curl -sf -m 1 "http://$CITRON_PLATFORM/admin/counts"
+if ! kill -0 "${started[0]}" 2>/dev/null; then
+  echo "another fleet holds $CITRON_PLATFORM; set CITRON_ADDRESS_BASE, for example to 127.21" >&2
+  exit 1
+fi
+for config in "$work"/upstreams-*.json; do
+  start "$(basename "$config" .json)" standin_upstream --config "$config"
+done
+"$build/citronctl" apply "$work/declarations.json" --wait-ms 0 >"$work/apply.log"
+vms=$(jq -r '.vms[].vm' "$work/fleet.json")
+vm_count=$(jq '.vms | length' "$work/fleet.json")
+for vm in $vms; do start "$vm-control" citron_control --config "$work/$vm/control.json"; done
+for vm in $vms; do
+  start "$vm-dispatch" citron_dispatch --config "$work/$vm/dispatch.json"
+  start "$vm-entry" citron_entry --config "$work/$vm/entry.json"
+done
+wait_for "the configuration on every VM" 30 "$build/citronctl" status
+mapfile -t entries < <(jq -r '.entries[]' "$work/load.json")
+for entry in "${entries[@]}"; do
+  wait_for "entry $entry to know every VM" 30 lookup_has_all "$entry"
+done
+
+mapfile -t workspaces < <(jq -r '.workspaces[].name' "$work/load.json")
+last=$((${#workspaces[@]} - 1))
+for i in "${!workspaces[@]}"; do
+  # In order of revisions: once the last key is in force everywhere, all are.
+  wait_ms=0
+  [ "$i" = "$last" ] && wait_ms=6000
+  key=$("$build/citronctl" key grant "${workspaces[i]}" --label run_local --json \
+    --wait-ms "$wait_ms" | jq -r .key)
+  echo "${workspaces[i]} $key" >>"$work/keys"
+done
+
+upstream_count=$(jq -s 'map(length) | add' "$work"/upstreams-*.json)
+echo "$deployment, small: $vm_count VMs, $upstream_count upstreams," \
+  " ${#workspaces[@]} workspaces; load for $seconds s"
+"$build/citron_load" --plan "$work/load.json" --keys "$work/keys" --seconds "$seconds"
+
+if [ "$stay" = yes ]; then
+  path=$(jq -r '.requests[0] | "/\(.service)\(.path_prefix)/7?bytes=64"' "$work/load.json")
+  cat <<END
+Up until Ctrl-C. To try, with $build/citronctl in another shell:
+  export CITRON_PLATFORM=$CITRON_PLATFORM CITRON_FLEET=$CITRON_FLEET
+  KEY=$(head -1 "$work/keys" | cut -d' ' -f2)
+  curl -s http://${entries[0]}/v1/lookup
+  curl -si -H "Authorization: Bearer \$KEY" "http://${entries[0]}$path" --output - | head -12
+  curl -si "http://${entries[0]}$path"     # without a key
+  $build/citronctl status
+Logs are in $work.
+END
+  while true; do sleep 1; done
+fi
