--- a/run_local.sh
+++ b/run_local.sh
@@ -87,8 +87,10 @@
   done
 }
 
-lookup_has_all() {
-  [ "$(curl -sf -m 2 "http://$1/v1/lookup" | jq '.vms | length')" = "$vm_count" ]
+# is_served ENTRY PATH KEY: the whole way, to an upstream and back.
+is_served() {
+  [ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' -H "Authorization: Bearer $3" \
+    "http://$1$2")" = 200 ]
 }
 
 "$build/citronctl" expand "deployments/$deployment.json" --address-base "$base" --out "$work"
@@ -112,7 +114,7 @@
 wait_for "the configuration on every VM" 30 "$build/citronctl" status
 mapfile -t entries < <(jq -r '.entries[]' "$work/load.json")
 for entry in "${entries[@]}"; do
-  wait_for "entry $entry to know every VM" 30 lookup_has_all "$entry"
+  wait_for "a look-up at $entry" 30 curl -sf -m 1 "http://$entry/v1/lookup"
 done
 
 mapfile -t workspaces < <(jq -r '.workspaces[].name' "$work/load.json")
@@ -126,9 +128,18 @@
   echo "${workspaces[i]} $key" >>"$work/keys"
 done
 
+first_key=$(head -1 "$work/keys" | cut -d' ' -f2)
+mapfile -t paths < <(jq -r '[.requests[] | select(.method == "GET")] | unique_by(.service)[]
+  | "/\(.service)\(.path_prefix)/1?bytes=10"' "$work/load.json")
+for entry in "${entries[@]}"; do
+  for path in "${paths[@]}"; do
+    wait_for "$path at $entry" 30 is_served "$entry" "$path" "$first_key"
+  done
+done
+
 upstream_count=$(jq -s 'map(length) | add' "$work"/upstreams-*.json)
 echo "$deployment, small: $vm_count VMs, $upstream_count upstreams," \
-  " ${#workspaces[@]} workspaces; load for $seconds s"
+  "${#workspaces[@]} workspaces; load for $seconds s"
 "$build/citron_load" --plan "$work/load.json" --keys "$work/keys" --seconds "$seconds"
 
 if [ "$stay" = yes ]; then
@@ -136,7 +147,7 @@
   cat <<END
 Up until Ctrl-C. To try, with $build/citronctl in another shell:
   export CITRON_PLATFORM=$CITRON_PLATFORM CITRON_FLEET=$CITRON_FLEET
-  KEY=$(head -1 "$work/keys" | cut -d' ' -f2)
+  KEY=$first_key
   curl -s http://${entries[0]}/v1/lookup
   curl -si -H "Authorization: Bearer \$KEY" "http://${entries[0]}$path" --output - | head -12
   curl -si "http://${entries[0]}$path"     # without a key
--- a/tools/citron_load/load_run.cc
+++ b/tools/citron_load/load_run.cc
@@ -106,7 +106,7 @@
   void SetOverRate(bool over_rate) { record_.over_rate = over_rate; }
 
   void Begin() {
-    entry_ = run_.PickEntry();
+    entry_ = run_.PickEntry(record_.number);
     if (!kind_.once || has_id_) {
       Start();
       return;
@@ -254,15 +254,21 @@
       ledger_(plan),
       client_(loop),
       random_(limits.seed, plan.requests.size()),
-      arrival_timer_(loop, [this] { SendDue(); }),
-      lookup_timer_(loop, [this] { LookUp(); }) {}
+      arrival_timer_(loop, [this] { SendDue(); }) {}
 
 load_run::~load_run() = default;
 
 void load_run::Start(std::function<void()> done) {
   done_ = std::move(done);
   sending_ = true;
-  LookUp();
+  sites_.resize(plan_.entries.size());
+  for (std::size_t i = 0; i < sites_.size(); ++i) {
+    site& place = sites_[i];
+    place.number = i;
+    place.timer =
+        std::make_unique<loop_timer>(loop_, [this, &place] { LookUp(place); });
+    LookUp(place);
+  }
 }
 
 void load_run::StopSending() {
@@ -270,40 +276,45 @@
   sending_ = false;
   sending_ended_ = MonotonicNow();
   arrival_timer_.Disarm();
-  lookup_timer_.Disarm();
+  for (site& place : sites_) place.timer->Disarm();
   CheckDone();
 }
 
-// Any entry answers; one that is away must not keep callers from the others.
-void load_run::LookUp() {
-  const endpoint& asked = plan_.entries[next_lookup_++ % plan_.entries.size()];
-  const http_request request{
-      "GET",
-      "/v1/lookup",
-      {{"Authorization", "Bearer " + plan_.workspaces.front().key}},
-      ""};
-  client_.Call(asked, request, MonotonicNow() + kLookupLimit,
-               [this](const http_response* response, call_failure) {
-                 OnLookup(response);
+// Any entry answers; one that is away must not keep its callers from others.
+void load_run::LookUp(site& asking) {
+  const std::size_t entry = asking.number + asking.attempts;
+  const http_request request{"GET", "/v1/lookup", {}, ""};
+  client_.Call(plan_.entries[entry % plan_.entries.size()], request,
+               MonotonicNow() + kLookupLimit,
+               [this, &asking](const http_response* response, call_failure) {
+                 OnLookup(asking, response);
                });
 }
 
-void load_run::OnLookup(const http_response* response) {
+void load_run::OnLookup(site& asking, const http_response* response) {
   if (!sending_) return;
   const auto answer =
       response != nullptr && response->head.status == kHttpOk
           ? ParseLookup(response->body)
           : result<lookup_answer>(MakeError(error_code::kUnavailable, ""));
   if (!IsOk(answer)) {
-    lookup_timer_.Arm(MonotonicNow() + kLookupRetry);
-  } else {
-    entries_ = ValueOf(answer).entries;
-    const double ms =
-        std::max(kShortestLookupMs, ValueOf(answer).expires_ms * kLookupPart);
-    lookup_timer_.Arm(MonotonicNow() + FromMilliseconds(ms));
+    ++asking.attempts;
+    asking.timer->Arm(MonotonicNow() + kLookupRetry);
+    return;
   }
-  if (schedule_ || entries_.empty()) return;
-  // The load begins with the first look-up that was answered.
+  asking.attempts = 0;
+  asking.entries = ValueOf(answer).entries;
+  const double ms =
+      std::max(kShortestLookupMs, ValueOf(answer).expires_ms * kLookupPart);
+  asking.timer->Arm(MonotonicNow() + FromMilliseconds(ms));
+  const bool all_know =
+      std::none_of(sites_.begin(), sites_.end(),
+                   [](const site& s) { return s.entries.empty(); });
+  if (!schedule_ && all_know) BeginArrivals();
+}
+
+// Once the callers of every place know an entry.
+void load_run::BeginArrivals() {
   start_ = MonotonicNow();
   std::vector<double> rates;
   for (const planned_workspace& workspace : plan_.workspaces) {
@@ -342,13 +353,16 @@
   calls_.back()->Begin();
 }
 
-const endpoint& load_run::PickEntry() {
+const endpoint& load_run::PickEntry(std::uint64_t arrival_number) {
+  const site& place = sites_[arrival_number % sites_.size()];
   std::vector<double> weights;
-  weights.reserve(entries_.size());
-  for (const ranked_entry& entry : entries_) weights.push_back(entry.weight);
+  weights.reserve(place.entries.size());
+  for (const ranked_entry& entry : place.entries) {
+    weights.push_back(entry.weight);
+  }
   // Without any weight the first of the list is as good as others.
   std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
-  return entries_[pick(random_)].address;
+  return place.entries[pick(random_)].address;
 }
 
 void load_run::Finish(call& finished) {
--- a/tools/citron_load/load_run.h
+++ b/tools/citron_load/load_run.h
@@ -59,11 +59,21 @@
   class call;
   friend class call;
 
-  void LookUp();
-  void OnLookup(const http_response* response);
+  // Callers of one place, who look up at the entry next to them.
+  struct site {
+    std::size_t number = 0;
+    std::size_t attempts = 0;
+    std::vector<ranked_entry> entries;
+    std::unique_ptr<loop_timer> timer;
+  };
+
+  void LookUp(site& asking);
+  void OnLookup(site& asking, const http_response* response);
+  void BeginArrivals();
   void SendDue();
   void Send(const arrival& due);
-  const endpoint& PickEntry();
+  // One of the entries that the place's last look-up gave.
+  const endpoint& PickEntry(std::uint64_t arrival_number);
   void Finish(call& finished);
   void CheckDone();
 
@@ -77,15 +87,13 @@
   monotonic_time sending_ended_;
   std::optional<arrival_schedule> schedule_;
   std::vector<contract_bucket> buckets_;
-  std::vector<ranked_entry> entries_;
-  std::size_t next_lookup_ = 0;
+  std::vector<site> sites_;
   std::list<std::unique_ptr<call>> calls_;
   std::function<void()> done_;
   std::uint64_t sent_ = 0;
   std::uint64_t skipped_ = 0;
   bool sending_ = false;
   loop_timer arrival_timer_;
-  loop_timer lookup_timer_;
 };
 
 }  // namespace citron
