--- a/run_local.sh
+++ b/run_local.sh
@@ -36,26 +36,40 @@
 CITRON_SECRET=$(od -An -tx1 -N24 /dev/urandom | tr -d ' \n')
 export CITRON_SECRET
 work=$(mktemp -d)
-export CITRON_FLEET="$work/fleet.json"
 started=()
+declare -A program_of
 
-# Daemons first, since they give back what they hold; each by its own id.
-stop_all() {
-  trap - EXIT
-  local i pid
-  for ((i = ${#started[@]} - 1; i >= 0; i--)); do
-    kill -TERM "${started[i]}" 2>/dev/null || true
-  done
+# stop_group PIDS...: asks each to stop, by its own id, and waits.
+stop_group() {
+  local pid alive
+  for pid in "$@"; do kill -TERM "$pid" 2>/dev/null || true; done
   for _ in $(seq 100); do
-    local alive=no
-    for pid in "${started[@]}"; do
+    alive=no
+    for pid in "$@"; do
       if kill -0 "$pid" 2>/dev/null; then alive=yes; fi
     done
-    [ "$alive" = no ] && break
+    [ "$alive" = no ] && return
     sleep 0.1
   done
-  for pid in "${started[@]}"; do
-    if kill -KILL "$pid" 2>/dev/null; then echo "did not stop in time: $pid" >&2; fi
+  for pid in "$@"; do
+    if kill -KILL "$pid" 2>/dev/null; then
+      echo "did not stop within 10 s: ${program_of[$pid]}" >&2
+    fi
+  done
+}
+
+# In the order in which an operator stops a VM, so that each daemon can still finish its work and
+# give back what it holds.
+stop_all() {
+  trap - EXIT
+  trap '' INT TERM
+  local program pid group
+  for program in citron_entry citron_dispatch citron_control standin_upstream standin_platform; do
+    group=()
+    for pid in "${started[@]}"; do
+      [ "${program_of[$pid]}" = "$program" ] && group+=("$pid")
+    done
+    [ ${#group[@]} -gt 0 ] && stop_group "${group[@]}"
   done
   rm -rf "$work"
 }
@@ -66,10 +80,11 @@
 # start LOG PROGRAM ARGUMENTS...: in a session of its own, so that Ctrl-C reaches this script
 # alone and the daemons stop in order.
 start() {
-  local log="$work/$1.log" program="$build/$2"
+  local log="$work/$1.log" program="$2"
   shift 2
-  setsid "$program" "$@" >"$log" 2>&1 &
+  setsid "$build/$program" "$@" >"$log" 2>&1 &
   started+=($!)
+  program_of[$!]=$program
 }
 
 # wait_for WORDS SECONDS COMMAND...
@@ -94,6 +109,7 @@
 }
 
 "$build/citronctl" expand "deployments/$deployment.json" --address-base "$base" --out "$work"
+export CITRON_FLEET="$work/fleet.json"
 start platform standin_platform --listen "$CITRON_PLATFORM" --data "$work/platform.json"
 wait_for "the platform" 10 curl -sf -m 1 "http://$CITRON_PLATFORM/admin/counts"
 if ! kill -0 "${started[0]}" 2>/dev/null; then
