--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <iterator>
 
@@ -31,6 +32,13 @@
 // Between the proxied ports of two VMs.
 constexpr int kPortStride = 100;
 
+// Requests that Start sends; they are in no ledger that a test sees.
+constexpr char kWarmUpPath[] = "/warm-up";
+
+bool IsNoWarmUp(const nlohmann::json& entry) {
+  return !entry.at("target").get<std::string>().starts_with(kWarmUpPath);
+}
+
 endpoint At(int host, int port) {
   return {harness::Address(host), static_cast<std::uint16_t>(port)};
 }
@@ -132,8 +140,8 @@
     const nlohmann::json ledger = harness_.Caller().GetJson(
         Upstream(upstream.name), "/admin/ledger?after=0");
     for (const char* part : {"entries", "running"}) {
-      const nlohmann::json& entries = ledger.at(part);
-      std::copy(entries.begin(), entries.end(), std::back_inserter(all));
+      std::copy_if(ledger.at(part).begin(), ledger.at(part).end(),
+                   std::back_inserter(all), IsNoWarmUp);
     }
   }
   return all;
@@ -264,28 +272,41 @@
   return settings;
 }
 
-// Each VM sees every upstream as usable, so that a test starts from a fleet at
-// work.
+// Each VM sees every upstream as usable and lets requests in, so that a test
+// starts from a fleet at work.
 void fleet::WaitUntilInForce() {
-  const auto usable_upstreams = [&](const std::string& vm) {
-    std::size_t usable = 0;
-    const nlohmann::json status = Status(vm);
-    if (!status.is_object() || status["revision_in_force"] == 0) return usable;
-    for (const auto& member : status.value("members", nlohmann::json())) {
-      const nlohmann::json services =
-          member.value("services", nlohmann::json::object());
-      for (const auto& [name, load] : services.items()) {
-        usable += load.at("usable_upstreams").get<std::size_t>();
-      }
-    }
-    return usable;
-  };
   for (const fleet_vm& vm : plan_.vms) {
     BOOST_REQUIRE_MESSAGE(harness_.Caller().WaitFor([&] {
-      return usable_upstreams(vm.name) == plan_.upstreams.size();
+      return UsableUpstreams(vm.name) == plan_.upstreams.size();
     }),
                           vm.name + " does not see every upstream as usable");
   }
+  const std::string& key = plan_.keys.begin()->first;
+  const std::string target =
+      fmt::format("/{}{}?work_ms=1", plan_.upstreams[0].service, kWarmUpPath);
+  const http_request request = {
+      "GET", target, {{"Authorization", "Bearer " + key}}, ""};
+  for (const fleet_vm& vm : plan_.vms) {
+    BOOST_REQUIRE_MESSAGE(harness_.Caller().WaitFor([&] {
+      const caller_call call = harness_.Caller().Call(Entry(vm.name), request);
+      return call.response.head.status == 200;
+    }),
+                          vm.name + " serves nothing");
+  }
+}
+
+std::size_t fleet::UsableUpstreams(const std::string& vm) {
+  const nlohmann::json status = Status(vm);
+  if (!status.is_object() || status["revision_in_force"] == 0) return 0;
+  std::size_t usable = 0;
+  for (const auto& member : status.value("members", nlohmann::json())) {
+    const nlohmann::json services =
+        member.value("services", nlohmann::json::object());
+    for (const auto& [name, load] : services.items()) {
+      usable += load.at("usable_upstreams").get<std::size_t>();
+    }
+  }
+  return usable;
 }
 
 }  // namespace citron
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -62,6 +62,8 @@
   endpoint Upstream(const std::string& name) const;
 
   nlohmann::json Status(const std::string& vm);
+  // Of the whole fleet, as this VM's control sees it.
+  std::size_t UsableUpstreams(const std::string& vm);
   // All entries of all upstreams' ledgers.
   std::vector<nlohmann::json> Ledger();
 
