--- a/tests/integration/dead_vm_test.cc
+++ b/tests/integration/dead_vm_test.cc
@@ -24,16 +24,6 @@
     return Caller().Call(fleet_.Entry(vm), request).response.head.status == 200;
   }
 
-  // Upstreams that the VM owns and can use, by its own control.
-  int OwnedUpstreams(const std::string& vm) {
-    const nlohmann::json status = Fleet().Status(vm);
-    for (const auto& member : status.at("members")) {
-      if (member.at("vm") != vm || !member.contains("services")) continue;
-      return member["services"]["desk"]["usable_upstreams"].get<int>();
-    }
-    return 0;
-  }
-
  private:
   fleet fleet_;
 };
@@ -45,10 +35,12 @@
 BOOST_AUTO_TEST_CASE(DeadVmIsReplacedByItsNeighbour) {
   // Before a member knows of the other it holds its upstreams for much longer.
   for (const char* vm : {"z1vm1", "z1vm2"}) {
-    BOOST_REQUIRE(Caller().WaitFor([&] { return OwnedUpstreams(vm) > 0; }));
+    BOOST_REQUIRE(
+        Caller().WaitFor([&] { return Fleet().OwnedUpstreams(vm) > 0; }));
   }
   Fleet().KillVm("z1vm1");
-  BOOST_TEST(Caller().WaitFor([&] { return OwnedUpstreams("z1vm2") == 3; }));
+  BOOST_TEST(
+      Caller().WaitFor([&] { return Fleet().OwnedUpstreams("z1vm2") == 3; }));
   // Each, also one that is sent to the dead VM's dispatch first: nothing of it
   // ran there, and the neighbour has free slots.
   int served = 0;
--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -296,10 +296,24 @@
 }
 
 std::size_t fleet::UsableUpstreams(const std::string& vm) {
-  const nlohmann::json status = Status(vm);
+  std::size_t usable = 0;
+  for (const fleet_vm& member : plan_.vms) {
+    usable += UpstreamsOf(member.name, vm);
+  }
+  return usable;
+}
+
+std::size_t fleet::OwnedUpstreams(const std::string& vm) {
+  return UpstreamsOf(vm, vm);
+}
+
+std::size_t fleet::UpstreamsOf(const std::string& owner,
+                               const std::string& seen_by) {
+  const nlohmann::json status = Status(seen_by);
   if (!status.is_object() || status["revision_in_force"] == 0) return 0;
   std::size_t usable = 0;
   for (const auto& member : status.value("members", nlohmann::json())) {
+    if (member.at("vm") != owner) continue;
     const nlohmann::json services =
         member.value("services", nlohmann::json::object());
     for (const auto& [name, load] : services.items()) {
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -64,6 +64,8 @@
   nlohmann::json Status(const std::string& vm);
   // Of the whole fleet, as this VM's control sees it.
   std::size_t UsableUpstreams(const std::string& vm);
+  // Those that the VM itself owns.
+  std::size_t OwnedUpstreams(const std::string& vm);
   // All entries of all upstreams' ledgers.
   std::vector<nlohmann::json> Ledger();
 
@@ -88,6 +90,7 @@
                                 int metrics_port) const;
   nlohmann::json SettingsOf(const std::string& vm,
                             const std::string& role) const;
+  std::size_t UpstreamsOf(const std::string& owner, const std::string& seen_by);
   void WaitUntilInForce();
 
   harness& harness_;
--- a/tests/integration/frozen_owner_test.cc
+++ b/tests/integration/frozen_owner_test.cc
@@ -24,15 +24,6 @@
 
   fleet& Fleet() { return fleet_; }
 
-  int OwnedUpstreams(const std::string& vm) {
-    const nlohmann::json status = Fleet().Status(vm);
-    for (const auto& member : status.at("members")) {
-      if (member.at("vm") != vm || !member.contains("services")) continue;
-      return member["services"]["desk"]["usable_upstreams"].get<int>();
-    }
-    return 0;
-  }
-
   std::shared_ptr<caller_call> Begin(const std::string& vm) {
     return Caller().Start(fleet_.Entry(vm),
                           {"GET",
@@ -63,12 +54,13 @@
 // would fill an upstream beyond its slots, and it would shed bookings.
 BOOST_AUTO_TEST_CASE(WakingDispatchSendsNothingBesideTheNewOwner) {
   for (const char* vm : {"z1vm1", "z1vm2"}) {
-    BOOST_REQUIRE(Caller().WaitFor([&] { return OwnedUpstreams(vm) > 0; }));
+    BOOST_REQUIRE(
+        Caller().WaitFor([&] { return Fleet().OwnedUpstreams(vm) > 0; }));
   }
   child_process& frozen = Fleet().Daemon("z1vm1", "dispatch");
   frozen.Signal(SIGSTOP);
-  BOOST_REQUIRE(
-      Caller().WaitFor([&] { return OwnedUpstreams("z1vm2") == kUpstreams; }));
+  BOOST_REQUIRE(Caller().WaitFor(
+      [&] { return Fleet().OwnedUpstreams("z1vm2") == kUpstreams; }));
   std::vector<std::shared_ptr<caller_call>> calls;
   for (int i = 0; i < kRequests; ++i) {
     calls.push_back(Begin(i % 2 == 0 ? "z1vm1" : "z1vm2"));
