Grants are numbered over restarts of the control process

An entry's word that it applied grant 500 of a control process that died could reach the next one and stand for its grant 3, and a part would be lowered in the table while the entry still used it.

--- a/include/citron/protocol/share_holder.h
+++ b/include/citron/protocol/share_holder.h
@@ -36,7 +36,7 @@
   int leased_ppm = 0;
   monotonic_time leased_until{};
   monotonic_time floor_until{};
-  std::uint64_t sequence = 0;  // Grows with each grant of one control process.
+  std::uint64_t sequence = 0;  // Grows with each grant; over restarts too.
 };
 
 // Actions for the driver.
--- a/src/protocol/loan_book.cc
+++ b/src/protocol/loan_book.cc
@@ -157,9 +157,9 @@
       ask.ppb - lent_before, 0, std::max<std::int64_t>(0, spare));
   // A share that shrinks before the end can't carry what is lent on; and what
   // the demand here needs again comes back when the loan ends.
-  const bool is_needed_here =
-      more == 0 && WantedPpb(ask.workspace, bucket) > ppb_before &&
-      !Concedes(ask.workspace, bucket, from);
+  const bool is_needed_here = more == 0 &&
+                              WantedPpb(ask.workspace, bucket) > ppb_before &&
+                              !Concedes(ask.workspace, bucket, from);
   const bool may_extend = spare >= 0 && !is_needed_here;
   loan_grant grant{ask.workspace, ask.number, 0, 0, ask.duration_ms};
   if (may_extend && lent_before + more > 0) {
--- a/src/protocol/share_holder.cc
+++ b/src/protocol/share_holder.cc
@@ -49,6 +49,10 @@
 share_actions share_holder::Start(monotonic_time now) {
   // An earlier control process may have granted up to now.
   leased_parts_end_ = now + settings_.lease;
+  // Above every number of an earlier process of this VM, by the clock that
+  // they share: an entry's word that it applied a grant of that one may still
+  // be under way, and must not count for a later grant of ours.
+  share_.sequence = static_cast<std::uint64_t>(now.time_since_epoch().count());
   share_actions actions;
   Read(now, actions);
   return actions;
