--- a/include/citron/entry/entry_task.h
+++ b/include/citron/entry/entry_task.h
@@ -17,6 +17,7 @@
 #include "citron/net/http_client.h"
 #include "citron/net/http_server.h"
 #include "citron/net/metrics.h"
+#include "citron/policy/admission_wait.h"
 #include "citron/policy/client_table.h"
 #include "citron/policy/placement.h"
 #include "citron/policy/retry_budget.h"
@@ -80,7 +81,11 @@
   void OnLookup(http_exchange& exchange);
   void OnRequestIds(http_exchange& exchange);
   void OnServiceRequest(http_exchange& exchange);
-  void Run(http_exchange& exchange, std::unique_ptr<call> started);
+  void Start(std::unique_ptr<call> started);
+  void Run(call& c);
+  // Lets waiting requests in, or refuses those whose time is over.
+  void ServeWaiting();
+  void RefuseOverRate(call& c, monotonic_time retry_at);
   std::variant<identity, caller_error> Identify(
       const http_request& request) const;
   std::optional<caller_error> CheckFreshness(const contract& terms) const;
@@ -123,6 +128,7 @@
   std::unique_ptr<request_registry> registry_;
   std::unique_ptr<admission> admission_;
   std::unique_ptr<loan_book> loans_;
+  admission_wait waiting_;
   std::unique_ptr<placement> placement_;
   dispatch_directory directory_;
   retry_budget retries_;
@@ -132,6 +138,7 @@
   std::map<entry_ref, endpoint> entry_peers_;
 
   std::unordered_map<call*, std::unique_ptr<call>> calls_;
+  std::unordered_map<request_id, call*> waiting_calls_;  // For a token.
   std::uint64_t last_forward_ = 0;
   loop_timer tick_;
   bool leaving_ = false;
--- a/include/citron/protocol/loan_book.h
+++ b/include/citron/protocol/loan_book.h
@@ -108,6 +108,10 @@
   // A graceful leave: gives back all that was borrowed and lends no more.
   loan_actions OnRelease(monotonic_time now);
 
+  // Whether tokens of other entries may be on their way, or may be asked for:
+  // false when everybody has just said that there is nothing to spare.
+  bool MayBorrow(const workspace_id& workspace, monotonic_time now) const;
+
   // For status pages and tests.
   std::int64_t BorrowedPpb(const workspace_id& workspace,
                            monotonic_time now) const;
--- a/include/citron/protocol/token_bucket.h
+++ b/include/citron/protocol/token_bucket.h
@@ -61,6 +61,10 @@
   }
 
   double Tokens() const { return tokens_; }
+  double TokensAt(monotonic_time now) {
+    Advance(now);
+    return tokens_;
+  }
   std::int64_t Ppb() const { return ppb_; }
   double RatePerSecond() const { return rate_; }
   double Capacity() const { return capacity_; }
--- a/include/citron/wire/messages.h
+++ b/include/citron/wire/messages.h
@@ -278,7 +278,7 @@
   return std::tie(m.vm, m.loop, m.incarnation);
 }
 inline auto WireFields(loan_ask& m) {
-  return std::tie(m.workspace, m.number, m.ppb, m.duration_ms);
+  return std::tie(m.workspace, m.number, m.ppb, m.tokens, m.duration_ms);
 }
 inline auto WireFields(loan_grant& m) {
   return std::tie(m.workspace, m.number, m.ppb, m.tokens, m.duration_ms);
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -38,6 +38,7 @@
   bool idempotent = false;
   request_id id;         // As the caller and the logs see it.
   request_id caller_id;  // From the caller; may be empty.
+  request_id wait_id;    // While it waits for a token.
   bool in_registry = false;
   bool to_issuer = false;  // Forwarded to the entry that issued the id.
 
--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -27,6 +27,7 @@
 constexpr duration kQuietBeforeExit = std::chrono::milliseconds(500);
 constexpr duration kLeaveNotice = std::chrono::milliseconds(1000);
 constexpr duration kFreshnessRetry = std::chrono::seconds(2);
+constexpr duration kOverRateRetry = std::chrono::milliseconds(500);
 constexpr std::size_t kMaxKeyBytes = 256;
 constexpr int kMaxIdsPerCall = 100;
 constexpr double kDefaultAnswerBytes = 4096;
@@ -110,6 +111,7 @@
       secret_(secret),
       loop_index_(loop_index),
       client_(loop),
+      waiting_({}),
       directory_(HashBytes(settings.common.vm.Str(), NewIncarnation())),
       retries_(kRetryShare),
       ranker_({3, settings.lookup_lifetime}),
@@ -294,7 +296,9 @@
     case message_type::kLoanGrant:
       return control_link::Decode<loan_message<loan_grant>>(
           message, [&](const auto& m) {
-            if (m.to == self) loans_->OnLoanGrant(m.from, m.message, now);
+            if (m.to != self) return;
+            loans_->OnLoanGrant(m.from, m.message, now);
+            ServeWaiting();
           });
     case message_type::kLoanReturn:
       return control_link::Decode<loan_message<loan_return>>(
@@ -347,6 +351,7 @@
   const monotonic_time now = MonotonicNow();
   tick_.Arm(now + loan_settings{}.tick);
   Perform(loans_->OnTimer(now));
+  ServeWaiting();
   for (const permit_want& want : placement_->TakeWants()) {
     const auto peer = directory_.PermitPeer(want.region, want.service);
     if (!peer) continue;
@@ -515,16 +520,6 @@
   }
   const workspace_id& workspace = who.terms->workspace;
   const monotonic_time now = MonotonicNow();
-  const admit_result admitted = admission_->Admit(workspace, now);
-  if (const auto* over = std::get_if<over_rate>(&admitted)) {
-    Perform(loans_->OnDemand(workspace, now));
-    CountRefusal(workspace, "over_rate");
-    LogDecision(kLogPart, "request of {} refused: over its rate here",
-                workspace.Str());
-    return ReplyError(exchange, {kTooManyRequests, "over_rate",
-                                 "the workspace is over its rate",
-                                 verdict::kNotRun, over->retry_at});
-  }
   auto started = std::make_unique<call>(*this, exchange);
   started->key_digest = who.key_digest;
   started->weight = who.terms->weight;
@@ -540,7 +535,53 @@
   started->id =
       started->caller_id.IsEmpty() ? NextForwardId() : started->caller_id;
   retries_.OnRequest();
-  Run(exchange, std::move(started));
+  call& c = *started;
+  Start(std::move(started));
+  const admit_result admitted = admission_->Admit(workspace, now);
+  const auto* over = std::get_if<over_rate>(&admitted);
+  if (over == nullptr) return Run(c);
+  Perform(loans_->OnDemand(workspace, now));
+  // A caller may send the same id twice; each of the two waits by itself.
+  c.wait_id = NextForwardId();
+  if (waiting_.TryWait(workspace, c.wait_id, loans_->MayBorrow(workspace, now),
+                       now, c.deadline)) {
+    waiting_calls_[c.wait_id] = &c;
+    return;
+  }
+  RefuseOverRate(c, over->retry_at);
+}
+
+void entry_task::RefuseOverRate(call& c, monotonic_time retry_at) {
+  constexpr char kReason[] = "over_rate";
+  CountRefusal(c.workspace, kReason);
+  LogDecision(kLogPart, "{} of {} refused: over its rate here", c.id.Str(),
+              c.workspace.Str());
+  c.ReplyError({kTooManyRequests, kReason, "the workspace is over its rate",
+                verdict::kNotRun, retry_at});
+  End(c, verdict::kNotRun, kTooManyRequests);
+}
+
+void entry_task::ServeWaiting() {
+  const monotonic_time now = MonotonicNow();
+  const auto take = [this](const request_id& id) {
+    call* c = waiting_calls_.at(id);
+    waiting_calls_.erase(id);
+    return c;
+  };
+  for (const workspace_id& workspace : waiting_.Workspaces()) {
+    const auto admit = [this, now](const workspace_id& w) {
+      workspace_limit* limit = admission_->Find(w);
+      // Looked at before it is asked for, since each ask counts as demand.
+      if (limit == nullptr || limit->bucket.TokensAt(now) < 1) return false;
+      return std::holds_alternative<admitted>(admission_->Admit(w, now));
+    };
+    for (const request_id& id : waiting_.TakeAdmitted(workspace, admit)) {
+      Run(*take(id));
+    }
+  }
+  for (const request_id& id : waiting_.TakeExpired(now)) {
+    RefuseOverRate(*take(id), now + kOverRateRetry);
+  }
 }
 
 // A request that another entry forwarded, because its id was issued here. The
@@ -576,12 +617,17 @@
   started->idempotent = head.idempotent;
   started->caller_id = request_id(head.caller_request_id);
   started->id = started->caller_id;
-  Run(exchange, std::move(started));
+  call& c = *started;
+  Start(std::move(started));
+  Run(c);
 }
 
-void entry_task::Run(http_exchange&, std::unique_ptr<call> started) {
-  call& c = *started;
-  calls_[&c] = std::move(started);
+void entry_task::Start(std::unique_ptr<call> started) {
+  call* key = started.get();
+  calls_[key] = std::move(started);
+}
+
+void entry_task::Run(call& c) {
   if (!c.caller_id.IsEmpty()) {
     if (const auto problem = BeginOnce(c)) {
       c.ReplyError(*problem);
@@ -742,6 +788,9 @@
     const auto bytes = static_cast<double>(c.Relay().BodyBytes());
     typical += kAnswerBytesWeight * (bytes - typical);
   }
+  if (waiting_calls_.erase(c.wait_id) != 0) {
+    waiting_.Remove(c.workspace, c.wait_id);
+  }
   if (c.in_registry) registry_->OnOutcome(c.caller_id, ran, status);
   const metric_labels labels{{"service", c.service.Str()},
                              {"verdict", std::string(VerdictName(ran))}};
--- a/src/protocol/loan_book.cc
+++ b/src/protocol/loan_book.cc
@@ -242,6 +242,19 @@
   return actions;
 }
 
+bool loan_book::MayBorrow(const workspace_id& workspace,
+                          monotonic_time now) const {
+  if (released_) return false;
+  return std::any_of(peers_.begin(), peers_.end(), [&](const entry_ref& peer) {
+    const auto found = borrowed_.find(peer_key{workspace, peer});
+    if (found == borrowed_.end()) return true;
+    const borrowed_loan& loan = found->second;
+    const bool is_asked =
+        loan.asked_number != 0 && now < loan.asked_at + settings_.ask_timeout;
+    return is_asked || now >= loan.ask_again_at;
+  });
+}
+
 std::int64_t loan_book::BorrowedPpb(const workspace_id& workspace,
                                     monotonic_time now) const {
   std::int64_t sum = 0;
