--- a/tests/protocol/ownership_test.cc
+++ b/tests/protocol/ownership_test.cc
@@ -564,6 +564,53 @@
   BOOST_TEST(!b.machine.MaySend(Upstream(0), b.At(1.3)));
 }
 
+// A sole member comes back to the store after a while, finds a newcomer and
+// acknowledges it, and the answer is lost. The newcomer may take over from then
+// on, so the old one must not go on up to the horizon.
+BOOST_AUTO_TEST_CASE(OpenAcknowledgementEndsTheHorizon) {
+  scripted b;
+  b.Timer(1);
+  b.TableRead("", 0, 1);
+  b.Cas(cas_outcome::kOk, 1, 1);
+  ownership_table table = b.machine.Table();
+  table.epoch = 2;
+  table.members[vm_id("c")] = {1, {"127.0.0.1", 3}, 1, 2, 2, true};
+  b.Timer(4);
+  b.Cas(cas_outcome::kConflict, 0, 4);
+  BOOST_TEST(b.machine.MaySend(Upstream(0), b.At(4.1)));
+  b.Timer(4.2);
+  b.TableRead(WriteOwnershipTable(table), 2, 4.2);
+  BOOST_TEST(b.wrote);
+  b.Cas(cas_outcome::kUnknown, 0, 4.3);
+  BOOST_TEST(b.machine.MaySend(Upstream(0), b.At(5.1)));
+  BOOST_TEST(!b.machine.MaySend(Upstream(0), b.At(5.2)));
+}
+
+// The other member has died and its new process says so. If it died before the
+// bound was over, it can't have taken over; afterwards, its write may be on the
+// way.
+BOOST_AUTO_TEST_CASE(DeadMembersWriteMayStillArrive) {
+  ownership_table table;
+  table.epoch = 1;
+  table.members[vm_id("a")] = {1, {"127.0.0.1", 1}, 5, 1, 1, true};
+  for (const bool is_early : {true, false}) {
+    scripted b;
+    b.Timer(1);
+    b.TableRead(WriteOwnershipTable(table), 7, 1);
+    b.Cas(cas_outcome::kOk, 8, 1);
+    BOOST_TEST(b.machine.MaySend(Upstream(0), b.At(1.9)));
+    BOOST_TEST(!b.machine.MaySend(Upstream(0), b.At(2)));
+    b.Timer(1.6);
+    promise gone;
+    gone.from = vm_id("a");
+    gone.from_incarnation = gone.to_incarnation = gone.number = 1;
+    gone.predecessor_gone = true;
+    gone.address = {"127.0.0.1", 1};
+    b.machine.OnPromise(gone, b.At(is_early ? 1.9 : 2.1));
+    BOOST_TEST(b.machine.MaySend(Upstream(0), b.At(5)) == is_early);
+  }
+}
+
 // The store holds a table that no member wrote. Acting on half of it could give
 // an upstream two owners, so the owner lets its ownership lapse.
 BOOST_AUTO_TEST_CASE(BadTableIsLeftAlone) {
