--- a/tests/policy/zone_simulation.h
+++ b/tests/policy/zone_simulation.h
@@ -7,12 +7,12 @@
 #include <map>
 #include <memory>
 #include <pcg_random.hpp>
-#include <queue>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "citron/policy/service_scheduler.h"
+#include "policy/event_loop.h"
 
 namespace citron {
 
@@ -173,7 +173,7 @@
   }
 
   void SetReports(duration every, duration lag) {
-    At(every, [this, every, lag] { Report(every, lag); });
+    loop_.At(every, [this, every, lag] { Report(every, lag); });
   }
   void AddLoad(const simulated_load& load) {
     loads_.push_back(std::make_unique<simulated_load>(load));
@@ -183,24 +183,11 @@
   simulation_result Run(duration time, duration skip = {}) {
     skip_ = skip;
     end_ = time;
-    while (!events_.empty()) {
-      const event next = events_.top();
-      events_.pop();
-      now_ = next.at;
-      next.run();
-    }
+    loop_.Run();
     return std::move(result_);
   }
 
  private:
-  struct event {
-    duration at{};
-    std::uint64_t number = 0;
-    std::function<void()> run;
-    bool operator<(const event& o) const {
-      return at != o.at ? at > o.at : number > o.number;
-    }
-  };
   struct caller {
     const simulated_load* load = nullptr;
     scheduler_request request;
@@ -218,21 +205,19 @@
     duration down_until{};
   };
 
-  monotonic_time Now() const { return monotonic_time(now_); }
-  void At(duration at, std::function<void()> run) {
-    events_.push({std::max(at, now_), next_number_++, std::move(run)});
-  }
+  monotonic_time Now() const { return loop_.Now(); }
   double Unit() { return std::ldexp(random_() + 0.5, -32); }
   double Exponential() { return -std::log(Unit()); }
 
   void NextArrival(const simulated_load& load, std::uint32_t salt) {
     // Thinned from the highest rate, so that a burst starts sharply.
     const double peak = load.rate_per_s * std::max(1.0, load.burst_factor);
-    const duration at = now_ + FromSeconds(Exponential() / peak);
+    const duration at = loop_.Elapsed() + FromSeconds(Exponential() / peak);
     if (end_ != duration() && at > end_) return;
-    At(at, [this, &load, salt] {
-      if (now_ > end_) return;
-      const bool burst = load.burst_from <= now_ && now_ < load.burst_to;
+    loop_.At(at, [this, &load, salt] {
+      if (loop_.Elapsed() > end_) return;
+      const bool burst =
+          load.burst_from <= loop_.Elapsed() && loop_.Elapsed() < load.burst_to;
       const double top = std::max(1.0, load.burst_factor);
       const double part = (burst ? load.burst_factor : 1.0) / top;
       if (Unit() < part) Arrive(load);
@@ -243,7 +228,7 @@
   void Arrive(const simulated_load& load) {
     caller c;
     c.load = &load;
-    c.arrived = now_;
+    c.arrived = loop_.Elapsed();
     c.service =
         FromSeconds(ToSeconds(load.service_time) * (0.5 + 0.5 * Exponential()));
     c.request = {.workspace = load.workspace,
@@ -278,7 +263,7 @@
     }
     const auto timer = owners_[owner]->NextTimer();
     if (!timer) return;
-    At(timer->time_since_epoch(), [this, owner, at = *timer] {
+    loop_.At(timer->time_since_epoch(), [this, owner, at = *timer] {
       const auto still = owners_[owner]->NextTimer();
       if (still && *still == at) Do(owner, owners_[owner]->OnTimer(Now()));
     });
@@ -291,10 +276,11 @@
     if (Now() > c.request.deadline) ++result_.refused_after_deadline;
     if (Counts(c)) ++result_.refusals[refusal.reason];
     duration again = refusal.retry_at.time_since_epoch();
-    if (c.load->ask_again > duration()) again = now_ + c.load->ask_again;
+    if (c.load->ask_again > duration())
+      again = loop_.Elapsed() + c.load->ask_again;
     const bool in_time = monotonic_time(again) < c.request.deadline;
     if (c.asks < c.load->asks && in_time) {
-      At(again, [this, c] { Ask(c); });
+      loop_.At(again, [this, c] { Ask(c); });
     } else if (Counts(c)) {
       ++result_.workspaces[c.load->workspace].refused;
     }
@@ -306,8 +292,8 @@
     upstream_state& u = upstreams_.at(send.upstream);
     c.upstream = send.upstream;
     ++c.run;
-    if (now_ < u.down_until) {
-      EndAt(now_, send.id, upstream_outcome::kConnectFailedNotRun);
+    if (loop_.Elapsed() < u.down_until) {
+      EndAt(loop_.Elapsed(), send.id, upstream_outcome::kConnectFailedNotRun);
       return;
     }
     const int busy = static_cast<int>(u.running.size()) + u.model.foreign_work;
@@ -316,7 +302,7 @@
         std::max(result_.most_over_slots, busy + 1 - u.model.capacity.slots);
     if (full && !u.model.queues_when_full) {
       if (Counts(c)) ++result_.sheds;
-      EndAt(now_, send.id, upstream_outcome::kShedNotRun);
+      EndAt(loop_.Elapsed(), send.id, upstream_outcome::kShedNotRun);
       return;
     }
     const duration deadline = c.request.deadline.time_since_epoch();
@@ -332,17 +318,17 @@
     caller& c = callers_.at(id);
     u.running.push_back(id);
     if (c.load->crashes) {
-      At(now_ + std::chrono::milliseconds(20),
-         [this, &u, id] { Crash(u, id); });
+      loop_.At(loop_.Elapsed() + std::chrono::milliseconds(20),
+               [this, &u, id] { Crash(u, id); });
       return;
     }
     if (u.model.fails_fast) {
-      EndAt(now_ + std::chrono::milliseconds(1), id,
+      EndAt(loop_.Elapsed() + std::chrono::milliseconds(1), id,
             upstream_outcome::kServerError);
       return;
     }
     const duration end =
-        now_ + FromSeconds(ToSeconds(c.service) * u.model.slowness);
+        loop_.Elapsed() + FromSeconds(ToSeconds(c.service) * u.model.slowness);
     const duration deadline = c.request.deadline.time_since_epoch();
     const bool in_time = end <= deadline;
     EndAt(std::min(end, deadline), id,
@@ -353,15 +339,15 @@
     const auto& r = u.running;
     if (std::find(r.begin(), r.end(), id) == r.end()) return;
     ++result_.crashes;
-    u.down_until = now_ + std::chrono::seconds(3);
+    u.down_until = loop_.Elapsed() + std::chrono::seconds(3);
     const std::vector<request_id> lost = u.running;
     for (const request_id& l : lost) {
-      EndAt(now_, l, upstream_outcome::kConnectionLost);
+      EndAt(loop_.Elapsed(), l, upstream_outcome::kConnectionLost);
     }
   }
 
   void EndAt(duration at, const request_id& id, upstream_outcome outcome) {
-    At(at, [this, id, outcome, run = callers_.at(id).run] {
+    loop_.At(at, [this, id, outcome, run = callers_.at(id).run] {
       const auto found = callers_.find(id);
       if (found != callers_.end() && found->second.run == run) {
         End(id, outcome);
@@ -409,7 +395,7 @@
     workspace_result& w = result_.workspaces[c.load->workspace];
     ++w.good;
     ++result_.good_at[c.upstream];
-    const double ms = ToMilliseconds(now_ - c.arrived);
+    const double ms = ToMilliseconds(loop_.Elapsed() - c.arrived);
     w.latency_ms.push_back(ms);
     result_.latency_ms[c.load->request_class].push_back(ms);
   }
@@ -422,26 +408,25 @@
             static_cast<int>(u.running.size()) + u.model.foreign_work;
         report.queued = static_cast<int>(u.queued.size());
       }
-      report.ready = now_ >= u.down_until || u.model.says_idle;
-      At(now_ + lag, [this, id = id, report] {
+      report.ready = loop_.Elapsed() >= u.down_until || u.model.says_idle;
+      loop_.At(loop_.Elapsed() + lag, [this, id = id, report] {
         for (std::size_t o = 0; o < owners_.size(); ++o) {
           Do(o, owners_[o]->OnReport(id, report, Now()));
         }
       });
     }
-    if (now_ + every > end_) return;
-    At(now_ + every, [this, every, lag] { Report(every, lag); });
+    if (loop_.Elapsed() + every > end_) return;
+    loop_.At(loop_.Elapsed() + every,
+             [this, every, lag] { Report(every, lag); });
   }
 
   std::vector<std::unique_ptr<dispatch_policy>> owners_;
   std::map<upstream_id, upstream_state> upstreams_;
   std::vector<std::unique_ptr<simulated_load>> loads_;
   std::unordered_map<request_id, caller> callers_;
-  std::priority_queue<event> events_;
-  std::uint64_t next_number_ = 0;
+  event_loop loop_;
   std::uint64_t next_request_ = 0;
   pcg32 random_;
-  duration now_{};
   duration end_{};
   duration skip_{};
   simulation_result result_;
--- a/tools/policy_experiment/region_simulation.cc
+++ b/tools/policy_experiment/region_simulation.cc
@@ -136,10 +136,6 @@
   result_.good.resize(zones.size());
 }
 
-void region_simulation::At(duration at, std::function<void()> run) {
-  events_.push({std::max(at, now_), next_number_++, std::move(run)});
-}
-
 double region_simulation::Exponential() {
   return -std::log(std::ldexp(random_() + 0.5, -32));
 }
@@ -148,23 +144,18 @@
   end_ = time;
   skip_ = skip;
   Report();
-  At(kReportLag, [this] {
+  loop_.At(kReportLag, [this] {
     for (std::size_t z = 0; z < zones_.size(); ++z) NextArrival(z);
   });
-  while (!events_.empty()) {
-    const event next = events_.top();
-    events_.pop();
-    now_ = next.at;
-    next.run();
-  }
+  loop_.Run();
   return std::move(result_);
 }
 
 void region_simulation::NextArrival(std::size_t zone) {
   const double rate = zones_[zone].load.rate_per_s;
-  const duration at = now_ + FromSeconds(Exponential() / rate);
+  const duration at = loop_.Elapsed() + FromSeconds(Exponential() / rate);
   if (at > end_) return;
-  At(at, [this, zone] {
+  loop_.At(at, [this, zone] {
     Arrive(zone);
     NextArrival(zone);
   });
@@ -174,7 +165,7 @@
   request_state r;
   r.home = zone;
   r.entry = zone * kEntriesOfZone + random_(kEntriesOfZone);
-  r.arrived = now_;
+  r.arrived = loop_.Elapsed();
   r.service =
       FromSeconds(ToSeconds(kServiceTime) * (0.5 + 0.5 * Exponential()));
   r.place.service = Service();
@@ -218,7 +209,7 @@
   }
   const auto timer = zones_[zone].scheduler.NextTimer();
   if (!timer) return;
-  At(timer->time_since_epoch(), [this, zone, at = *timer] {
+  loop_.At(timer->time_since_epoch(), [this, zone, at = *timer] {
     service_scheduler& scheduler = zones_[zone].scheduler;
     if (scheduler.NextTimer() == at) Do(zone, scheduler.OnTimer(Now()));
   });
@@ -226,10 +217,10 @@
 
 void region_simulation::Start(std::size_t, const request_id& id) {
   const request_state& r = requests_.at(id);
-  const duration end = now_ + r.service;
+  const duration end = loop_.Elapsed() + r.service;
   const duration deadline = r.place.deadline.time_since_epoch();
   const bool in_time = end <= deadline;
-  At(std::min(end, deadline), [this, id, in_time] { End(id, in_time); });
+  loop_.At(std::min(end, deadline), [this, id, in_time] { End(id, in_time); });
 }
 
 void region_simulation::End(const request_id& id, bool in_time) {
@@ -238,7 +229,7 @@
   entries_[r.entry].choice->OnDone(zones_[r.zone].id, Now());
   if (Counts(r) && in_time) {
     ++result_.good[r.home];
-    result_.latency_ms.push_back(ToMilliseconds(now_ - r.arrived));
+    result_.latency_ms.push_back(ToMilliseconds(loop_.Elapsed() - r.arrived));
   } else if (Counts(r)) {
     ++result_.late;
   }
@@ -258,7 +249,7 @@
     if (Counts(r)) ++result_.refused;
     return;
   }
-  At(now_, [this, r] { Ask(r); });
+  loop_.At(loop_.Elapsed(), [this, r] { Ask(r); });
 }
 
 void region_simulation::Report() {
@@ -274,12 +265,12 @@
     report.expected_wait = load.expected_wait;
     report.mean_service_time = load.mean_service_time;
     report.received_at = Now() + kReportLag;
-    At(now_ + kReportLag, [this, report] {
+    loop_.At(loop_.Elapsed() + kReportLag, [this, report] {
       for (entry_state& entry : entries_) entry.choice->OnReport(report);
     });
   }
-  if (now_ + kReportEvery > end_) return;
-  At(now_ + kReportEvery, [this] { Report(); });
+  if (loop_.Elapsed() + kReportEvery > end_) return;
+  loop_.At(loop_.Elapsed() + kReportEvery, [this] { Report(); });
 }
 
 }  // namespace citron
--- a/tools/policy_experiment/region_simulation.h
+++ b/tools/policy_experiment/region_simulation.h
@@ -5,13 +5,13 @@
 #include <functional>
 #include <memory>
 #include <pcg_random.hpp>
-#include <queue>
 #include <unordered_map>
 #include <vector>
 
 #include "citron/policy/placement.h"
 #include "citron/policy/retry_budget.h"
 #include "citron/policy/service_scheduler.h"
+#include "policy/event_loop.h"
 
 namespace citron {
 
@@ -63,14 +63,6 @@
   region_result Run(duration time, duration skip);
 
  private:
-  struct event {
-    duration at{};
-    std::uint64_t number = 0;
-    std::function<void()> run;
-    bool operator<(const event& o) const {
-      return at != o.at ? at > o.at : number > o.number;
-    }
-  };
   struct zone_state {
     zone_id id;
     zone_load load;
@@ -89,8 +81,7 @@
     place_request place;
   };
 
-  void At(duration at, std::function<void()> run);
-  monotonic_time Now() const { return monotonic_time(now_); }
+  monotonic_time Now() const { return loop_.Now(); }
   double Exponential();
   void NextArrival(std::size_t zone);
   void Arrive(std::size_t zone);
@@ -105,11 +96,9 @@
   std::vector<zone_state> zones_;
   std::vector<entry_state> entries_;
   std::unordered_map<request_id, request_state> requests_;
-  std::priority_queue<event> events_;
-  std::uint64_t next_number_ = 0;
+  event_loop loop_;
   std::uint64_t next_request_ = 0;
   pcg32 random_;
-  duration now_{};
   duration end_{};
   duration skip_{};
   region_result result_;
