A lost connection counts as a crash only while nothing refutes it

Two cut connections of the same look-up within a minute would have had it refused for that minute, though no server crashed. An answer to another request that was in flight there takes the blame back. Fingerprint 0 means unknown; otherwise two crashes anywhere would have every such request refused.

--- a/include/citron/policy/poison_registry.h
+++ b/include/citron/policy/poison_registry.h
@@ -23,11 +23,16 @@
   monotonic_time Until(std::uint64_t fingerprint) const;
 
   // The request, sent at `sent_at`, was in flight when the upstream crashed.
+  // Fingerprint 0 stands for an unknown one and is never held against anyone.
   // Returns the standing after it.
   standing OnCrash(std::uint64_t fingerprint, const upstream_id& upstream,
                    monotonic_time sent_at, monotonic_time now);
   // A copy was answered, so it doesn't crash upstreams.
   void OnAnswered(std::uint64_t fingerprint);
+  // Some request that was sent to the upstream at `sent_at` was answered, so
+  // the upstream hasn't crashed since.
+  void OnAlive(const upstream_id& upstream, monotonic_time sent_at,
+               monotonic_time now);
   void OnPoison(std::uint64_t fingerprint, monotonic_time until);
   void OnSuspect(std::uint64_t fingerprint, monotonic_time until);
 
@@ -41,10 +46,17 @@
   void Expire(monotonic_time now);
 
  private:
+  struct crash {
+    upstream_id upstream;  // Empty if told by another owner.
+    monotonic_time at;
+
+    bool IsRefutedBy(const upstream_id& alive, monotonic_time sent_at,
+                     monotonic_time now) const;
+  };
   struct record {
     standing state = standing::kClear;
-    upstream_id first_crash;  // Empty if told by another owner.
-    monotonic_time crashed_at;
+    crash first;
+    std::optional<crash> second;
     monotonic_time until;
   };
 
--- a/src/policy/poison_registry.cc
+++ b/src/policy/poison_registry.cc
@@ -3,6 +3,13 @@
 #include <algorithm>
 
 namespace citron {
+namespace {
+
+// An answer from before a crash may be read after the loss of another
+// connection was. Within a zone it is there in a few milliseconds.
+constexpr duration kOvertaking = std::chrono::milliseconds(20);
+
+}  // namespace
 
 // Answers: a single request that crashes each upstream that runs it, and whose
 // caller sends it again. Without this it takes the zone's upstreams one after
@@ -13,7 +20,11 @@
 // merely shared the server. If two of them met again on one server, the second
 // crash would convict both. So a suspect is sent only where no other suspect
 // runs, and one copy at a time: at the second crash just one fingerprint has
-// been at both. An answer clears a suspect at once. What this doesn't tell
+// been at both. An answer clears a suspect at once.
+//
+// A connection can also be lost without a crash. If another request that was in
+// flight there at the time is answered later, the upstream hadn't crashed, and
+// what was held against the first one is taken back. What this doesn't tell
 // apart is two different killers at the same time: a suspect that shares a
 // server with a second, still unknown killer is refused in its place until the
 // lifetime ends.
@@ -38,19 +49,49 @@
                                                    const upstream_id& upstream,
                                                    monotonic_time sent_at,
                                                    monotonic_time now) {
+  if (fingerprint == 0) return standing::kClear;
   const standing before = Of(fingerprint, now);
   record& r = records_[fingerprint];
   if (before == standing::kClear) {
-    r = record{standing::kSuspect, upstream, now, now + lifetime_};
+    r = record{standing::kSuspect, {upstream, now}, {}, now + lifetime_};
     return r.state;
   }
   // Two copies in flight at one crash are still one crash.
-  const bool same_crash = r.first_crash == upstream && sent_at <= r.crashed_at;
-  if (!same_crash) r.state = standing::kPoison;
+  const bool same_crash = r.first.upstream == upstream && sent_at <= r.first.at;
+  if (!same_crash && before == standing::kSuspect) {
+    r.state = standing::kPoison;
+    r.second = crash{upstream, now};
+  }
   r.until = std::max(r.until, now + lifetime_);
   return r.state;
 }
 
+bool poison_registry::crash::IsRefutedBy(const upstream_id& alive,
+                                         monotonic_time sent_at,
+                                         monotonic_time now) const {
+  return upstream == alive && sent_at < at && now - at >= kOvertaking;
+}
+
+void poison_registry::OnAlive(const upstream_id& upstream,
+                              monotonic_time sent_at, monotonic_time now) {
+  for (auto next = records_.begin(); next != records_.end();) {
+    const auto at = next++;
+    record& r = at->second;
+    if (r.second && r.second->IsRefutedBy(upstream, sent_at, now)) {
+      r.second.reset();
+      r.state = standing::kSuspect;
+    }
+    if (!r.first.IsRefutedBy(upstream, sent_at, now)) continue;
+    if (!r.second) {
+      records_.erase(at);
+      continue;
+    }
+    r.first = *r.second;
+    r.second.reset();
+    r.state = standing::kSuspect;
+  }
+}
+
 void poison_registry::OnAnswered(std::uint64_t fingerprint) {
   const auto found = records_.find(fingerprint);
   if (found == records_.end()) return;
--- a/src/policy/service_scheduler.cc
+++ b/src/policy/service_scheduler.cc
@@ -162,6 +162,7 @@
   } else if (outcome == upstream_outcome::kAnswered ||
              outcome == upstream_outcome::kServerError) {
     poison_.OnAnswered(e.request.fingerprint);
+    poison_.OnAlive(e.tried, e.sent_at, now);
   }
   if (done) entries_.erase(id);
   Dispatch(now, out);
@@ -224,7 +225,9 @@
     RefusePoisoned(fingerprint, now, out);
     return false;
   }
-  out.emplace_back(suspect_action{fingerprint, poison_.Until(fingerprint)});
+  if (after == standing::kSuspect) {
+    out.emplace_back(suspect_action{fingerprint, poison_.Until(fingerprint)});
+  }
   const bool may_repeat = e.request.idempotent && !e.cancelled &&
                           e.sends < kMaxSends && now < e.place.latest_start;
   if (!may_repeat) return false;
--- a/tests/policy/poison_registry_test.cc
+++ b/tests/policy/poison_registry_test.cc
@@ -44,6 +44,32 @@
   BOOST_TEST(registry.IsEmpty());
 }
 
+// The network cuts single connections, and twice it is the same look-up's. The
+// servers live on, which shows when they answer what was in flight beside it;
+// the look-up must not be refused any longer.
+BOOST_AUTO_TEST_CASE(CutConnectionsAreNoCrashes) {
+  poison_registry registry(seconds(60));
+  const monotonic_time later = kNow + seconds(5);
+  registry.OnCrash(7, kA, kNow, kNow);
+  registry.OnCrash(7, kB, later, later);
+  // Sent after the loss, or answered at the moment of it: may have crashed.
+  const monotonic_time answered = later + seconds(1);
+  registry.OnAlive(kB, later, answered);
+  registry.OnAlive(kB, later - seconds(1), later);
+  BOOST_TEST((registry.Of(7, later) == standing::kPoison));
+  registry.OnAlive(kB, later - seconds(1), answered);
+  BOOST_TEST((registry.Of(7, later) == standing::kSuspect));
+  registry.OnAlive(kA, kNow - seconds(1), answered);
+  BOOST_TEST((registry.Of(7, later) == standing::kClear));
+}
+
+BOOST_AUTO_TEST_CASE(AnUnknownFingerprintIsNeverBlamed) {
+  poison_registry registry(seconds(60));
+  registry.OnCrash(0, kA, kNow, kNow);
+  registry.OnCrash(0, kB, kNow, kNow);
+  BOOST_TEST((registry.Of(0, kNow) == standing::kClear));
+}
+
 BOOST_AUTO_TEST_CASE(ASuspectOfAnotherOwnerNeedsOneMoreCrash) {
   poison_registry registry(seconds(60));
   registry.OnSuspect(7, kNow + seconds(60));
