--- a/tools/policy_experiment/experiment.cc
+++ b/tools/policy_experiment/experiment.cc
@@ -178,15 +178,28 @@
   std::vector<scenario> scenarios;
   for (const double factor : factors) {
     scenario s;
-    s.name = fmt::format("{:.1f} x capacity", factor);
+    s.name = fmt::format("{:.2f} x capacity", factor);
     s.callers = LookupLoads(factor * kCapacityPerS, milliseconds(500));
     scenarios.push_back(std::move(s));
   }
   return scenarios;
 }
 
+// A service with two servers of 3 slots in the zone, as bookings has.
+scenario SmallZone(double factor) {
+  scenario s;
+  s.name = fmt::format("2 x 3 slots, {:.2f} x", factor);
+  s.servers = YardDesk(2);
+  for (simulated_upstream& u : s.servers) u.capacity.slots = 3;
+  s.callers = LookupLoads(factor * 150, milliseconds(500));
+  return s;
+}
+
 experiment_rows RunOwner(std::uint64_t seed) {
-  return Compare(LoadsOf({0.5, 0.8, 0.95, 1.5}),
+  std::vector<scenario> scenarios = LoadsOf({0.5, 0.8, 0.95, 1.5});
+  scenarios.push_back(SmallZone(0.6));
+  scenarios.push_back(SmallZone(0.8));
+  return Compare(scenarios,
                  {{"owner per upstream", Owner},
                   {"slots divided", DividedSlots},
                   {"choice by lagging reports", Independent}},
