--- a/apps/citronctl/session.cc
+++ b/apps/citronctl/session.cc
@@ -221,11 +221,11 @@
 void ctl_session::PrintChanges(
     const std::vector<change_report>& changes) const {
   for (const change_report& change : changes) {
+    const bool is_done = ExitCodeOf(change.outcome) == exit_code::kOk;
     const std::string line = fmt::format(
         "{}: {}{}\n", change.key, change.message,
-        change.revision == 0 ? ""
-                             : fmt::format(" (revision {})", change.revision));
-    if (ExitCodeOf(change.outcome) == exit_code::kOk) {
+        is_done ? fmt::format(" (revision {})", change.revision) : "");
+    if (is_done) {
       Print(line);
     } else {
       std::fputs(("citronctl: " + line).c_str(), stderr);
--- a/run_local.sh
+++ b/run_local.sh
@@ -48,7 +48,8 @@
     for pid in "$@"; do
       if kill -0 "$pid" 2>/dev/null; then alive=yes; fi
     done
-    [ "$alive" = no ] && return
+    # With its status: in a trap a bare return gives that of what the trap interrupted.
+    [ "$alive" = no ] && return 0
     sleep 0.1
   done
   for pid in "$@"; do
@@ -63,6 +64,7 @@
 stop_all() {
   trap - EXIT
   trap '' INT TERM
+  set +e
   local program pid group
   for program in citron_entry citron_dispatch citron_control standin_upstream standin_platform; do
     group=()
