--- a/include/citron/config/settings.h
+++ b/include/citron/config/settings.h
@@ -33,7 +33,7 @@
   endpoint platform;
   duration list_interval = FromMilliseconds(2000);
   duration view_interval = FromMilliseconds(200);
-  duration watch_wait = FromMilliseconds(5000);
+  duration watch_wait = FromMilliseconds(2000);
   duration share_lease = FromMilliseconds(9000);
   duration share_renew_interval = FromMilliseconds(3000);
   duration share_floor_horizon = FromMilliseconds(6.0 * 3600 * 1000);
--- a/include/citron/entry/entry_task.h
+++ b/include/citron/entry/entry_task.h
@@ -12,6 +12,7 @@
 #include "citron/base/verdict.h"
 #include "citron/config/settings.h"
 #include "citron/entry/dispatch_directory.h"
+#include "citron/entry/service_quality.h"
 #include "citron/link/control_link.h"
 #include "citron/link/forward_head.h"
 #include "citron/net/http_client.h"
@@ -140,6 +141,7 @@
   std::unordered_map<call*, std::unique_ptr<call>> calls_;
   std::unordered_map<request_id, call*> waiting_calls_;  // For a token.
   std::uint64_t last_forward_ = 0;
+  service_quality quality_;
   loop_timer tick_;
   bool leaving_ = false;
   monotonic_time leave_deadline_;
--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -27,6 +27,7 @@
 constexpr duration kQuietBeforeExit = std::chrono::milliseconds(500);
 constexpr duration kLeaveNotice = std::chrono::milliseconds(1000);
 constexpr duration kFreshnessRetry = std::chrono::seconds(2);
+constexpr duration kQualityWindow = std::chrono::seconds(30);
 constexpr duration kOverRateRetry = std::chrono::milliseconds(500);
 constexpr std::size_t kMaxKeyBytes = 256;
 constexpr int kMaxIdsPerCall = 100;
@@ -116,6 +117,7 @@
       retries_(kRetryShare),
       ranker_({3, settings.lookup_lifetime}),
       clients_(client_routes().Build()),
+      quality_(kQualityWindow),
       tick_(loop, [this] { OnTick(); }) {}
 
 entry_task::~entry_task() = default;
@@ -801,6 +803,7 @@
   stats_.Count("citron_workspace_requests_total",
                {{"workspace", c.workspace.Str()},
                 {"answered", ran == verdict::kRan ? "yes" : "no"}});
+  quality_.OnEnded(c.workspace, ran == verdict::kRan, now);
   LogDecision(kLogPart, "{} of {} ended: status {}, {}, {:.1f} ms", c.id.Str(),
               c.workspace.Str(), status, VerdictName(ran),
               ToMilliseconds(now - c.arrived_at));
@@ -870,6 +873,19 @@
 }
 
 void entry_task::OnPage(http_exchange& exchange) {
+  const monotonic_time now = MonotonicNow();
+  if (const auto worst = quality_.Worst(now)) {
+    stats_.Set("citron_worst_served_part", {}, worst->answered_part);
+  }
+  stats_.Set("citron_config_age_seconds", {},
+             ToSeconds(now - std::max(link_->FreshAsOf(), monotonic_time())));
+  for (const zone_report& report : directory_.ZoneReports()) {
+    const metric_labels labels{{"zone", report.zone.Str()},
+                               {"service", report.service.Str()}};
+    stats_.Set("citron_zone_report_age_seconds", labels,
+               ToSeconds(now - report.received_at));
+    stats_.Set("citron_zone_headroom", labels, report.slots - report.in_flight);
+  }
   stats_.Set("citron_config_revision", {},
              static_cast<double>(link_->Config().revision));
   stats_.Set("citron_requests_in_flight", {},
--- /dev/null
+++ b/tests/entry/dispatch_directory_test.cc
@@ -0,0 +1,70 @@
+#include "citron/entry/dispatch_directory.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace citron {
+namespace {
+
+const service_id kDesk("yard-desk");
+const zone_id kZone("santiago-a");
+
+vm_seen Vm(const std::string& name, std::uint16_t port, int usable_slots,
+           double wait_ms) {
+  vm_seen seen;
+  seen.state = member_state::kLive;
+  seen.view.vm = vm_id(name);
+  seen.view.zone = kZone;
+  seen.view.region = region_id("santiago");
+  seen.view.dispatches.push_back(
+      {0, 1, {"127.0.0.1", port}, {"127.0.0.1", port}, {}});
+  service_load load;
+  load.service = kDesk;
+  load.load.usable_slots = usable_slots;
+  load.load.expected_wait = FromMilliseconds(wait_ms);
+  load.load.mean_service_time = FromMilliseconds(10);
+  seen.view.loads.push_back(load);
+  return seen;
+}
+
+BOOST_AUTO_TEST_CASE(QueuesOfAZoneAddUp) {
+  dispatch_directory directory(1);
+  directory.Update(
+      {{vm_id("a"), Vm("a", 1, 8, 5)}, {vm_id("b"), Vm("b", 2, 4, 2)}});
+  BOOST_REQUIRE(directory.ZoneReports().size() == 1u);
+  const zone_report& report = directory.ZoneReports()[0];
+  BOOST_TEST(report.slots == 12);
+  BOOST_TEST((report.expected_wait == FromMilliseconds(2)));
+}
+
+// A dispatch that owns no upstream of the service, as after a takeover, must
+// get none of its requests: each would come back refused.
+BOOST_AUTO_TEST_CASE(DispatchWithoutSlotsIsNotChosen) {
+  dispatch_directory directory(1);
+  directory.Update(
+      {{vm_id("a"), Vm("a", 1, 0, 0)}, {vm_id("b"), Vm("b", 2, 4, 50)}});
+  for (int i = 0; i < 20; ++i) {
+    const auto chosen = directory.Choose(kZone, kDesk, {});
+    BOOST_REQUIRE(chosen.has_value());
+    BOOST_TEST(chosen->vm.Str() == "b");
+  }
+  BOOST_TEST(!directory.Choose(kZone, kDesk, {{"127.0.0.1", 2}}).has_value());
+}
+
+// Reports are late. Were they all that counts, every request until the next
+// report would go to the dispatch that looked idle in the last one.
+BOOST_AUTO_TEST_CASE(WhatWasSentSinceTheReportCounts) {
+  dispatch_directory directory(7);
+  directory.Update(
+      {{vm_id("a"), Vm("a", 1, 4, 0)}, {vm_id("b"), Vm("b", 2, 4, 1)}});
+  std::map<std::string, int> sent;
+  for (int i = 0; i < 100; ++i) {
+    const auto chosen = directory.Choose(kZone, kDesk, {});
+    ++sent[chosen->vm.Str()];
+    directory.OnSent(chosen->http);
+  }
+  BOOST_TEST(sent["a"] > 35);
+  BOOST_TEST(sent["b"] > 35);
+}
+
+}  // namespace
+}  // namespace citron
