--- a/src/protocol/loan_book.cc
+++ b/src/protocol/loan_book.cc
@@ -34,7 +34,9 @@
 constexpr double kLowTokens = 1.5;
 constexpr double kFewTokens = 0.25;
 
-// Of the pause after a refusal in a row.
+// Of the pause after a refusal in a row. With five the callers of an overload
+// would cost half the messages, but demand that moves with 0.9 of its rate
+// would be refused 12% in the second after (0.7% with two).
 constexpr int kMaxDoublings = 2;
 
 // A part below this many tokens of capacity can't admit a request after a
@@ -157,9 +159,9 @@
       ask.ppb - lent_before, 0, std::max<std::int64_t>(0, spare));
   // A share that shrinks before the end can't carry what is lent on; and what
   // the demand here needs again comes back when the loan ends.
-  const bool is_needed_here =
-      more == 0 && WantedPpb(ask.workspace, bucket) > ppb_before &&
-      !Concedes(ask.workspace, bucket, from);
+  const bool is_needed_here = more == 0 &&
+                              WantedPpb(ask.workspace, bucket) > ppb_before &&
+                              !Concedes(ask.workspace, bucket, from);
   const bool may_extend = spare >= 0 && !is_needed_here;
   loan_grant grant{ask.workspace, ask.number, 0, 0, ask.duration_ms};
   if (may_extend && lent_before + more > 0) {
@@ -242,6 +244,19 @@
   return actions;
 }
 
+bool loan_book::MayBorrow(const workspace_id& workspace,
+                          monotonic_time now) const {
+  if (released_) return false;
+  return std::any_of(peers_.begin(), peers_.end(), [&](const entry_ref& peer) {
+    const auto found = borrowed_.find(peer_key{workspace, peer});
+    if (found == borrowed_.end()) return true;
+    const borrowed_loan& loan = found->second;
+    const bool is_asked =
+        loan.asked_number != 0 && now < loan.asked_at + settings_.ask_timeout;
+    return is_asked || now >= loan.ask_again_at;
+  });
+}
+
 std::int64_t loan_book::BorrowedPpb(const workspace_id& workspace,
                                     monotonic_time now) const {
   std::int64_t sum = 0;
