A dead dispatch no longer hides its neighbour; the send check is asked on the open connection

Cause (integration_dead_vm_test, 7 to 11 of 20 requests served): after one unreachable dispatch the entry gave the whole zone up, and a silent VM's dispatch stayed among the choices. Now the zone is given up when none of its dispatches is left to ask, and silent VMs are left out.

A dispatch asked whether it still owns the upstream before it opened the connection; frozen in between, it would have sent after its lease. The check is asked again when the connection stands, and what the library had put into the output is taken out again: deferring a cancel was tried first and came too late, the library writes in the same call (the test saw 3 requests, not 1).

HTTP follows dial_overrides too, and an upstream's "expired" is not run.

--- a/include/citron/net/event_loop.h
+++ b/include/citron/net/event_loop.h
@@ -67,6 +67,9 @@
 
   void Arm(monotonic_time deadline);
   void Disarm();
+  // Calls back in the present turn of the loop, after what runs now and before
+  // any socket is looked at again.
+  void Fire();
 
  private:
   std::function<void()> on_deadline_;
--- a/include/citron/net/http_client.h
+++ b/include/citron/net/http_client.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -25,6 +26,7 @@
   kIncomplete,      // The body ended before its length.
   kTimedOut,
   kCancelled,
+  kNotAllowed,  // The sender's own check stopped it before its first byte.
 };
 
 std::string_view CallProblemName(call_problem problem);
@@ -51,14 +53,19 @@
 // old request must not be taken for the answer to a new one.
 class http_connection {
  public:
-  http_connection(event_loop& loop, const endpoint& server);
+  // `dial`: the address to connect to, where it isn't the server's own.
+  http_connection(event_loop& loop, const endpoint& server,
+                  const endpoint& dial = {});
   ~http_connection();
   http_connection(const http_connection&) = delete;
   http_connection& operator=(const http_connection&) = delete;
 
+  // Asked once the connection stands, right before the request's first byte.
+  using send_check = std::function<bool()>;
+
   // The handler must outlive the call. `deadline` bounds the whole call.
   void Start(const http_request& request, monotonic_time deadline,
-             http_call_handler& handler);
+             http_call_handler& handler, send_check may_send = {});
 
   // Ends the call; OnFailed is not called.
   void Cancel();
@@ -80,6 +87,7 @@
   void OnHeadReceived(evhttp_request* request);
   void OnBodyReceived(evhttp_request* request);
   void OnComplete(evhttp_request* request);
+  bool MaySendNow();
   void Fail(call_problem problem);
 
   event_loop& loop_;
@@ -87,6 +95,8 @@
   evhttp_connection* connection_ = nullptr;
   evhttp_request* request_ = nullptr;
   http_call_handler* handler_ = nullptr;
+  send_check may_send_;
+  bool stopped_ = false;  // By the check; nothing may leave.
   loop_timer deadline_timer_;
   std::uint64_t bytes_out_ = 0;
   std::uint64_t bytes_out_at_start_ = 0;
@@ -107,7 +117,10 @@
   using on_response =
       std::function<void(const http_response* response, call_failure failure)>;
 
-  explicit http_client(event_loop& loop);
+  // Addresses that are reached by another address than their own.
+  using dial_map = std::map<std::string, std::string>;
+
+  explicit http_client(event_loop& loop, dial_map dial_overrides = {});
   ~http_client();
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
@@ -130,6 +143,7 @@
   void Retire(whole_call* call);
 
   event_loop& loop_;
+  dial_map dial_overrides_;
   std::vector<std::unique_ptr<http_connection>> idle_;
   std::vector<std::unique_ptr<whole_call>> calls_;
 };
--- a/src/dispatch/dispatch_call.cc
+++ b/src/dispatch/dispatch_call.cc
@@ -15,7 +15,7 @@
   constexpr int kServiceUnavailable = 503;
   if (head.status != kServiceUnavailable) return std::nullopt;
   const auto said = FindHeader(head.headers, "Upstream-Status");
-  if (said == "shed") return upstream_outcome::kShedNotRun;
+  if (said == "shed" || said == "expired") return upstream_outcome::kShedNotRun;
   if (said == "leaving") return upstream_outcome::kLeavingNotRun;
   return std::nullopt;
 }
@@ -24,6 +24,9 @@
   if (failure.problem == call_problem::kTimedOut) {
     return upstream_outcome::kTimedOut;
   }
+  if (failure.problem == call_problem::kNotAllowed) {
+    return upstream_outcome::kLeavingNotRun;
+  }
   return failure.bytes_sent ? upstream_outcome::kConnectionLost
                             : upstream_outcome::kConnectFailedNotRun;
 }
@@ -45,7 +48,11 @@
   not_run_.reset();
   connection_ = task_.client_.Take(address);
   relay_.SetSource(connection_.get());
-  connection_->Start(UpstreamRequest(), deadline_, *this);
+  // Asked again when the connection stands: while it was being opened this
+  // process may have been frozen, and its lease may have ended.
+  connection_->Start(UpstreamRequest(), deadline_, *this, [this, upstream] {
+    return task_.owner_->MaySend(upstream, MonotonicNow());
+  });
 }
 
 http_request dispatch_task::call::UpstreamRequest() const {
--- a/src/dispatch/dispatch_task.cc
+++ b/src/dispatch/dispatch_task.cc
@@ -92,7 +92,7 @@
       settings_(settings),
       secret_(secret),
       loop_index_(loop_index),
-      client_(loop),
+      client_(loop, settings.common.dial_overrides),
       report_timer_(loop, [this] { ReportLoad(); }) {}
 
 dispatch_task::~dispatch_task() = default;
--- a/src/entry/dispatch_directory.cc
+++ b/src/entry/dispatch_directory.cc
@@ -6,8 +6,11 @@
 
 namespace {
 
+// A silent VM may be dead or cut off from here; either way a request sent there
+// comes back late, if at all. A VM that was listed and then spoke is taken.
 bool TakesWork(const vm_seen& seen) {
-  return seen.state != member_state::kGone && !seen.view.dispatches.empty();
+  return seen.state != member_state::kGone &&
+         seen.state != member_state::kSilent && !seen.view.dispatches.empty();
 }
 
 void Add(zone_report& sum, const vm_seen& seen, const scheduler_load& load) {
--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -111,7 +111,7 @@
       settings_(settings),
       secret_(secret),
       loop_index_(loop_index),
-      client_(loop),
+      client_(loop, settings.common.dial_overrides),
       waiting_({}),
       directory_(HashBytes(settings.common.vm.Str(), NewIncarnation())),
       retries_(kRetryShare),
@@ -754,9 +754,17 @@
   const monotonic_time now = MonotonicNow();
   if (!c.dispatch.IsEmpty()) {
     directory_.OnDone(c.dispatch);
-    placement_->OnRefused(c.service, c.zone, now);
-    c.tried_zones.push_back(c.zone);
     c.dispatch = {};
+    // The zone's other dispatch has slots of its own: the zone is given up only
+    // when there is none left to ask.
+    const bool is_done =
+        !directory_.Choose(c.zone, c.service, c.tried_dispatches).has_value();
+    if (is_done) {
+      placement_->OnRefused(c.service, c.zone, now);
+      c.tried_zones.push_back(c.zone);
+    } else {
+      placement_->OnDone(c.service, c.zone, now);
+    }
   }
   constexpr int kMaxSends = 2;
   const bool is_final = reason == "key_refused" || reason == "poison" ||
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -143,4 +143,6 @@
 
 void loop_timer::Disarm() { event_del(event_); }
 
+void loop_timer::Fire() { event_active(event_, EV_TIMEOUT, 1); }
+
 }  // namespace citron
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -65,6 +65,8 @@
       return "timed out";
     case call_problem::kCancelled:
       return "cancelled";
+    case call_problem::kNotAllowed:
+      return "not allowed any more";
   }
   return "unknown";
 }
@@ -84,24 +86,32 @@
   static void Complete(evhttp_request* request, void* self) {
     static_cast<http_connection*>(self)->OnComplete(request);
   }
-  static void Sent(evbuffer*, const evbuffer_cb_info* info, void* self) {
-    static_cast<http_connection*>(self)->bytes_out_ += info->n_deleted;
+  static void Output(evbuffer* output, const evbuffer_cb_info* info,
+                     void* self) {
+    auto* that = static_cast<http_connection*>(self);
+    if (info->n_added > 0 && !that->MaySendNow()) {
+      evbuffer_drain(output, evbuffer_get_length(output));
+      return;
+    }
+    if (!that->stopped_) that->bytes_out_ += info->n_deleted;
   }
 };
 
-http_connection::http_connection(event_loop& loop, const endpoint& server)
+http_connection::http_connection(event_loop& loop, const endpoint& server,
+                                 const endpoint& dial)
     : loop_(loop),
       server_(server),
       deadline_timer_(loop, [this] { Fail(timer_problem_); }) {
-  connection_ = evhttp_connection_base_new(
-      loop_.Base(), nullptr, server_.address.c_str(), server_.port);
+  const endpoint& to = dial.IsEmpty() ? server_ : dial;
+  connection_ = evhttp_connection_base_new(loop_.Base(), nullptr,
+                                           to.address.c_str(), to.port);
   evhttp_connection_set_timeout(connection_, kLibraryTimeoutSeconds);
   evhttp_connection_set_retries(connection_, 0);
   evhttp_connection_set_max_headers_size(
       connection_, static_cast<ev_ssize_t>(kMaxAnswerHeaderBytes));
   evbuffer_add_cb(
       bufferevent_get_output(evhttp_connection_get_bufferevent(connection_)),
-      callbacks::Sent, this);
+      callbacks::Output, this);
 }
 
 http_connection::~http_connection() {
@@ -110,11 +120,13 @@
 }
 
 void http_connection::Start(const http_request& request,
-                            monotonic_time deadline,
-                            http_call_handler& handler) {
+                            monotonic_time deadline, http_call_handler& handler,
+                            send_check may_send) {
   assert(IsReusable());
   ResumeReading();
   handler_ = &handler;
+  may_send_ = std::move(may_send);
+  stopped_ = false;
   timer_problem_ = call_problem::kTimedOut;
   head_seen_ = false;
   body_is_delimited_ = false;
@@ -139,6 +151,18 @@
   }
 }
 
+// The library puts the request into the output when the connection stands, and
+// may write it to the socket right after. Taken out again at once, not a byte
+// of it leaves.
+bool http_connection::MaySendNow() {
+  if (stopped_) return false;
+  if (!may_send_ || std::exchange(may_send_, {})()) return true;
+  stopped_ = true;
+  timer_problem_ = call_problem::kNotAllowed;
+  deadline_timer_.Fire();
+  return false;
+}
+
 void http_connection::Cancel() {
   deadline_timer_.Disarm();
   if (handler_ == nullptr) return;
@@ -249,7 +273,8 @@
   http_response response_;
 };
 
-http_client::http_client(event_loop& loop) : loop_(loop) {}
+http_client::http_client(event_loop& loop, dial_map dial_overrides)
+    : loop_(loop), dial_overrides_(std::move(dial_overrides)) {}
 
 http_client::~http_client() = default;
 
@@ -262,7 +287,12 @@
     idle_.erase(idle_.begin() + static_cast<std::ptrdiff_t>(i));
     if (now - taken->IdleSince() <= kMaxIdleAge) return taken;
   }
-  return std::make_unique<http_connection>(loop_, server);
+  const auto other_way = dial_overrides_.find(server.Str());
+  const std::optional<endpoint> dial =
+      other_way == dial_overrides_.end() ? std::nullopt
+                                         : ParseEndpoint(other_way->second);
+  return std::make_unique<http_connection>(loop_, server,
+                                           dial.value_or(endpoint{}));
 }
 
 void http_client::Give(std::unique_ptr<http_connection> connection) {
--- a/tests/entry/dispatch_directory_test.cc
+++ b/tests/entry/dispatch_directory_test.cc
@@ -50,6 +50,21 @@
   BOOST_TEST(!directory.Choose(kZone, kDesk, {{"127.0.0.1", 2}}).has_value());
 }
 
+// A VM dies. Until its upstreams are taken over, its neighbour in the zone still
+// has slots; callers must not be refused because the dead one is asked first.
+BOOST_AUTO_TEST_CASE(SilentVmIsNotChosen) {
+  dispatch_directory directory(1);
+  vm_seen silent = Vm("a", 1, 8, 0);
+  silent.state = member_state::kSilent;
+  directory.Update({{vm_id("a"), silent}, {vm_id("b"), Vm("b", 2, 4, 50)}});
+  for (int i = 0; i < 20; ++i) {
+    const auto chosen = directory.Choose(kZone, kDesk, {});
+    BOOST_REQUIRE(chosen.has_value());
+    BOOST_TEST(chosen->vm.Str() == "b");
+  }
+  BOOST_TEST(directory.ZoneReports()[0].slots == 4);
+}
+
 // Reports are late. Were they all that counts, every request until the next
 // report would go to the dispatch that looked idle in the last one.
 BOOST_AUTO_TEST_CASE(WhatWasSentSinceTheReportCounts) {
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -212,6 +212,29 @@
   BOOST_TEST(!call.failed);
 }
 
+// The sender may send when it opens a connection, is frozen while it opens, and
+// may not any more when it wakes. The server must get nothing.
+BOOST_AUTO_TEST_CASE(CheckIsAskedWhenTheConnectionStands) {
+  int requests = 0;
+  auto server = Serve([&](http_exchange& exchange) {
+    ++requests;
+    exchange.Reply({{200, {}}, "ok"});
+  });
+  for (const bool allowed : {false, true, false}) {
+    http_connection connection(Loop(), server->Address());
+    recorded_call call;
+    connection.Start({"POST", "/", {}, "body"}, Soon(), call,
+                     [allowed] { return allowed; });
+    BOOST_REQUIRE(RunUntil([&] { return call.done || call.failed; }));
+    BOOST_TEST(call.done == allowed);
+    if (!allowed) {
+      BOOST_TEST((call.failure.problem == call_problem::kNotAllowed));
+      BOOST_TEST(!call.failure.bytes_sent);
+    }
+  }
+  BOOST_TEST(requests == 1);
+}
+
 BOOST_AUTO_TEST_CASE(CancelInsideCallbacksIsSafe) {
   auto server = Serve([](http_exchange& exchange) {
     exchange.Reply({{200, {}}, std::string(100000, 'x')});
