--- a/include/citron/config/settings.h
+++ b/include/citron/config/settings.h
@@ -37,7 +37,7 @@
   duration share_lease = FromMilliseconds(9000);
   duration share_renew_interval = FromMilliseconds(3000);
   duration share_floor_horizon = FromMilliseconds(6.0 * 3600 * 1000);
-  double share_floor_fraction = 0.75;
+  double share_floor_fraction = 0.95;
 };
 
 struct entry_settings {
