One dead dispatch no longer uses up the retries of its zone

Ruled out: the placement, which chose the zone each time. Now a dispatch that couldn't be reached is left alone for a second while another takes work.

Leases count by a clock that goes on while a VM is suspended. The status page names members' states and where their pages are, so that citronctl follows them from one control.

--- a/include/citron/base/time.h
+++ b/include/citron/base/time.h
@@ -1,6 +1,8 @@
 #ifndef CITRON_BASE_TIME_H_
 #define CITRON_BASE_TIME_H_
 
+#include <time.h>
+
 #include <chrono>
 
 namespace citron {
@@ -14,8 +16,13 @@
 
 using duration = std::chrono::nanoseconds;
 
+// Goes on while the machine is suspended, unlike std::chrono::steady_clock: a
+// VM that was paused and resumed must find that its leases have ended.
 inline monotonic_time MonotonicNow() {
-  return std::chrono::steady_clock::now();
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return monotonic_time(std::chrono::seconds(now.tv_sec) +
+                        std::chrono::nanoseconds(now.tv_nsec));
 }
 
 inline double ToSeconds(duration d) {
--- a/include/citron/control/view_exchange.h
+++ b/include/citron/control/view_exchange.h
@@ -3,12 +3,16 @@
 
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "citron/control/control_context.h"
 
 namespace citron {
 
+// "live" and so on, for logs and pages.
+std::string_view StateName(member_state state);
+
 // What the VMs tell each other of their tasks and queues, and what this VM's
 // daemons are told of all that.
 class view_exchange {
--- a/include/citron/entry/dispatch_directory.h
+++ b/include/citron/entry/dispatch_directory.h
@@ -31,13 +31,16 @@
   // A dispatch of the zone that serves the service: the less loaded of two
   // random ones. `excluded` were tried already.
   std::optional<choice> Choose(const zone_id& zone, const service_id& service,
-                               const std::set<endpoint>& excluded);
+                               const std::set<endpoint>& excluded,
+                               monotonic_time now);
   // Where to ask for permits to send to the region; spread over its zones.
   std::optional<endpoint> PermitPeer(const region_id& region,
                                      const service_id& service);
 
   void OnSent(const endpoint& http) { ++in_flight_[http]; }
   void OnDone(const endpoint& http);
+  // A connection to it failed or was lost.
+  void OnUnreachable(const endpoint& http, monotonic_time now);
 
  private:
   struct candidate {
@@ -55,6 +58,7 @@
   std::map<place, std::vector<candidate>> candidates_;
   std::vector<zone_report> reports_;
   std::map<endpoint, int> in_flight_;
+  std::map<endpoint, monotonic_time> avoid_until_;
 };
 
 }  // namespace citron
--- a/include/citron/wire/messages.h
+++ b/include/citron/wire/messages.h
@@ -100,6 +100,7 @@
   std::uint64_t sequence = 0;
   bool leaving = false;
   endpoint control;
+  endpoint status;  // Where /status and /metrics are served.
   config_revision revision = 0;
   duration config_age{};
   std::vector<task_address> entries;
@@ -227,8 +228,8 @@
 }
 inline auto WireFields(vm_view& m) {
   return std::tie(m.vm, m.zone, m.region, m.incarnation, m.sequence, m.leaving,
-                  m.control, m.revision, m.config_age, m.entries, m.dispatches,
-                  m.loads);
+                  m.control, m.status, m.revision, m.config_age, m.entries,
+                  m.dispatches, m.loads);
 }
 inline auto WireFields(vm_seen& m) {
   return std::tie(m.view, m.state, m.received_at);
--- a/src/control/control_task.cc
+++ b/src/control/control_task.cc
@@ -341,6 +341,7 @@
   view.sequence = ++view_sequence_;
   view.leaving = leaving_;
   view.control = peers_->Address();
+  view.status = pages_->Address();
   view.revision = config_->Revision();
   view.config_age = config_->Age();
   locals_.Describe(view, now);
@@ -395,7 +396,10 @@
     nlohmann::json member;
     member["vm"] = vm.Str();
     member["zone"] = seen.view.zone.Str();
-    member["state"] = static_cast<int>(seen.state);
+    if (!seen.view.status.IsEmpty()) {
+      member["status"] = seen.view.status.Str();
+    }
+    member["state"] = StateName(seen.state);
     member["revision"] = seen.view.revision;
     member["heard_ms_ago"] = age(seen.received_at);
     for (const task_address& entry : seen.view.entries) {
--- a/src/control/view_exchange.cc
+++ b/src/control/view_exchange.cc
@@ -9,6 +9,8 @@
 constexpr char kLogPart[] = "membership";
 constexpr int kUpdatesBetweenFull = 10;
 
+}  // namespace
+
 std::string_view StateName(member_state state) {
   switch (state) {
     case member_state::kListed:
@@ -27,8 +29,6 @@
   return "unknown";
 }
 
-}  // namespace
-
 void view_exchange::OnMember(const vm_id& vm, member_state state) {
   vm_seen& seen = vms_[vm];
   if (seen.view.vm.IsEmpty()) seen.view.vm = vm;
--- a/src/entry/dispatch_directory.cc
+++ b/src/entry/dispatch_directory.cc
@@ -6,6 +6,10 @@
 
 namespace {
 
+// One try a second finds a dispatch that is back soon enough, and costs a few
+// second tries only.
+constexpr duration kAvoidUnreachable = std::chrono::seconds(1);
+
 // A silent VM may be dead or cut off from here; either way a request sent there
 // comes back late, if at all. A VM that was listed and then spoke is taken.
 bool TakesWork(const vm_seen& seen) {
@@ -55,13 +59,19 @@
 
 std::optional<dispatch_directory::choice> dispatch_directory::Choose(
     const zone_id& zone, const service_id& service,
-    const std::set<endpoint>& excluded) {
+    const std::set<endpoint>& excluded, monotonic_time now) {
   const auto found = candidates_.find({zone, service});
   if (found == candidates_.end()) return std::nullopt;
   std::vector<const candidate*> fit;
+  std::vector<const candidate*> avoided;
   for (const candidate& c : found->second) {
-    if (!excluded.contains(c.http)) fit.push_back(&c);
+    if (excluded.contains(c.http)) continue;
+    const auto avoid = avoid_until_.find(c.http);
+    const bool is_avoided = avoid != avoid_until_.end() && now < avoid->second;
+    (is_avoided ? avoided : fit).push_back(&c);
   }
+  // Better one that may be back than none.
+  if (fit.empty()) fit = std::move(avoided);
   if (fit.empty()) return std::nullopt;
   const auto size = static_cast<std::uint32_t>(fit.size());
   const candidate* one = fit[random_(size)];
@@ -94,6 +104,16 @@
   return peers[random_(static_cast<std::uint32_t>(peers.size()))];
 }
 
+// Heartbeats take seconds to tell that a VM died. Until then half of a zone's
+// requests would be tried there first, and the retry budget, made for a few
+// failures, would be used up by one dead VM: the rest were refused.
+void dispatch_directory::OnUnreachable(const endpoint& http,
+                                       monotonic_time now) {
+  std::erase_if(avoid_until_,
+                [now](const auto& avoid) { return now >= avoid.second; });
+  avoid_until_[http] = now + kAvoidUnreachable;
+}
+
 void dispatch_directory::OnDone(const endpoint& http) {
   const auto found = in_flight_.find(http);
   if (found == in_flight_.end()) return;
--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -34,6 +34,9 @@
 constexpr double kDefaultAnswerBytes = 4096;
 constexpr double kAnswerBytesWeight = 0.1;
 
+constexpr char kUnreachable[] = "dispatch_unreachable";
+constexpr char kLost[] = "dispatch_lost";
+
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
@@ -727,7 +730,7 @@
                    other.reason);
   }
   const auto target =
-      directory_.Choose(choice.zone, c.service, c.tried_dispatches);
+      directory_.Choose(choice.zone, c.service, c.tried_dispatches, now);
   if (!target) {
     placement_->OnRefused(c.service, choice.zone, now);
     c.tried_zones.push_back(choice.zone);
@@ -754,11 +757,14 @@
   const monotonic_time now = MonotonicNow();
   if (!c.dispatch.IsEmpty()) {
     directory_.OnDone(c.dispatch);
+    const bool was_reached = reason != kUnreachable && reason != kLost;
+    if (!was_reached) directory_.OnUnreachable(c.dispatch, now);
     c.dispatch = {};
     // The zone's other dispatch has slots of its own: the zone is given up only
     // when there is none left to ask.
     const bool is_done =
-        !directory_.Choose(c.zone, c.service, c.tried_dispatches).has_value();
+        !directory_.Choose(c.zone, c.service, c.tried_dispatches, now)
+             .has_value();
     if (is_done) {
       placement_->OnRefused(c.service, c.zone, now);
       c.tried_zones.push_back(c.zone);
--- a/tests/entry/dispatch_directory_test.cc
+++ b/tests/entry/dispatch_directory_test.cc
@@ -7,6 +7,7 @@
 
 const service_id kDesk("yard-desk");
 const zone_id kZone("santiago-a");
+const monotonic_time kStart{FromSeconds(1000)};
 
 vm_seen Vm(const std::string& name, std::uint16_t port, int usable_slots,
            double wait_ms) {
@@ -43,28 +44,50 @@
   directory.Update(
       {{vm_id("a"), Vm("a", 1, 0, 0)}, {vm_id("b"), Vm("b", 2, 4, 50)}});
   for (int i = 0; i < 20; ++i) {
-    const auto chosen = directory.Choose(kZone, kDesk, {});
+    const auto chosen = directory.Choose(kZone, kDesk, {}, kStart);
     BOOST_REQUIRE(chosen.has_value());
     BOOST_TEST(chosen->vm.Str() == "b");
   }
-  BOOST_TEST(!directory.Choose(kZone, kDesk, {{"127.0.0.1", 2}}).has_value());
+  BOOST_TEST(
+      !directory.Choose(kZone, kDesk, {{"127.0.0.1", 2}}, kStart).has_value());
 }
 
-// A VM dies. Until its upstreams are taken over, its neighbour in the zone still
-// has slots; callers must not be refused because the dead one is asked first.
+// A VM dies. Until its upstreams are taken over, its neighbour in the zone
+// still has slots; callers must not be refused because the dead one is asked
+// first.
 BOOST_AUTO_TEST_CASE(SilentVmIsNotChosen) {
   dispatch_directory directory(1);
   vm_seen silent = Vm("a", 1, 8, 0);
   silent.state = member_state::kSilent;
   directory.Update({{vm_id("a"), silent}, {vm_id("b"), Vm("b", 2, 4, 50)}});
   for (int i = 0; i < 20; ++i) {
-    const auto chosen = directory.Choose(kZone, kDesk, {});
+    const auto chosen = directory.Choose(kZone, kDesk, {}, kStart);
     BOOST_REQUIRE(chosen.has_value());
     BOOST_TEST(chosen->vm.Str() == "b");
   }
   BOOST_TEST(directory.ZoneReports()[0].slots == 4);
 }
 
+// A VM has just died and heartbeats don't tell yet. Callers whose requests are
+// tried there first would use up the retries of all.
+BOOST_AUTO_TEST_CASE(UnreachableDispatchIsLeftAloneForAWhile) {
+  dispatch_directory directory(1);
+  directory.Update(
+      {{vm_id("a"), Vm("a", 1, 8, 0)}, {vm_id("b"), Vm("b", 2, 4, 50)}});
+  directory.OnUnreachable({"127.0.0.1", 1}, kStart);
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(directory.Choose(kZone, kDesk, {}, kStart)->vm.Str() == "b");
+  }
+  const endpoint other{"127.0.0.1", 2};
+  BOOST_TEST(directory.Choose(kZone, kDesk, {other}, kStart)->vm.Str() == "a");
+  const monotonic_time later = kStart + FromSeconds(1);
+  std::map<std::string, int> chosen;
+  for (int i = 0; i < 20; ++i) {
+    ++chosen[directory.Choose(kZone, kDesk, {}, later)->vm.Str()];
+  }
+  BOOST_TEST(chosen["a"] > 0);
+}
+
 // Reports are late. Were they all that counts, every request until the next
 // report would go to the dispatch that looked idle in the last one.
 BOOST_AUTO_TEST_CASE(WhatWasSentSinceTheReportCounts) {
@@ -73,7 +96,7 @@
       {{vm_id("a"), Vm("a", 1, 4, 0)}, {vm_id("b"), Vm("b", 2, 4, 1)}});
   std::map<std::string, int> sent;
   for (int i = 0; i < 100; ++i) {
-    const auto chosen = directory.Choose(kZone, kDesk, {});
+    const auto chosen = directory.Choose(kZone, kDesk, {}, kStart);
     ++sent[chosen->vm.Str()];
     directory.OnSent(chosen->http);
   }
