A home for the tokens of workspaces that are small against the VMs

A workspace whose burst is small against the number of VMs had a few tokens or less than one at each, and requests inside its rate were refused wherever they came; loans can't mend it, as each VM wants whole tokens. Now one live entry, by rendezvous hashing, holds all of them (token_home, loan_book) and the others ask it for one token each. Ruled out: tokens that move without a deadline. A bucket that refills while they are on their way would have a burst beside them; so the home sets their room aside until they can't be used any more.

Not wired into the entry yet.

--- a/include/citron/protocol/admission.h
+++ b/include/citron/protocol/admission.h
@@ -50,12 +50,16 @@
 
   // For loan_book; null without a contract.
   workspace_limit* Find(const workspace_id& workspace);
+  const workspace_limit* Find(const workspace_id& workspace) const;
   std::unordered_map<workspace_id, workspace_limit>& Limits() {
     return limits_;
   }
   // The loop's own part, without loans, that it has from now until `until`.
   std::int64_t OwnPpbUntil(monotonic_time now, monotonic_time until) const;
 
+  // Of the loop's own part, begun or not; 0 before a share was granted.
+  std::int64_t GrantedPpb() const;
+
  private:
   void ApplyShare(token_bucket& bucket, monotonic_time now) const;
 
--- a/include/citron/protocol/loan_book.h
+++ b/include/citron/protocol/loan_book.h
@@ -13,6 +13,7 @@
 #include "citron/base/time.h"
 #include "citron/protocol/admission.h"
 #include "citron/protocol/entry_ref.h"
+#include "citron/protocol/token_home.h"
 
 namespace citron {
 
@@ -96,6 +97,10 @@
   // most, as each timer goes over them.
   void SetPeers(std::vector<entry_ref> peers);
 
+  // Where small workspaces have their home: it borrows all of them, the other
+  // entries borrow nothing. Must outlive the book; null for none.
+  void SetHomes(const token_home* homes) { homes_ = homes; }
+
   loan_actions OnTimer(monotonic_time now);
   // A request was refused: asks without waiting for the timer.
   loan_actions OnDemand(const workspace_id& workspace, monotonic_time now);
@@ -152,6 +157,7 @@
     double per_s_at_arrival = 0;
   };
 
+  home_role RoleOf(const workspace_id& workspace) const;
   void Forget(monotonic_time now);
   void Measure(const workspace_id& workspace, workspace_limit& limit,
                monotonic_time now);
@@ -193,6 +199,7 @@
   admission& limits_;
   const loan_settings settings_;
   pcg32 random_;
+  const token_home* homes_ = nullptr;
   std::vector<entry_ref> peers_;
   std::map<workspace_id, demand> demands_;
   std::map<peer_key, borrowed_loan> borrowed_;
--- a/include/citron/protocol/token_bucket.h
+++ b/include/citron/protocol/token_bucket.h
@@ -48,6 +48,13 @@
     return true;
   }
 
+  // Lowers the capacity until then by tokens that were taken here and may still
+  // be used elsewhere; the rate stays. Rounds up to whole steps of 10 ms.
+  void SetAside(double tokens, monotonic_time until, monotonic_time now);
+  double TokensAside() const { return aside_; }
+  // Of the parts that last until then, without what is set aside.
+  double CapacityUntil(monotonic_time until) const;
+
   // When one token will be there, by the parts as they are now; empty when it
   // never will.
   std::optional<monotonic_time> NextTokenAt(monotonic_time now);
@@ -79,6 +86,11 @@
     tokens_ = std::min(capacity_, tokens_ + rate_ * seconds);
     refilled_at_ = now;
   }
+  struct tokens_aside {
+    double tokens = 0;
+    monotonic_time until{};
+  };
+
   void AdvanceOverChanges(monotonic_time now);
   void Recount(monotonic_time now);
 
@@ -91,6 +103,8 @@
   monotonic_time next_change_ = monotonic_time::max();
   std::int64_t ppb_ = 0;
   std::vector<bucket_part> parts_;
+  double aside_ = 0;
+  std::vector<tokens_aside> set_aside_;
 };
 
 }  // namespace citron
--- a/include/citron/wire/messages.h
+++ b/include/citron/wire/messages.h
@@ -11,6 +11,7 @@
 #include "citron/protocol/membership.h"
 #include "citron/protocol/ownership.h"
 #include "citron/protocol/share_holder.h"
+#include "citron/protocol/token_home.h"
 #include "citron/wire/fields.h"
 
 namespace citron {
@@ -38,6 +39,8 @@
   kLoanAsk = 40,
   kLoanGrant,
   kLoanReturn,
+  kTokenAsk,
+  kTokenGrant,
   // Dispatches of different VMs, and entries to dispatches.
   kPromiseAsk = 60,
   kPromise,
@@ -164,7 +167,7 @@
   monotonic_time asked;
 };
 
-// A message of the loan protocol with its ends.
+// A message of the loan protocol or between an entry and a home, with its ends.
 template <class T>
 struct loan_message {
   entry_ref from;
@@ -286,6 +289,10 @@
 inline auto WireFields(loan_return& m) {
   return std::tie(m.workspace, m.number, m.kept_ppb, m.tokens);
 }
+inline auto WireFields(token_ask& m) { return std::tie(m.workspace, m.number); }
+inline auto WireFields(token_grant& m) {
+  return std::tie(m.workspace, m.number, m.granted, m.retry_ms, m.burst);
+}
 template <class T>
 auto WireFields(loan_message<T>& m) {
   return std::tie(m.from, m.to, m.message);
--- a/src/protocol/admission.cc
+++ b/src/protocol/admission.cc
@@ -92,6 +92,11 @@
   return found == limits_.end() ? nullptr : &found->second;
 }
 
+const workspace_limit* admission::Find(const workspace_id& workspace) const {
+  const auto found = limits_.find(workspace);
+  return found == limits_.end() ? nullptr : &found->second;
+}
+
 std::int64_t admission::OwnPpbUntil(monotonic_time now,
                                     monotonic_time until) const {
   if (now < share_starts_at_) return 0;
@@ -101,6 +106,10 @@
   return own;
 }
 
+std::int64_t admission::GrantedPpb() const {
+  return PpbOf(share_.floor_ppm, divisor_) + PpbOf(share_.leased_ppm, divisor_);
+}
+
 void admission::ApplyShare(token_bucket& bucket, monotonic_time now) const {
   const std::int64_t floor = PpbOf(share_.floor_ppm, divisor_);
   const std::int64_t leased = PpbOf(share_.leased_ppm, divisor_);
--- a/src/protocol/loan_book.cc
+++ b/src/protocol/loan_book.cc
@@ -39,6 +39,17 @@
 // would be refused 12% in the second after (0.7% with two).
 constexpr int kMaxDoublings = 2;
 
+// At a home, as what it lacks is mostly not to be had: the floors of dead VMs,
+// and the parts of VMs that are no peers. Asking for it five times a second
+// would cost more messages than all tokens that it grants.
+constexpr int kMaxDoublingsAtHome = 6;
+constexpr std::int64_t kEnoughAtHomePpb = kWholePpb / 20;
+
+// A home keeps what it holds this long after the last request, so that one
+// request a few seconds after another finds a token at once; loans would take
+// a round trip more than the request may wait.
+constexpr duration kHomeKeepsFor = std::chrono::seconds(30);
+
 // A part below this many tokens of capacity can't admit a request after a
 // pause; a small workspace's share of a large fleet is often less than one.
 constexpr double kLeastCapacity = 2.0;
@@ -195,7 +206,10 @@
   loan.asked_number = 0;
   const bool is_refused = grant.ppb < loan.asked_ppb ||
                           (grant.ppb <= loan.ppb && grant.tokens < kFewTokens);
-  const int doublings = std::min(loan.refusals, kMaxDoublings);
+  const int most_doublings = RoleOf(grant.workspace) == home_role::kSelf
+                                 ? kMaxDoublingsAtHome
+                                 : kMaxDoublings;
+  const int doublings = std::min(loan.refusals, most_doublings);
   loan.refusals = is_refused ? loan.refusals + 1 : 0;
   if (is_refused) {
     loan.ask_again_at = now + settings_.refused_pause * (1 << doublings);
@@ -277,6 +291,10 @@
   return sum;
 }
 
+home_role loan_book::RoleOf(const workspace_id& workspace) const {
+  return homes_ == nullptr ? home_role::kNone : homes_->RoleOf(workspace);
+}
+
 // Drops records whose numbers no message in flight can refer to any more. A
 // message later still does nothing or costs the lender a part for one loan's
 // time; it never gives a part twice.
@@ -330,6 +348,14 @@
                                   const token_bucket& bucket) const {
   const auto seen = demands_.find(workspace);
   if (seen == demands_.end()) return 0;
+  // The home of a small workspace has all of its tokens and nobody else needs
+  // any; see token_home.
+  const home_role role = RoleOf(workspace);
+  if (role == home_role::kElsewhere) return 0;
+  if (role == home_role::kSelf) {
+    const duration silence = seen->second.counted_at - seen->second.arrived_at;
+    return silence < kHomeKeepsFor ? kWholePpb : 0;
+  }
   if (seen->second.per_s_at_arrival == 0) return 0;
   if (bucket.ContractRate() <= 0 || bucket.ContractBurst() <= 0) return 0;
   const double per_s = seen->second.per_s;
@@ -362,6 +388,10 @@
   const std::int64_t own = limits_.OwnPpbUntil(now, until);
   const std::int64_t free = own - LentPpb(workspace, now);
   if (free <= 0) return free;
+  // The room of tokens that were granted to other entries stays here until
+  // those are used.
+  if (bucket.TokensAside() > 0) return 0;
+  if (RoleOf(workspace) == home_role::kElsewhere) return free;
   if (Concedes(workspace, bucket, borrower)) return free;
   const std::int64_t kept =
       std::max(WantedPpb(workspace, bucket) - BorrowedPpb(workspace, now),
@@ -376,6 +406,7 @@
                                 const token_bucket& bucket) const {
   const auto seen = demands_.find(workspace);
   if (seen == demands_.end() || seen->second.per_s_at_arrival == 0) return 0;
+  if (RoleOf(workspace) == home_role::kElsewhere) return 0;
   const double per_s = seen->second.per_s;
   const double room = bucket.Capacity() - bucket.Tokens();
   if (bucket.Tokens() >= std::max(kLowTokens, per_s * kLowSeconds)) return 0;
@@ -385,6 +416,7 @@
 // What isn't needed here for a while.
 double loan_book::SpareTokens(const workspace_id& workspace,
                               const token_bucket& bucket) const {
+  if (RoleOf(workspace) == home_role::kElsewhere) return bucket.Tokens();
   const auto seen = demands_.find(workspace);
   const double per_s = seen == demands_.end() ? 0 : seen->second.per_s;
   const double kept = std::max(1.0, per_s * kEnoughSeconds);
@@ -401,8 +433,11 @@
   const std::int64_t wanted = WantedPpb(workspace, limit.bucket);
   const std::int64_t have = limit.bucket.Ppb();
   const double missing_tokens = MissingTokens(workspace, limit.bucket);
-  if (wanted > have + kLeastLoanPpb &&
-      IsRunningOut(limit.bucket, wanted - have)) {
+  const bool is_home = RoleOf(workspace) == home_role::kSelf;
+  const bool is_short = is_home ? wanted > have + kEnoughAtHomePpb
+                                : wanted > have + kLeastLoanPpb &&
+                                      IsRunningOut(limit.bucket, wanted - have);
+  if (is_short) {
     Borrow(workspace, wanted - have, missing_tokens, now, actions);
   } else if (static_cast<double>(have) >
              static_cast<double>(wanted) * kReturnAbove) {
@@ -500,6 +535,10 @@
 void loan_book::GiveBack(const workspace_id& workspace, workspace_limit& limit,
                          std::int64_t excess_ppb, monotonic_time now,
                          loan_actions& actions) {
+  limit.bucket.Advance(now);
+  // The room of tokens that are under way to other entries; it goes back in a
+  // moment, or when the loan ends.
+  if (limit.bucket.TokensAside() > 0) return;
   for (auto at = borrowed_.lower_bound(peer_key{workspace, entry_ref{}});
        at != borrowed_.end() && at->first.first == workspace; ++at) {
     borrowed_loan& loan = at->second;
--- a/src/protocol/token_bucket.cc
+++ b/src/protocol/token_bucket.cc
@@ -10,6 +10,15 @@
 // the arithmetic inside the range of a duration.
 constexpr double kLongestWaitSeconds = 3600;
 
+// Tokens set aside within one step share a record, so that a workspace of a
+// thousand requests a second has some twenty of them and not hundreds.
+constexpr duration kAsideStep = std::chrono::milliseconds(10);
+
+monotonic_time RoundUp(monotonic_time t) {
+  const duration over = t.time_since_epoch() % kAsideStep;
+  return over == duration::zero() ? t : t + (kAsideStep - over);
+}
+
 }  // namespace
 
 token_bucket::token_bucket(double rate_per_s, double burst, monotonic_time now)
@@ -47,6 +56,36 @@
   return taken;
 }
 
+// A token that another entry uses a moment after it left this bucket would come
+// on top of a bucket that has refilled in between: burst plus what was under
+// way in one instant. With less room here the two are never more than the
+// burst.
+void token_bucket::SetAside(double tokens, monotonic_time until,
+                            monotonic_time now) {
+  assert(tokens >= 0);
+  Advance(now);
+  const monotonic_time ends = RoundUp(until);
+  const auto same =
+      std::find_if(set_aside_.begin(), set_aside_.end(),
+                   [&](const tokens_aside& a) { return a.until == ends; });
+  if (same == set_aside_.end()) {
+    set_aside_.push_back({tokens, ends});
+  } else {
+    same->tokens += tokens;
+  }
+  Recount(now);
+}
+
+double token_bucket::CapacityUntil(monotonic_time until) const {
+  std::int64_t sum = 0;
+  for (const bucket_part& part : parts_) {
+    if (part.ppb < 0 || part.until >= until) sum += part.ppb;
+  }
+  return contract_burst_ * static_cast<double>(sum) /
+             static_cast<double>(kWholePpb) -
+         aside_;
+}
+
 std::optional<monotonic_time> token_bucket::NextTokenAt(monotonic_time now) {
   // Played on a copy: the wait may reach over the ends of several parts.
   token_bucket ahead = *this;
@@ -95,7 +134,14 @@
   const double fraction =
       static_cast<double>(ppb_) / static_cast<double>(kWholePpb);
   rate_ = contract_rate_ * fraction;
-  capacity_ = contract_burst_ * fraction;
+  std::erase_if(set_aside_,
+                [&](const tokens_aside& a) { return a.until <= now; });
+  aside_ = 0;
+  for (const tokens_aside& a : set_aside_) {
+    aside_ += a.tokens;
+    next_change_ = std::min(next_change_, a.until);
+  }
+  capacity_ = std::max(0.0, contract_burst_ * fraction - aside_);
   tokens_ = std::min(tokens_, capacity_);
 }
 
--- a/tests/protocol/fleet_limits_test.cc
+++ b/tests/protocol/fleet_limits_test.cc
@@ -134,6 +134,7 @@
 
 struct outcome {
   std::uint64_t admitted = 0;
+  std::uint64_t token_asks = 0;
   std::uint64_t messages = 0;
 };
 
@@ -152,6 +153,7 @@
     sum.admitted += record.admitted;
   }
   sum.messages = fleet.LoanMessages();
+  sum.token_asks = fleet.TokenAsks();
   return sum;
 }
 
@@ -182,3 +184,24 @@
     Play(options, 60);
   }
 }
+
+// The same with workspaces of a few tokens, which one entry holds for all: asks
+// and tokens get lost, come twice or seconds late, and after a death the
+// entries differ for a while about who holds them. A token used twice, or used
+// after its bucket has refilled, would let the workspace send more than it may.
+BOOST_AUTO_TEST_CASE(TokensOfHomesAreUsedOnce) {
+  outcome sum;
+  for (std::uint64_t seed = 201; seed <= 240; ++seed) {
+    fleet_options options = HarshOptions(seed);
+    options.homes = true;
+    options.longest_wait = citron::FromMilliseconds(150);
+    options.view_lag = FromSeconds(1);
+    // The middle one has a home too, and enough tokens to lose count of.
+    options.home.small_capacity = 20;
+    const outcome one = Play(options, 15);
+    sum.admitted += one.admitted;
+    sum.token_asks += one.token_asks;
+  }
+  BOOST_TEST(sum.admitted > 200'000u);
+  BOOST_TEST(sum.token_asks > 100'000u);
+}
--- a/tools/limits_experiment/limits_experiment.cc
+++ b/tools/limits_experiment/limits_experiment.cc
@@ -227,6 +227,34 @@
   }
 }
 
+// --- Workspaces whose part at a VM is a few tokens or less ---
+
+void PlaySmall(const fleet_options& options, double load, double overload) {
+  constexpr int kSpan = 120;
+  simulated_fleet fleet(options);
+  const duration end = kWarmUp + seconds(kSpan);
+  std::map<workspace_id, double> tokens_by_id;
+  for (const double tokens : {0.25, 0.5, 1.0, 2.0, 3.0, 4.0, 5.0, 8.0}) {
+    const workspace_id id(fmt::format("{:.2f}", tokens));
+    const double burst = tokens * options.vms;
+    fleet.SetContract(id, burst, burst);
+    fleet.Demand(id, burst * load * overload, end,
+                 [&fleet](pcg32& random) { return fleet.RandomVm(random); });
+  }
+  fleet.Run(kWarmUp);
+  fleet.ResetCounts();
+  fleet.Run(end);
+  PrintTotals(fmt::format("small, load {:.2f}, homes {}", load * overload,
+                          options.homes ? "on" : "off"),
+              fleet, seconds(kSpan));
+  fmt::print("  token asks/s {:.1f}; refused in rate, by tokens a VM:",
+             static_cast<double>(fleet.TokenAsks()) / kSpan);
+  for (auto& [id, r] : fleet.Records()) {
+    fmt::print(" {}: {:.2f}%", id.Str(), Percent(r.refused_in_rate, r.in_rate));
+  }
+  fmt::print("\n");
+}
+
 // --- Cost against fleet size ---
 
 void PlaySizes(const fleet_options& base) {
@@ -257,7 +285,7 @@
 int Main(int argc, char** argv) {
   cxxopts::Options flags("limits_experiment",
                          "Plays the fleet's rate limits in simulated time.");
-  flags.add_options()("play", "outages, moves, overload, sizes or all",
+  flags.add_options()("play", "outages, moves, overload, small, sizes or all",
                       cxxopts::value<std::string>()->default_value("all"))(
       "vms", "number of VMs", cxxopts::value<int>()->default_value("10"))(
       "loops", "event loops of a VM",
@@ -266,6 +294,12 @@
       cxxopts::value<double>()->default_value("35"))(
       "loss", "part of the loan messages lost, and as much late",
       cxxopts::value<double>()->default_value("0.001"))(
+      "wait-ms", "how long a request waits for a token",
+      cxxopts::value<double>()->default_value("150"))(
+      "homes", "whether small workspaces have a home",
+      cxxopts::value<bool>()->default_value("true"))(
+      "small-capacity", "tokens a VM below which a workspace is small",
+      cxxopts::value<double>()->default_value("3.5"))(
       "outage-s", "length of an outage",
       cxxopts::value<int>()->default_value("600"))(
       "seed", "of the random numbers",
@@ -281,6 +315,9 @@
   options.region_latency = FromMilliseconds(parsed["region-ms"].as<double>());
   options.loss = options.repeat = parsed["loss"].as<double>();
   options.seed = parsed["seed"].as<std::uint64_t>();
+  options.longest_wait = FromMilliseconds(parsed["wait-ms"].as<double>());
+  options.homes = parsed["homes"].as<bool>();
+  options.home.small_capacity = parsed["small-capacity"].as<double>();
   const std::string play = parsed["play"].as<std::string>();
   const auto is_played = [&](const char* name) {
     return play == "all" || play == name;
@@ -302,6 +339,16 @@
     PlayOverload(options, {.vms_of_small = 2});
     PlayOverload(options, {.vms_of_small = 4});
   }
+  if (is_played("small")) {
+    fleet_options without = options;
+    without.homes = false;
+    for (const double load : {0.5, 0.8}) {
+      PlaySmall(without, load, 1);
+      PlaySmall(options, load, 1);
+    }
+    PlaySmall(without, 0.8, 8);
+    PlaySmall(options, 0.8, 8);
+  }
   if (is_played("sizes")) PlaySizes(options);
   if (is_played("outages")) {
     PlayOutages(options, seconds(parsed["outage-s"].as<int>()));
--- a/tools/limits_experiment/simulated_fleet.h
+++ b/tools/limits_experiment/simulated_fleet.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -18,6 +19,7 @@
 #include "citron/protocol/admission.h"
 #include "citron/protocol/loan_book.h"
 #include "citron/protocol/share_holder.h"
+#include "citron/protocol/token_home.h"
 
 namespace citron {
 
@@ -27,6 +29,12 @@
   int zones_per_region = 2;
   int loops = 1;
   bool loans = true;
+  bool homes = false;  // Of small workspaces.
+  // How long a request without a token waits for one; 0: it is refused.
+  duration longest_wait{};
+  token_home_settings home;
+  // What views lag behind, at most.
+  duration view_lag{};
   share_settings shares;
   loan_settings loan;
   double loss = 0;    // Of messages between entries.
@@ -107,8 +115,7 @@
     vms_[i]->holder.reset();
     vms_[i]->last_share = vm_share{};
     for (entry& e : vms_[i]->entries) {
-      e.book.reset();
-      e.limits.reset();
+      Drop(e);
     }
   }
   void StartVm(int i) {
@@ -118,8 +125,7 @@
   void KillEntry(int i, int loop) {
     entry& e = vms_[i]->entries[loop];
     KillProcess(e.process);
-    e.book.reset();
-    e.limits.reset();
+    Drop(e);
   }
   void StartEntry(int i, int loop) {
     entry& e = vms_[i]->entries[loop];
@@ -132,6 +138,10 @@
     e.ref = {vms_[i]->id, loop, ++incarnations_};
     e.book =
         std::make_unique<loan_book>(e.ref, *e.limits, options_.loan, random_());
+    if (options_.homes) {
+      e.home = std::make_unique<token_home>(e.ref, *e.limits, options_.home);
+      e.book->SetHomes(e.home.get());
+    }
     for (const auto& [id, contract] : contracts_) ApplyContract(i, loop, id);
     // Only control can say what the share is.
     if (vms_[i]->control.alive) {
@@ -208,12 +218,29 @@
 
   void Decide(int i, int loop, const workspace_id& id) {
     entry& e = vms_[i]->entries[loop];
-    const bool was_admitted =
-        std::holds_alternative<admitted>(e.limits->Admit(id, Local(i)));
-    Record(id, was_admitted);
-    if (!was_admitted && options_.loans) {
-      Carry(i, loop, e.book->OnDemand(id, Local(i)));
+    const bool is_in_rate = RecordArrival(id);
+    if (std::holds_alternative<admitted>(e.limits->Admit(id, Local(i)))) {
+      return RecordAdmitted(id);
+    }
+    if (options_.loans) Carry(i, loop, e.book->OnDemand(id, Local(i)));
+    bool may_wait = options_.loans && e.book->MayBorrow(id, Local(i));
+    if (e.home) {
+      const seek_result sought = e.home->Seek(id, Local(i));
+      if (std::holds_alternative<admitted>(sought)) return RecordAdmitted(id);
+      if (std::holds_alternative<over_rate>(sought)) may_wait = false;
+      if (const auto* ask = std::get_if<send_token_ask>(&sought)) {
+        may_wait = true;
+        ++token_asks_;
+        Send(i, e.ref, ask->to, ask->message);
+      }
     }
+    std::deque<waiting>& queue = e.waits[id];
+    constexpr std::size_t kMaxWaiting = 16;
+    if (!may_wait || options_.longest_wait == duration::zero() ||
+        queue.size() >= kMaxWaiting) {
+      return RecordRefused(id, is_in_rate);
+    }
+    queue.push_back({is_in_rate, Local(i) + options_.longest_wait});
   }
 
   void Run(duration until) {
@@ -272,10 +299,11 @@
       r.arrivals_by_second.clear();
       r.refused_by_second.clear();
     }
-    store_calls_ = loan_messages_ = 0;
+    store_calls_ = loan_messages_ = token_asks_ = 0;
   }
   std::uint64_t StoreCalls() const { return store_calls_; }
   std::uint64_t LoanMessages() const { return loan_messages_; }
+  std::uint64_t TokenAsks() const { return token_asks_; }
   std::size_t TableBytes() const { return table_.size(); }
   const std::string& TableJson() const { return table_; }
   const vm_share& ShareOf(int i) const { return vms_[i]->holder->Share(); }
@@ -317,11 +345,17 @@
     std::uint64_t generation = 0;
     std::vector<std::function<void()>> backlog;
   };
+  struct waiting {
+    bool is_in_rate = false;
+    monotonic_time give_up_at{};
+  };
   struct entry {
     process_state process;
     entry_ref ref;
     std::unique_ptr<admission> limits;
     std::unique_ptr<loan_book> book;
+    std::unique_ptr<token_home> home;
+    std::map<workspace_id, std::deque<waiting>> waits;
     std::uint64_t applied = 0;     // Sequence of the share in use.
     std::uint64_t applied_by = 0;  // Generation of control that granted it.
   };
@@ -411,12 +445,43 @@
     });
   }
 
+  void Drop(entry& e) {
+    for (auto& [id, queue] : e.waits) {
+      for (const waiting& w : queue) RecordRefused(id, w.is_in_rate);
+    }
+    e.waits.clear();
+    e.book.reset();
+    e.home.reset();
+    e.limits.reset();
+  }
+  void ServeWaiting(int i, int loop) {
+    entry& e = vms_[i]->entries[loop];
+    const monotonic_time now = Local(i);
+    for (auto& [id, queue] : e.waits) {
+      workspace_limit* limit = e.limits->Find(id);
+      while (!queue.empty()) {
+        const bool has_local =
+            limit != nullptr && limit->bucket.TokensAt(now) >= 1 &&
+            std::holds_alternative<admitted>(e.limits->Admit(id, now));
+        if (!has_local && !(e.home && e.home->TakeSpare(id, now))) break;
+        RecordAdmitted(id);
+        queue.pop_front();
+      }
+      while (!queue.empty() && queue.front().give_up_at <= now) {
+        RecordRefused(id, queue.front().is_in_rate);
+        queue.pop_front();
+      }
+    }
+    if (e.home) Carry(i, loop, e.home->ServeHeld(*e.limits, now));
+  }
+
   // --- Contracts and counts ---
 
   void ApplyContract(int i, int loop, const workspace_id& id) {
     entry& e = vms_[i]->entries[loop];
     const limit& c = contracts_.at(id);
     e.limits->SetContract(id, c.rate, c.burst, Local(i));
+    if (e.home) e.home->OnContract(id);
     RecountBound(id);
   }
 
@@ -449,25 +514,31 @@
     r.bound_tokens_ = std::min(r.burst, r.bound_tokens_ + rate * seconds);
     r.ideal_tokens_ = std::min(r.burst, r.ideal_tokens_ + r.rate * seconds);
   }
-  void Record(const workspace_id& id, bool was_admitted) {
+  // Whether a single bucket has a token for it.
+  bool RecordArrival(const workspace_id& id) {
     workspace_record& r = records_.at(id);
     AdvanceRecord(r);
-    const int second = static_cast<int>(ToSeconds(now_));
     ++r.arrivals;
-    ++r.arrivals_by_second[second];
+    ++r.arrivals_by_second[static_cast<int>(ToSeconds(now_))];
     const bool is_in_rate = r.ideal_tokens_ >= 1;
     if (is_in_rate) {
       r.ideal_tokens_ -= 1;
       ++r.in_rate;
     }
-    if (was_admitted) {
-      ++r.admitted;
-      r.bound_tokens_ -= 1;
-      r.least_slack = std::min(r.least_slack, r.bound_tokens_);
-    } else if (is_in_rate) {
-      ++r.refused_in_rate;
-      ++r.refused_by_second[second];
-    }
+    return is_in_rate;
+  }
+  void RecordAdmitted(const workspace_id& id) {
+    workspace_record& r = records_.at(id);
+    AdvanceRecord(r);
+    ++r.admitted;
+    r.bound_tokens_ -= 1;
+    r.least_slack = std::min(r.least_slack, r.bound_tokens_);
+  }
+  void RecordRefused(const workspace_id& id, bool is_in_rate) {
+    workspace_record& r = records_.at(id);
+    if (!is_in_rate) return;
+    ++r.refused_in_rate;
+    ++r.refused_by_second[static_cast<int>(ToSeconds(now_))];
   }
 
   // --- The control process and the store ---
@@ -585,10 +656,19 @@
   void RefreshPeers() {
     for (int i = 0; i < Size(); ++i) {
       for (entry& e : vms_[i]->entries) {
-        if (e.book) e.book->SetPeers(PeersOf(i, e.ref));
+        if (!e.book) continue;
+        e.book->SetPeers(PeersOf(i, e.ref));
+        if (e.home) ShowLive(i, e.ref);
       }
     }
   }
+  void ShowLive(int i, const entry_ref& self) {
+    std::vector<entry_ref> live = PeersOf(i, self);
+    live.push_back(self);
+    const duration lag = Scaled(options_.view_lag, Uniform());
+    PostEntry(i, self.loop, now_ + lag,
+              [=, this] { vms_[i]->entries[self.loop].home->SetLive(live); });
+  }
   std::vector<entry_ref> PeersOf(int i, const entry_ref& self) const {
     std::vector<std::pair<int, entry_ref>> ranked;
     for (int k = 0; k < Size(); ++k) {
@@ -610,6 +690,7 @@
     PostEntry(i, loop, now_ + options_.loan.tick, [=, this] {
       entry& e = vms_[i]->entries[loop];
       if (options_.loans) Carry(i, loop, e.book->OnTimer(Local(i)));
+      ServeWaiting(i, loop);
       Tick(i, loop);
     });
   }
@@ -620,6 +701,12 @@
                  action);
     }
   }
+  void Carry(int i, int loop, const token_grants& grants) {
+    const entry_ref from = vms_[i]->entries[loop].ref;
+    for (const send_token_grant& grant : grants) {
+      Send(i, from, grant.to, grant.message);
+    }
+  }
   template <class Message>
   void Send(int i, const entry_ref& from, const entry_ref& to,
             const Message& message) {
@@ -649,6 +736,26 @@
   void Receive(int k, int loop, const entry_ref& from,
                const loan_grant& grant) {
     vms_[k]->entries[loop].book->OnLoanGrant(from, grant, Local(k));
+    ServeWaiting(k, loop);
+  }
+  void Receive(int k, int loop, const entry_ref& from, const token_ask& ask) {
+    entry& e = vms_[k]->entries[loop];
+    const monotonic_time now = Local(k);
+    const bool may_borrow =
+        options_.loans && e.book->MayBorrow(ask.workspace, now);
+    Carry(k, loop, e.home->OnTokenAsk(*e.limits, from, ask, may_borrow, now));
+    if (options_.loans) Carry(k, loop, e.book->OnDemand(ask.workspace, now));
+  }
+  void Receive(int k, int loop, const entry_ref& from,
+               const token_grant& grant) {
+    entry& e = vms_[k]->entries[loop];
+    const grant_result result = e.home->OnTokenGrant(from, grant, Local(k));
+    std::deque<waiting>& queue = e.waits[grant.workspace];
+    if (std::holds_alternative<over_rate>(result) && !queue.empty()) {
+      RecordRefused(grant.workspace, queue.front().is_in_rate);
+      queue.pop_front();
+    }
+    ServeWaiting(k, loop);
   }
   void Receive(int k, int loop, const entry_ref& from,
                const loan_return& returned) {
@@ -674,6 +781,7 @@
   std::uint64_t store_calls_ = 0;
   std::uint64_t store_writes_ = 0;
   std::uint64_t loan_messages_ = 0;
+  std::uint64_t token_asks_ = 0;
 };
 
 }  // namespace citron
