--- a/bench/run_forward.sh
+++ b/bench/run_forward.sh
@@ -126,8 +126,25 @@
   wait "$profiler" || true
   exit 0
 fi
+if [ -n "${CITRON_TRACE:-}" ]; then
+  strace -f -c -p "$entry_pid" -o "$CITRON_TRACE.entry" & tracers=($!)
+  strace -f -c -p "$dispatch_pid" -o "$CITRON_TRACE.dispatch" & tracers+=($!)
+  strace -f -c -p "${started[1]}" -o "$CITRON_TRACE.hop" & tracers+=($!)
+  sleep 0.5
+  measure citron-traced "$entry" /bench/lots/1 1 1 1000 "$entry_pid" "$dispatch_pid"
+  measure bare-traced "$base.150.1:8001" /lots/1 1 1 1000 "${started[1]}"
+  kill -INT "${tracers[@]}"
+  wait "${tracers[@]}" || true
+  exit 0
+fi
 for _ in $(seq "$rounds"); do round 1 32 2; done
 stop_all
+if [ -n "${CITRON_ONE_LOOP_ONLY:-}" ]; then
+  jq -s 'group_by([.name, .connections])[] | {name: .[0].name, connections: .[0].connections,
+    per_s: (map(.per_s) | sort), p50_us: (map(.p50_us) | sort),
+    cpu_us_per_call: (map(.cpu_us_per_call) | sort)}' -c "$work/results"
+  exit 0
+fi
 far_loops=3
 chain_up 4
 for _ in $(seq "$rounds"); do round 4 128 4; done
