One sealed header for a forward; the digest is looked up once

A forward carried nine headers, each allocated at both ends and copied twice, and every HMAC looked its digest up by name under a lock. perf (cpu-clock:u) had malloc and free at a fifth and libcrypto at 8% of both daemons' time. The HMAC is now checked against RFC 4231.

--- a/bench/forward_chain/forward_chain.cc
+++ b/bench/forward_chain/forward_chain.cc
@@ -186,6 +186,7 @@
 struct load_result {
   std::vector<double> microseconds;
   int failed = 0;
+  int failed_status = 0;  // The last one; 0 where no answer came.
 };
 
 // One caller: its next call starts when the last one has ended.
@@ -215,7 +216,10 @@
   void OnBody(std::string_view /*bytes*/) override {}
   void OnDone() override {
     constexpr int kOk = 200;
-    if (status_ != kOk) ++out_.failed;
+    if (status_ != kOk) {
+      ++out_.failed;
+      out_.failed_status = status_;
+    }
     out_.microseconds.push_back(ToMilliseconds(MonotonicNow() - started_) *
                                 1000);
     loop_.Defer([this] { Next(); });
@@ -292,16 +296,17 @@
   load_result all;
   for (const load_result& part : parts) {
     all.failed += part.failed;
+    all.failed_status = std::max(all.failed_status, part.failed_status);
     all.microseconds.insert(all.microseconds.end(), part.microseconds.begin(),
                             part.microseconds.end());
   }
   std::sort(all.microseconds.begin(), all.microseconds.end());
   std::printf(
       "{\"per_s\":%.0f,\"p50_us\":%.1f,\"p99_us\":%.1f,\"calls\":%zu,"
-      "\"failed\":%d}\n",
+      "\"failed\":%d,\"failed_status\":%d}\n",
       static_cast<double>(all.microseconds.size()) / seconds,
       Quantile(all.microseconds, 0.5), Quantile(all.microseconds, 0.99),
-      all.microseconds.size(), all.failed);
+      all.microseconds.size(), all.failed, all.failed_status);
   return 0;
 }
 
--- a/src/base/digest.cc
+++ b/src/base/digest.cc
@@ -3,12 +3,14 @@
 #include <fmt/format.h>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
-#include <openssl/hmac.h>
 #include <openssl/rand.h>
 #include <openssl/sha.h>
 #include <xxhash.h>
 
+#include <algorithm>
+#include <array>
 #include <cstdlib>
+#include <initializer_list>
 #include <vector>
 
 namespace citron {
@@ -26,24 +28,62 @@
   return hex;
 }
 
-const unsigned char* Bytes(std::string_view s) {
-  return reinterpret_cast<const unsigned char*>(s.data());
+using sha256_digest = std::array<unsigned char, SHA256_DIGEST_LENGTH>;
+
+struct digest_context {
+  EVP_MD_CTX* context = EVP_MD_CTX_new();
+  ~digest_context() { EVP_MD_CTX_free(context); }
+};
+
+// The digest of the parts, one after the other.
+sha256_digest Sha256(std::initializer_list<std::string_view> parts) {
+  static const EVP_MD* const kSha256 = EVP_MD_fetch(nullptr, "SHA256", nullptr);
+  thread_local const digest_context state;
+  sha256_digest digest;
+  bool good = EVP_DigestInit_ex2(state.context, kSha256, nullptr) == 1;
+  for (std::string_view part : parts) {
+    good =
+        good && EVP_DigestUpdate(state.context, part.data(), part.size()) == 1;
+  }
+  good = good && EVP_DigestFinal_ex(state.context, digest.data(), nullptr) == 1;
+  // A digest that was not made would let a guess pass.
+  if (!good) std::abort();
+  return digest;
 }
 
 }  // namespace
 
 std::string Sha256Hex(std::string_view bytes) {
-  unsigned char digest[SHA256_DIGEST_LENGTH];
-  SHA256(Bytes(bytes), bytes.size(), digest);
-  return ToHex(digest, sizeof(digest));
+  const sha256_digest digest = Sha256({bytes});
+  return ToHex(digest.data(), digest.size());
 }
 
+// RFC 2104 over one digest that is looked up once: the library's HMAC looks
+// its digest up by name, under a lock, with every call.
 std::string HmacSha256Hex(std::string_view secret, std::string_view bytes) {
-  unsigned char mac[EVP_MAX_MD_SIZE];
-  unsigned int size = 0;
-  HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
-       Bytes(bytes), bytes.size(), mac, &size);
-  return ToHex(mac, size);
+  constexpr unsigned char kInner = 0x36;
+  constexpr unsigned char kOuter = 0x5c;
+  std::array<unsigned char, SHA256_CBLOCK> key{};
+  if (secret.size() > key.size()) {
+    const sha256_digest shortened = Sha256({secret});
+    std::copy(shortened.begin(), shortened.end(), key.begin());
+  } else {
+    std::copy(secret.begin(), secret.end(), key.begin());
+  }
+  const auto padded = [&key](unsigned char pad) {
+    std::array<unsigned char, SHA256_CBLOCK> block = key;
+    for (unsigned char& byte : block) byte ^= pad;
+    return block;
+  };
+  const auto text = [](const auto& block) {
+    return std::string_view(reinterpret_cast<const char*>(block.data()),
+                            block.size());
+  };
+  const auto inner = padded(kInner);
+  const auto outer = padded(kOuter);
+  const sha256_digest first = Sha256({text(inner), bytes});
+  const sha256_digest mac = Sha256({text(outer), text(first)});
+  return ToHex(mac.data(), mac.size());
 }
 
 bool EqualInConstantTime(std::string_view a, std::string_view b) {
--- a/src/link/forward_head.cc
+++ b/src/link/forward_head.cc
@@ -13,14 +13,9 @@
 
 namespace {
 
-constexpr char kIdHeader[] = "Citron-Forward-Id";
-constexpr char kWorkspaceHeader[] = "Citron-Workspace";
-constexpr char kServiceHeader[] = "Citron-Service";
-constexpr char kKeyDigestHeader[] = "Citron-Key-Digest";
-constexpr char kDeadlineHeader[] = "Citron-Deadline-Ms";
-constexpr char kWeightHeader[] = "Citron-Weight";
-constexpr char kIdempotentHeader[] = "Citron-Idempotent";
-constexpr char kRequestIdHeader[] = "Citron-Request-Id";
+// One header for all fields: a header of its own for each cost four
+// allocations at either end, which was a third of the work of a forward.
+constexpr char kHeadHeader[] = "Citron-Forward";
 constexpr char kSealHeader[] = "Citron-Seal";
 
 // Requests of one loop that may overtake each other on their ways.
@@ -37,26 +32,66 @@
   std::string caller_request_id;
 };
 
-std::string Seal(const head_text& t, const forward_subject& subject,
+constexpr std::size_t kFieldCount = 8;
+
+// Lengths keep fields apart: no two different heads make the same text.
+void AppendField(std::string& text, std::string_view field) {
+  fmt::format_to(std::back_inserter(text), "{}:", field.size());
+  text.append(field);
+}
+
+std::string JoinFields(const head_text& t) {
+  std::string text;
+  for (const std::string* field :
+       {&t.id, &t.workspace, &t.service, &t.key_digest, &t.deadline_ms,
+        &t.weight, &t.idempotent, &t.caller_request_id}) {
+    AppendField(text, *field);
+  }
+  return text;
+}
+
+// Takes the first field off the text.
+std::optional<std::string> TakeField(std::string_view& text) {
+  std::size_t size = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, problem] = std::from_chars(text.data(), end, size);
+  if (problem != std::errc() || rest == end || *rest != ':') {
+    return std::nullopt;
+  }
+  text.remove_prefix(static_cast<std::size_t>(rest - text.data()) + 1);
+  if (size > text.size()) return std::nullopt;
+  std::string field(text.substr(0, size));
+  text.remove_prefix(size);
+  return field;
+}
+
+std::optional<head_text> SplitFields(std::string_view text) {
+  std::array<std::string, kFieldCount> fields;
+  for (std::string& field : fields) {
+    std::optional<std::string> taken = TakeField(text);
+    if (!taken) return std::nullopt;
+    field = std::move(*taken);
+  }
+  if (!text.empty()) return std::nullopt;
+  auto& [id, workspace, service, key, deadline, weight, idempotent, caller] =
+      fields;
+  return head_text{std::move(id),         std::move(workspace),
+                   std::move(service),    std::move(key),
+                   std::move(deadline),   std::move(weight),
+                   std::move(idempotent), std::move(caller)};
+}
+
+std::string Seal(std::string_view joined, const forward_subject& subject,
                  std::string_view secret) {
-  // Lengths keep fields apart: no two different heads make the same text.
   std::string text;
   for (std::string_view field :
-       {std::string_view(t.id), std::string_view(t.workspace),
-        std::string_view(t.service), std::string_view(t.key_digest),
-        std::string_view(t.deadline_ms), std::string_view(t.weight),
-        std::string_view(t.idempotent), std::string_view(t.caller_request_id),
-        subject.method, subject.target, subject.body}) {
-    fmt::format_to(std::back_inserter(text), "{}:", field.size());
-    text.append(field);
+       {joined, std::string_view(subject.method),
+        std::string_view(subject.target), std::string_view(subject.body)}) {
+    AppendField(text, field);
   }
   return HmacSha256Hex(secret, text);
 }
 
-std::string HeaderOr(const http_headers& headers, std::string_view name) {
-  return std::string(FindHeader(headers, name).value_or(""));
-}
-
 std::optional<double> ParseNumber(const std::string& text) {
   double value = 0;
   const char* end = text.data() + text.size();
@@ -121,35 +156,22 @@
   t.weight = fmt::format("{}", head.weight);
   t.idempotent = head.idempotent ? "1" : "0";
   t.caller_request_id = head.caller_request_id;
-  headers.push_back({kSealHeader, Seal(t, subject, secret)});
-  headers.push_back({kIdHeader, std::move(t.id)});
-  headers.push_back({kWorkspaceHeader, std::move(t.workspace)});
-  headers.push_back({kServiceHeader, std::move(t.service)});
-  headers.push_back({kKeyDigestHeader, std::move(t.key_digest)});
-  headers.push_back({kDeadlineHeader, std::move(t.deadline_ms)});
-  headers.push_back({kWeightHeader, std::move(t.weight)});
-  headers.push_back({kIdempotentHeader, std::move(t.idempotent)});
-  if (!t.caller_request_id.empty()) {
-    headers.push_back({kRequestIdHeader, std::move(t.caller_request_id)});
-  }
+  std::string joined = JoinFields(t);
+  headers.push_back({kSealHeader, Seal(joined, subject, secret)});
+  headers.push_back({kHeadHeader, std::move(joined)});
 }
 
 result<forward_head> ReadForwardHeaders(const http_headers& headers,
                                         const forward_subject& subject,
                                         std::string_view secret) {
-  head_text t;
-  t.id = HeaderOr(headers, kIdHeader);
-  t.workspace = HeaderOr(headers, kWorkspaceHeader);
-  t.service = HeaderOr(headers, kServiceHeader);
-  t.key_digest = HeaderOr(headers, kKeyDigestHeader);
-  t.deadline_ms = HeaderOr(headers, kDeadlineHeader);
-  t.weight = HeaderOr(headers, kWeightHeader);
-  t.idempotent = HeaderOr(headers, kIdempotentHeader);
-  t.caller_request_id = HeaderOr(headers, kRequestIdHeader);
-  const std::string seal = HeaderOr(headers, kSealHeader);
-  if (!EqualInConstantTime(seal, Seal(t, subject, secret))) {
+  const std::string_view joined = FindHeader(headers, kHeadHeader).value_or("");
+  const std::string_view seal = FindHeader(headers, kSealHeader).value_or("");
+  if (!EqualInConstantTime(seal, Seal(joined, subject, secret))) {
     return MakeError(error_code::kInvalid, "the seal does not match");
   }
+  std::optional<head_text> fields = SplitFields(joined);
+  if (!fields) return MakeError(error_code::kInvalid, "a field is malformed");
+  head_text& t = *fields;
   const std::optional<double> left_ms = ParseNumber(t.deadline_ms);
   const std::optional<double> weight = ParseNumber(t.weight);
   if (!left_ms || !weight) {
--- a/tests/base/digest_test.cc
+++ b/tests/base/digest_test.cc
@@ -10,6 +10,18 @@
       "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
 }
 
+// Test cases 2 and 6 of RFC 4231: a short key, and one longer than a block.
+BOOST_AUTO_TEST_CASE(HmacIsThatOfTheStandard) {
+  BOOST_TEST(
+      citron::HmacSha256Hex("Jefe", "what do ya want for nothing?") ==
+      "5bdcc146bf60754e6a042426089575c75a003f089d2739839dec58b964ec3843");
+  BOOST_TEST(
+      citron::HmacSha256Hex(
+          std::string(131, '\xaa'),
+          "Test Using Larger Than Block-Size Key - Hash Key First") ==
+      "60e431591ee0b67f0d8a26aacbf5b77f8e0bc6213728c5140546040f0ee37f54");
+}
+
 BOOST_AUTO_TEST_CASE(HmacDependsOnSecretAndBytes) {
   const std::string mac = citron::HmacSha256Hex("key", "message");
   BOOST_TEST(mac.size() == 64u);
