An id that is no UTF-8 no longer takes an entry down; bad input is refused in JSON

Cause: a Citron-Request-Id that no entry issued was put into the JSON of the refusal as it came. Bytes that are no UTF-8 made nlohmann's dump throw type_error 316 with nobody to catch it, and the whole entry ended, with all its callers' requests. Any caller with a good key could do it.

Now an id of any other shape than our own is refused before admission, the errors' JSON replaces bad bytes instead of throwing, a count is read whole, and a body that is too large by up to 64 KiB is refused by the entry. Taking in any size only to answer in JSON was ruled out: it would let each caller fill the entry's memory.

--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -7,7 +7,6 @@
 #include <cerrno>
 #include <charconv>
 #include <cmath>
-#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -31,6 +30,10 @@
 constexpr duration kOverRateRetry = std::chrono::milliseconds(500);
 constexpr std::size_t kMaxKeyBytes = 256;
 constexpr int kMaxIdsPerCall = 100;
+// A body that is too large by up to this is read to its end and refused in the
+// words of callers; above it the library answers with a page of its own before
+// the body has come. Without the margin each such caller gets that page.
+constexpr std::size_t kBodyMargin = std::size_t{64} << 10;
 constexpr double kDefaultAnswerBytes = 4096;
 constexpr double kAnswerBytesWeight = 0.1;
 
@@ -41,6 +44,7 @@
 constexpr int kMethodNotAllowed = 405;
 constexpr int kConflict = 409;
 constexpr int kGone = 410;
+constexpr int kPayloadTooLarge = 413;
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 
@@ -77,6 +81,15 @@
   return ntohl(address.s_addr);
 }
 
+// The whole text is one decimal number; anything else is none.
+std::optional<int> ParseCount(std::string_view text) {
+  int count = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, problem] = std::from_chars(text.data(), end, count);
+  if (problem != std::errc() || rest != end) return std::nullopt;
+  return count;
+}
+
 nlohmann::json Milliseconds(duration d) {
   return std::max(0.0, std::ceil(ToMilliseconds(d)));
 }
@@ -128,7 +141,8 @@
   http_server_limits limits;
   limits.max_header_bytes =
       static_cast<std::size_t>(settings_.max_header_bytes);
-  limits.max_body_bytes = static_cast<std::size_t>(settings_.max_body_bytes);
+  limits.max_body_bytes =
+      static_cast<std::size_t>(settings_.max_body_bytes) + kBodyMargin;
   limits.max_connections = settings_.max_connections;
   limits.request_deadline_after = settings_.request_read_limit;
   return http_server::Make(loop_, at, limits, std::move(handler), reuse_port);
@@ -419,15 +433,16 @@
     return ReplyError(exchange, {kMethodNotAllowed, "method",
                                  "request ids are issued by POST"});
   }
-  const int count = std::atoi(request.Query("count").value_or("1").c_str());
-  if (count < 1 || count > kMaxIdsPerCall) {
+  const std::optional<int> count =
+      ParseCount(request.Query("count").value_or("1"));
+  if (!count || *count < 1 || *count > kMaxIdsPerCall) {
     return ReplyError(exchange,
                       {kBadRequest, "bad_count",
                        fmt::format("count is not 1 to {}", kMaxIdsPerCall)});
   }
   const monotonic_time now = MonotonicNow();
   nlohmann::json page;
-  for (int i = 0; i < count; ++i) {
+  for (int i = 0; i < *count; ++i) {
     const result<request_id> issued = registry_->IssueId(now);
     if (!IsOk(issued)) {
       return ReplyError(exchange, {kServiceUnavailable, "ids_exhausted",
@@ -520,6 +535,20 @@
   if (const auto* problem = std::get_if<caller_error>(&deadline)) {
     return ReplyError(exchange, *problem);
   }
+  if (request.body.size() >
+      static_cast<std::size_t>(settings_.max_body_bytes)) {
+    return ReplyError(exchange, {kPayloadTooLarge, "body_too_large",
+                                 fmt::format("the body has more than {} bytes",
+                                             settings_.max_body_bytes)});
+  }
+  const auto caller_id = FindHeader(request.headers, "Citron-Request-Id");
+  // An id is part of answers and log lines, so one of any other shape than our
+  // own stops here. Bytes that are no UTF-8 made the JSON of the answer throw,
+  // which ended the process: one request took an entry down.
+  if (caller_id && !caller_id->empty() && !ParseRequestId(*caller_id)) {
+    return ReplyError(exchange, {kBadRequest, "bad_request_id",
+                                 "the id was not issued by this fleet"});
+  }
   const workspace_id& workspace = who.terms->workspace;
   const monotonic_time now = MonotonicNow();
   auto started = std::make_unique<call>(*this, exchange);
@@ -532,8 +561,7 @@
       ClassName(*known, std::string_view(rest).substr(0, rest.find('?')));
   started->deadline = std::get<monotonic_time>(deadline);
   started->idempotent = IsIdempotent(request.method);
-  started->caller_id = request_id(std::string(
-      FindHeader(request.headers, "Citron-Request-Id").value_or("")));
+  started->caller_id = request_id(std::string(caller_id.value_or("")));
   started->id =
       started->caller_id.IsEmpty() ? NextForwardId() : started->caller_id;
   retries_.OnRequest();
@@ -876,7 +904,9 @@
     response.head.headers.push_back(
         {"Retry-After", std::to_string(std::max<std::int64_t>(1, seconds))});
   }
-  response.body = body.dump();
+  // Never by exception: an error's answer may name bytes of the caller's.
+  response.body =
+      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   return response;
 }
 
