--- a/src/dispatch/dispatch_task.cc
+++ b/src/dispatch/dispatch_task.cc
@@ -385,9 +385,10 @@
     });
     return;
   }
-  request.Send(action.upstream, upstream->second.address);
+  // Counted before it is sent: a hand-over in between must not miss it.
   const int in_flight = service.scheduler.InFlightAt(action.upstream);
   owner_->OnInFlight(action.upstream, in_flight);
+  request.Send(action.upstream, upstream->second.address);
   LogDecision(kLogPart,
               "{} of {} sent to {}: {} of {} slots in use, {:.1f} ms left",
               action.id.Str(), request.Head().workspace.Str(),
