A request that was lost once is never called not run

Cause: the verdict of the last try was given for the whole request. A repeatable request whose dispatch died, or whose upstream's connection was lost, was tried again; when the second place turned it away, the caller was told not_run, though the first had run it. The same for an id whose issuer can't be reached any more: it may have run on an earlier asking. Ruled out: wrong outcomes of the client (bytes_sent was right in each), and POST requests, which are never tried again.

--- a/src/dispatch/dispatch_call.cc
+++ b/src/dispatch/dispatch_call.cc
@@ -98,7 +98,9 @@
 void dispatch_task::call::OnFailed(const call_failure& failure) {
   ReleaseConnection();
   if (relay_.IsStarted()) relay_.Break();
-  task_.Finish(head_.id, OutcomeOf(failure));
+  const upstream_outcome outcome = OutcomeOf(failure);
+  if (!IsNotRun(outcome)) may_have_run_ = true;
+  task_.Finish(head_.id, outcome);
 }
 
 void dispatch_task::call::CancelUpstream() {
@@ -113,6 +115,7 @@
 
 void dispatch_task::call::ReplyRefused(std::string_view code, int status,
                                        monotonic_time retry_at) {
+  if (may_have_run_) return ReplyFailed(code, status);
   ReplyError(code, status, verdict::kNotRun, retry_at);
 }
 
--- a/src/dispatch/dispatch_call.h
+++ b/src/dispatch/dispatch_call.h
@@ -57,6 +57,9 @@
   std::unique_ptr<http_connection> connection_;
   std::optional<upstream_outcome> not_run_;
   int status_ = 0;
+  // An upstream got it and its answer was lost; a later refusal must not say
+  // that nothing ran.
+  bool may_have_run_ = false;
 };
 
 }  // namespace citron
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -93,6 +93,9 @@
     relay_.Break();
     return task_.End(*this, verdict::kMayHaveRun, status_);
   }
+  // An id that another process issued may have been run by that process on an
+  // earlier asking, and only that process could tell.
+  may_have_run = may_have_run || failure.bytes_sent || to_issuer;
   if (!failure.bytes_sent) {
     return task_.TryElsewhere(*this, "dispatch_unreachable", verdict::kNotRun,
                               duration::zero());
@@ -112,9 +115,16 @@
   task_.End(*this, verdict::kMayHaveRun, status_);
 }
 
+verdict entry_task::call::OnAllTries(verdict last) const {
+  const bool is_hidden = may_have_run && last == verdict::kNotRun;
+  return is_hidden ? verdict::kMayHaveRun : last;
+}
+
 void entry_task::call::ReplyError(const caller_error& problem) {
   if (relay_.IsStarted()) return relay_.Break();
-  relay_.Reply(task_.ErrorResponse(problem, id.Str()));
+  caller_error whole = problem;
+  whole.ran = OnAllTries(problem.ran);
+  relay_.Reply(task_.ErrorResponse(whole, id.Str()));
 }
 
 void entry_task::call::CancelForward() {
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -50,6 +50,12 @@
   std::set<endpoint> tried_dispatches;
   std::uint64_t expected_bytes = 0;
   int sends = 0;
+  // One try was lost after its bytes were out. Whatever becomes of the next
+  // try, the request as a whole can't be called "not run" any more.
+  bool may_have_run = false;
+
+  // The verdict on the whole request, when the last try ended with this one.
+  verdict OnAllTries(verdict last) const;
 
   const http_request& Request() const { return request_; }
   answer_relay& Relay() { return relay_; }
--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -775,9 +775,10 @@
   End(c, ran, status);
 }
 
-void entry_task::End(call& c, verdict ran, int status) {
+void entry_task::End(call& c, verdict last, int status) {
   const auto found = calls_.find(&c);
   if (found == calls_.end()) return;
+  const verdict ran = c.OnAllTries(last);
   const monotonic_time now = MonotonicNow();
   if (!c.dispatch.IsEmpty()) {
     directory_.OnDone(c.dispatch);
