--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -93,6 +93,9 @@
     relay_.Break();
     return task_.End(*this, verdict::kMayHaveRun, status_);
   }
+  // An id that another process issued may have been run by that process on an
+  // earlier asking, and only that process could tell.
+  may_have_run = may_have_run || failure.bytes_sent || !issuer.IsEmpty();
   if (!failure.bytes_sent) {
     return task_.TryElsewhere(*this, "dispatch_unreachable", verdict::kNotRun,
                               duration::zero());
@@ -119,13 +122,16 @@
   relay_.Reply(task_.ErrorResponse(said, id.Str()));
 }
 
-// An attempt with an id may follow one that ran, through another entry or
-// through this one before its answer was lost. Who refuses the later attempt
-// without asking the id's issuer doesn't know of the earlier one; "not run"
-// would make the caller give up a booking that stands.
-verdict entry_task::call::HonestVerdict(verdict ran) const {
-  const bool knows = caller_id.IsEmpty() || issuer_is_here;
-  return knows || ran != verdict::kNotRun ? ran : verdict::kMayHaveRun;
+// One try may have been lost after its bytes were out; whatever became of the
+// next one, the request as a whole can't be called "not run" any more. And an
+// attempt with an id may follow one that ran, through another entry or through
+// this one before its answer was lost: who refuses it without having asked the
+// id's issuer doesn't know. In both cases "not run" would make the caller give
+// up a booking that stands. An id that the fleet never issued was never run.
+verdict entry_task::call::HonestVerdict(verdict last) const {
+  if (last != verdict::kNotRun) return last;
+  const bool knows = caller_id.IsEmpty() || issuer_is_here || id_is_forged;
+  return knows && !may_have_run ? verdict::kNotRun : verdict::kMayHaveRun;
 }
 
 void entry_task::call::CancelForward() {
--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -727,6 +727,7 @@
     return caller_error{kConflict, "id_reused",
                         "the id was used for another request"};
   }
+  c.id_is_forged = std::holds_alternative<ans::refused>(begun);
   return caller_error{kBadRequest, "bad_request_id",
                       "the id was not issued by this fleet"};
 }
@@ -824,9 +825,10 @@
   End(c, ran, status);
 }
 
-void entry_task::End(call& c, verdict ran, int status) {
+void entry_task::End(call& c, verdict last, int status) {
   const auto found = calls_.find(&c);
   if (found == calls_.end()) return;
+  const verdict ran = c.HonestVerdict(last);
   const monotonic_time now = MonotonicNow();
   if (!c.dispatch.IsEmpty()) {
     directory_.OnDone(c.dispatch);
