An attempt with a request id is called not run by the id's issuer only

Cause: an entry that refused an attempt with an id before it asked the id's issuer (over its rate, issuer not reachable) said not_run, although an earlier attempt with the same id had run and lost its answer. The caller then believed that its booking did not stand. Ruled out: runs after the refusal; in each case the run came before it, and no id ran twice.

--- a/include/citron/entry/entry_task.h
+++ b/include/citron/entry/entry_task.h
@@ -94,6 +94,7 @@
       const http_request& request, const contract& terms,
       const service_id& service) const;
   std::optional<caller_error> BeginOnce(call& c);
+  bool BeginOrReply(call& c);
   std::optional<endpoint> IssuerOf(const begin_answer::other_issuer& issuer);
 
   // The way of one request; see entry_call.h.
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -114,7 +114,18 @@
 
 void entry_task::call::ReplyError(const caller_error& problem) {
   if (relay_.IsStarted()) return relay_.Break();
-  relay_.Reply(task_.ErrorResponse(problem, id.Str()));
+  caller_error said = problem;
+  said.ran = HonestVerdict(problem.ran);
+  relay_.Reply(task_.ErrorResponse(said, id.Str()));
+}
+
+// An attempt with an id may follow one that ran, through another entry or
+// through this one before its answer was lost. Who refuses the later attempt
+// without asking the id's issuer doesn't know of the earlier one; "not run"
+// would make the caller give up a booking that stands.
+verdict entry_task::call::HonestVerdict(verdict ran) const {
+  const bool knows = caller_id.IsEmpty() || issuer_is_here;
+  return knows || ran != verdict::kNotRun ? ran : verdict::kMayHaveRun;
 }
 
 void entry_task::call::CancelForward() {
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -20,6 +20,8 @@
   void Send(const endpoint& to, const request_id& forward_id);
   void ReplyError(const caller_error& problem);
   void CancelForward();
+  // What may be said of the request by someone who did not send it.
+  verdict HonestVerdict(verdict ran) const;
 
   void OnHead(const http_response_head& head) override;
   void OnBody(std::string_view bytes) override;
@@ -40,7 +42,10 @@
   request_id caller_id;  // From the caller; may be empty.
   request_id wait_id;    // While it waits for a token.
   bool in_registry = false;
-  bool to_issuer = false;  // Forwarded to the entry that issued the id.
+  // Whether the id's issuer is this process, which knows what became of it.
+  bool issuer_is_here = false;
+  // Where the entry that issued the id takes forwarded requests; else empty.
+  endpoint issuer;
 
   // Where it is and was.
   zone_id zone;
--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -539,6 +539,9 @@
   retries_.OnRequest();
   call& c = *started;
   Start(std::move(started));
+  // Before admission: what became of an id is told also to a workspace that is
+  // over its rate, and costs it nothing.
+  if (!BeginOrReply(c)) return;
   const admit_result admitted = admission_->Admit(workspace, now);
   const auto* over = std::get_if<over_rate>(&admitted);
   if (over == nullptr) return Run(c);
@@ -621,7 +624,7 @@
   started->id = started->caller_id;
   call& c = *started;
   Start(std::move(started));
-  Run(c);
+  if (BeginOrReply(c)) Run(c);
 }
 
 void entry_task::Start(std::unique_ptr<call> started) {
@@ -630,14 +633,18 @@
 }
 
 void entry_task::Run(call& c) {
-  if (!c.caller_id.IsEmpty()) {
-    if (const auto problem = BeginOnce(c)) {
-      c.ReplyError(*problem);
-      return End(c, problem->ran, problem->status);
-    }
-    if (c.to_issuer) return;
-  }
-  Place(c);
+  if (c.issuer.IsEmpty()) return Place(c);
+  c.Send(c.issuer, NextForwardId());
+}
+
+// False if the request has its final answer.
+bool entry_task::BeginOrReply(call& c) {
+  if (c.caller_id.IsEmpty()) return true;
+  const auto problem = BeginOnce(c);
+  if (!problem) return true;
+  c.ReplyError(*problem);
+  End(c, problem->ran, problem->status);
+  return false;
 }
 
 // Only the process that issued an id may run it, and it remembers what became
@@ -651,6 +658,7 @@
   const begin_result begun =
       registry_->Begin(c.caller_id, HashBytes(like), now);
   namespace ans = begin_answer;
+  c.issuer_is_here = !std::holds_alternative<ans::other_issuer>(begun);
   if (std::holds_alternative<ans::run>(begun)) {
     c.in_registry = true;
     return std::nullopt;
@@ -665,8 +673,7 @@
     }
     LogDecision(kLogPart, "{} forwarded to its issuer {}", c.id.Str(),
                 other->vm.Str());
-    c.to_issuer = true;
-    c.Send(*issuer, NextForwardId());
+    c.issuer = *issuer;
     return std::nullopt;
   }
   if (std::holds_alternative<ans::already_running>(begun)) {
@@ -768,7 +775,7 @@
   }
   constexpr int kMaxSends = 2;
   const bool is_final = reason == "key_refused" || reason == "poison" ||
-                        c.to_issuer || now >= c.deadline;
+                        !c.issuer.IsEmpty() || now >= c.deadline;
   if (!is_final && c.sends < kMaxSends && retries_.TryTake()) {
     LogDecision(kLogPart, "{} tried elsewhere after {}", c.id.Str(), reason);
     return Place(c);
@@ -848,7 +855,12 @@
 void entry_task::ReplyError(http_exchange& exchange,
                             const caller_error& problem) {
   stats_.Count("citron_errors_total", {{"code", problem.code}});
-  exchange.Reply(ErrorResponse(problem, ""));
+  caller_error said = problem;
+  // An earlier attempt with the same id may have run; see HonestVerdict.
+  const bool has_id =
+      FindHeader(exchange.Request().headers, "Citron-Request-Id").has_value();
+  if (has_id && said.ran == verdict::kNotRun) said.ran = verdict::kMayHaveRun;
+  exchange.Reply(ErrorResponse(said, ""));
 }
 
 http_response entry_task::ErrorResponse(const caller_error& problem,
