--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -27,6 +27,7 @@
                                 kEntryHttp, kEntryPeer};
 // Hosts of the test's block of addresses.
 constexpr int kUpstreamHost = 2;
+constexpr int kUpstreamProxyHost = 3;
 constexpr int kFirstVmHost = 10;
 constexpr int kFirstProxyHost = 100;
 // Between the proxied ports of two VMs.
@@ -186,6 +187,10 @@
   return At(kFirstProxyHost + IndexOf(from), kPlatformRoute);
 }
 
+endpoint fleet::ProxiedUpstream(const std::string& name) const {
+  return At(kUpstreamProxyHost, Upstream(name).port);
+}
+
 nlohmann::json fleet::PlatformData() const {
   nlohmann::json kv;
   nlohmann::json vms = nlohmann::json::array();
@@ -200,11 +205,13 @@
   }
   kv["config/topology"] = {{"zones", zones}, {"services", plan_.services}};
   for (const fleet_upstream& upstream : plan_.upstreams) {
-    kv["config/upstream/" + upstream.name] = {
-        {"service", upstream.service},
-        {"zone", upstream.zone},
-        {"address", Upstream(upstream.name).Str()},
-        {"slots", upstream.slots}};
+    const endpoint address = plan_.upstreams_behind_proxy
+                                 ? ProxiedUpstream(upstream.name)
+                                 : Upstream(upstream.name);
+    kv["config/upstream/" + upstream.name] = {{"service", upstream.service},
+                                              {"zone", upstream.zone},
+                                              {"address", address.Str()},
+                                              {"slots", upstream.slots}};
   }
   for (const auto& [workspace, contract] : plan_.contracts.items()) {
     kv["config/contract/" + workspace] = contract;
@@ -217,6 +224,11 @@
 
 nlohmann::json fleet::Routes() const {
   nlohmann::json routes = nlohmann::json::array();
+  for (const fleet_upstream& upstream : plan_.upstreams) {
+    routes.push_back({{"name", upstream.zone + ">" + upstream.name},
+                      {"listen", ProxiedUpstream(upstream.name).Str()},
+                      {"target", Upstream(upstream.name).Str()}});
+  }
   for (const fleet_vm& from : plan_.vms) {
     routes.push_back({{"name", from.name + ">platform"},
                       {"listen", ProxiedPlatform(from.name).Str()},
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -32,6 +32,9 @@
   nlohmann::json services;                  // As in config/topology.
   nlohmann::json contracts;                 // Workspace to contract.
   std::map<std::string, std::string> keys;  // Key to workspace.
+  // Dispatches reach the upstreams through the proxy, by routes from the zone
+  // to the upstream.
+  bool upstreams_behind_proxy = false;
   nlohmann::json control_settings = nlohmann::json::object();
   nlohmann::json entry_settings = nlohmann::json::object();
   nlohmann::json dispatch_settings = nlohmann::json::object();
@@ -84,6 +87,7 @@
   endpoint ProxiedPort(const std::string& from, const std::string& to,
                        int port) const;
   endpoint ProxiedPlatform(const std::string& from) const;
+  endpoint ProxiedUpstream(const std::string& name) const;
   nlohmann::json PlatformData() const;
   nlohmann::json Routes() const;
   nlohmann::json CommonSettings(const std::string& vm, int peer_port,
--- a/tests/integration/harness.cc
+++ b/tests/integration/harness.cc
@@ -118,10 +118,11 @@
 }
 
 child_process& harness::Process(const std::string& name) {
+  // The last, for a program may have been started anew.
   const auto found =
-      std::find_if(processes_.begin(), processes_.end(),
+      std::find_if(processes_.rbegin(), processes_.rend(),
                    [&](const auto& p) { return p->Name() == name; });
-  BOOST_REQUIRE_MESSAGE(found != processes_.end(), name);
+  BOOST_REQUIRE_MESSAGE(found != processes_.rend(), name);
   return **found;
 }
 
