A stop ends within seconds while the platform is down

Cause: the control's stop waited for the store to take the share back, and the dispatch's for the zone's table to name other owners, up to its drain limit; with the platform gone neither comes. The control's wait had no bound at all. Ruled out: requests in flight (none were) and the signal's way. The share stays in the table and the lease lapses, as after a crash.

--- a/include/citron/control/control_task.h
+++ b/include/citron/control/control_task.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "citron/control/config_feed.h"
@@ -77,6 +78,7 @@
   std::uint64_t view_sequence_ = 0;
   bool leaving_ = false;
   std::function<void()> left_;
+  std::optional<monotonic_time> release_deadline_;
 };
 
 }  // namespace citron
--- a/include/citron/dispatch/dispatch_task.h
+++ b/include/citron/dispatch/dispatch_task.h
@@ -89,6 +89,7 @@
   loop_timer report_timer_;
   bool leaving_ = false;
   monotonic_time leave_deadline_;
+  monotonic_time give_back_deadline_{};
   std::function<void()> left_;
 };
 
--- a/src/control/control_task.cc
+++ b/src/control/control_task.cc
@@ -16,6 +16,9 @@
 constexpr char kLogPart[] = "control";
 constexpr duration kStoreTimeout = std::chrono::seconds(1);
 constexpr duration kListTimeout = std::chrono::seconds(2);
+// How long a stop waits for the store to take the share back: the time that
+// loans need to end, and a lost answer.
+constexpr duration kReleaseLimit = std::chrono::seconds(4);
 // The only keys that daemons may have written for them.
 constexpr char kOwnersPrefix[] = "owners/";
 
@@ -349,13 +352,27 @@
 
 // While an entry still answers requests its share must stay: a request that
 // was let in would else be refused in the middle of a planned stop.
+//
+// A store that is gone doesn't take the share. A stop that waited for it would
+// last as long as the outage, and whoever replaces VMs would kill the process.
+// The share then stays in the table, as after a crash: nobody uses it twice,
+// and the VM's next process takes it over.
 void control_task::ReleaseWhenAlone() {
-  if (!left_ || !locals_.AllGone(MonotonicNow())) return;
-  Log(kLogPart, "leaving: giving the share back");
-  // The entry is gone, so that every grant counts as applied.
-  auto left = std::exchange(left_, nullptr);
-  shares_->Release(std::move(left));
-  shares_->OnGrantApplied(UINT64_MAX);
+  const monotonic_time now = MonotonicNow();
+  if (!left_ || !locals_.AllGone(now)) return;
+  if (!release_deadline_) {
+    release_deadline_ = now + kReleaseLimit;
+    Log(kLogPart, "leaving: giving the share back");
+    // The entry is gone, so that every grant counts as applied.
+    shares_->Release([this] {
+      if (left_) std::exchange(left_, nullptr)();
+    });
+    shares_->OnGrantApplied(UINT64_MAX);
+    return;
+  }
+  if (now < *release_deadline_) return;
+  Log(kLogPart, "leaving without giving the share back: no word of the store");
+  std::exchange(left_, nullptr)();
 }
 
 void control_task::OnPage(http_exchange& exchange) {
--- a/src/dispatch/dispatch_task.cc
+++ b/src/dispatch/dispatch_task.cc
@@ -18,6 +18,10 @@
 // How long a leaving dispatch still takes requests, while the entries hear of
 // its leaving: a refusal in that time would cost callers a second try.
 constexpr duration kLeaveNotice = std::chrono::milliseconds(1000);
+// How long a leaving dispatch without requests waits until the zone's table
+// names other owners. A store that is gone writes no table, and a stop must not
+// last as long as its outage; the lease then ends by itself, as after a crash.
+constexpr duration kGiveBackLimit = std::chrono::milliseconds(2000);
 // Without a planned shift, other regions may send in this part of what the
 // owned slots can carry.
 constexpr double kSpilloverPart = 0.5;
@@ -146,6 +150,7 @@
   leaving_ = true;
   left_ = std::move(left);
   leave_deadline_ = MonotonicNow() + settings_.drain_limit;
+  give_back_deadline_ = MonotonicNow() + kLeaveNotice + kGiveBackLimit;
   Log(kLogPart, "leaving with {} requests here", calls_.size());
   link_->SetLeaving();
   auto notice = std::make_shared<std::unique_ptr<loop_timer>>();
@@ -160,9 +165,13 @@
 // each report until the last answer is out.
 void dispatch_task::ContinueLeaving() {
   if (!left_) return;
-  const bool late = MonotonicNow() >= leave_deadline_;
+  const monotonic_time now = MonotonicNow();
+  const bool late = now >= leave_deadline_;
   const bool busy = !calls_.empty() || server_->OpenExchanges() != 0;
-  const bool owns = !owner_->Owned().empty();
+  if (busy) {
+    give_back_deadline_ = std::max(give_back_deadline_, now + kGiveBackLimit);
+  }
+  const bool owns = !owner_->Owned().empty() && now < give_back_deadline_;
   if ((busy || owns) && !late) return;
   if (late && busy) {
     Log(kLogPart, "leaving at the drain limit with {} requests unfinished",
