--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -727,7 +727,12 @@
     return caller_error{kConflict, "id_reused",
                         "the id was used for another request"};
   }
-  c.id_is_forged = std::holds_alternative<ans::refused>(begun);
+  if (std::holds_alternative<ans::full>(begun)) {
+    return caller_error{kServiceUnavailable, "ids_exhausted",
+                        "no more ids can be remembered here now",
+                        verdict::kNotRun, now + kFreshnessRetry};
+  }
+  c.id_is_forged = true;
   return caller_error{kBadRequest, "bad_request_id",
                       "the id was not issued by this fleet"};
 }
