Entries ask the home of a small workspace for tokens; 64 lenders at most

Entries take part in token_home: a request without a local token asks the home and waits for the answer as for a loan; a refusal is passed on at once with the home's retry time. A look-up with a key names the home first when it stands in the client's region. loan_book gets 64 peers, own zone first.

--- a/include/citron/entry/entry_task.h
+++ b/include/citron/entry/entry_task.h
@@ -26,6 +26,7 @@
 #include "citron/protocol/admission.h"
 #include "citron/protocol/loan_book.h"
 #include "citron/protocol/request_registry.h"
+#include "citron/protocol/token_home.h"
 
 namespace citron {
 
@@ -75,6 +76,13 @@
   void OnShare(const share_update& update);
   void OnPermits(const permit_grant& grant);
   void Perform(const loan_actions& actions);
+  void Perform(const token_grants& grants);
+  template <class T>
+  void SendToEntry(const entry_ref& to, message_type type, const T& message);
+  void OnTokenAsk(const entry_ref& from, const token_ask& ask);
+  void OnTokenGrant(const entry_ref& from, const token_grant& grant);
+  void SetPeers();
+  entry_ref Self() const;
   void OnTick();
 
   void OnCaller(http_exchange& exchange);
@@ -84,6 +92,12 @@
   void OnServiceRequest(http_exchange& exchange);
   void Start(std::unique_ptr<call> started);
   void Run(call& c);
+  // A request that found no token here.
+  void SeekToken(call& c, monotonic_time retry_at);
+  call& TakeWaiting(const request_id& wait_id);
+  // The home of the caller's workspace, for a look-up by a caller at `site`.
+  const vm_seen* HomeFor(const http_request& request,
+                         const client_site& site) const;
   // Lets waiting requests in, or refuses those whose time is over.
   void ServeWaiting();
   void RefuseOverRate(call& c, monotonic_time retry_at);
@@ -128,6 +142,7 @@
   std::unique_ptr<id_mac> mac_;
   std::unique_ptr<request_registry> registry_;
   std::unique_ptr<admission> admission_;
+  std::unique_ptr<token_home> homes_;
   std::unique_ptr<loan_book> loans_;
   admission_wait waiting_;
   std::unique_ptr<placement> placement_;
--- a/include/citron/policy/admission_wait.h
+++ b/include/citron/policy/admission_wait.h
@@ -44,6 +44,7 @@
       const std::function<bool(const workspace_id&)>& admit);
   // Those whose time is over, to be refused now.
   std::vector<request_id> TakeExpired(monotonic_time now);
+  std::optional<request_id> TakeOldest(const workspace_id& workspace);
   void Remove(const workspace_id& workspace, const request_id& id);
 
   std::vector<workspace_id> Workspaces() const;
--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -77,6 +77,16 @@
   return ntohl(address.s_addr);
 }
 
+// The others stay behind it for when it fails, without a part of the callers.
+void RankFirst(const vm_id& vm, const endpoint& address,
+               std::vector<ranked_vm>& vms) {
+  const std::size_t size = vms.size();
+  std::erase_if(vms, [&](const ranked_vm& other) { return other.id == vm; });
+  for (ranked_vm& other : vms) other.weight = 0;
+  vms.insert(vms.begin(), {vm, address, 1});
+  vms.resize(std::min(vms.size(), size));
+}
+
 nlohmann::json Milliseconds(duration d) {
   return std::max(0.0, std::ceil(ToMilliseconds(d)));
 }
@@ -177,9 +187,10 @@
   registry.incarnation = incarnation;
   registry_ = std::make_unique<request_registry>(registry, *mac_);
   admission_ = std::make_unique<admission>(now + loan_options.SettleTime());
-  loans_ = std::make_unique<loan_book>(
-      entry_ref{settings_.common.vm, loop_index_, incarnation}, *admission_,
-      loan_options, seed);
+  homes_ =
+      std::make_unique<token_home>(Self(), *admission_, token_home_settings{});
+  loans_ = std::make_unique<loan_book>(Self(), *admission_, loan_options, seed);
+  loans_->SetHomes(homes_.get());
   placement_options place;
   place.zone = settings_.common.zone;
   place.region = settings_.common.region;
@@ -202,6 +213,7 @@
   quiet_at_ = now + kLeaveNotice;
   Log(kLogPart, "leaving with {} requests here", calls_.size());
   link_->SetLeaving();
+  SetPeers();
   Perform(loans_->OnRelease(now));
   server_->StopAccepting();
 }
@@ -227,9 +239,16 @@
   }
   for (const workspace_id& workspace : without_contract) {
     admission_->RemoveContract(workspace, now);
+    homes_->OnContract(workspace);
   }
   for (const auto& [workspace, terms] : config.contracts) {
+    const workspace_limit* limit = admission_->Find(workspace);
+    const bool is_same = limit != nullptr && !limit->is_withdrawn &&
+                         limit->bucket.ContractRate() == terms.rate_per_s &&
+                         limit->bucket.ContractBurst() == terms.burst;
+    if (is_same) continue;
     admission_->SetContract(workspace, terms.rate_per_s, terms.burst, now);
+    homes_->OnContract(workspace);
   }
   for (const auto& [id, service] : config.services) {
     const auto planned = config.shifts.find(id);
@@ -257,8 +276,6 @@
   for (const zone_report& report : directory_.ZoneReports()) {
     placement_->OnReport(report);
   }
-  std::vector<entry_ref> near;
-  std::vector<entry_ref> far;
   entry_peers_.clear();
   for (const auto& [vm, seen] : link_->Vms()) {
     const vm_view& view = seen.view;
@@ -271,20 +288,51 @@
                    view.leaving});
     }
     for (const task_address& task : view.entries) {
-      const entry_ref ref{vm, task.loop, task.incarnation};
-      entry_peers_[ref] = task.peer;
-      if (task.peer == link_->PeerAddress()) continue;
-      const bool is_near = view.region == settings_.common.region;
-      (is_near ? near : far).push_back(ref);
+      entry_peers_[{vm, task.loop, task.incarnation}] = task.peer;
+    }
+  }
+  SetPeers();
+}
+
+// Each lender costs work at every timer and, with a loan, a message a second
+// for each workspace; own zone first, then the region, whose answers come soon.
+void entry_task::SetPeers() {
+  constexpr std::size_t kMaxLenders = 64;
+  std::vector<entry_ref> zone;
+  std::vector<entry_ref> region;
+  std::vector<entry_ref> far;
+  std::vector<entry_ref> live;
+  if (!leaving_) live.push_back(Self());
+  for (const auto& [vm, seen] : link_->Vms()) {
+    const vm_view& view = seen.view;
+    for (const task_address& task : view.entries) {
+      entry_ref ref{vm, task.loop, task.incarnation};
+      if (ref == Self()) continue;
+      if (seen.state == member_state::kLive && !view.leaving) {
+        live.push_back(ref);
+      }
+      const bool is_in_zone = view.zone == settings_.common.zone;
+      const bool is_in_region = view.region == settings_.common.region;
+      (is_in_zone     ? zone
+       : is_in_region ? region
+                      : far)
+          .push_back(std::move(ref));
     }
   }
-  near.insert(near.end(), far.begin(), far.end());
-  loans_->SetPeers(near);
+  zone.insert(zone.end(), region.begin(), region.end());
+  zone.insert(zone.end(), far.begin(), far.end());
+  if (zone.size() > kMaxLenders) zone.resize(kMaxLenders);
+  loans_->SetPeers(std::move(zone));
+  homes_->SetLive(std::move(live));
+}
+
+entry_ref entry_task::Self() const {
+  return {settings_.common.vm, loop_index_, link_->Incarnation()};
 }
 
 void entry_task::OnMessage(const envelope& message) {
   const monotonic_time now = MonotonicNow();
-  const entry_ref self{settings_.common.vm, loop_index_, link_->Incarnation()};
+  const entry_ref self = Self();
   switch (static_cast<message_type>(message.type)) {
     case message_type::kShareUpdate:
       return control_link::Decode<share_update>(
@@ -302,6 +350,16 @@
             loans_->OnLoanGrant(m.from, m.message, now);
             ServeWaiting();
           });
+    case message_type::kTokenAsk:
+      return control_link::Decode<loan_message<token_ask>>(
+          message, [&](const auto& m) {
+            if (m.to == self) OnTokenAsk(m.from, m.message);
+          });
+    case message_type::kTokenGrant:
+      return control_link::Decode<loan_message<token_grant>>(
+          message, [&](const auto& m) {
+            if (m.to == self) OnTokenGrant(m.from, m.message);
+          });
     case message_type::kLoanReturn:
       return control_link::Decode<loan_message<loan_return>>(
           message, [&](const auto& m) {
@@ -329,26 +387,52 @@
                         grant.asked + grant.lifetime);
 }
 
+template <class T>
+void entry_task::SendToEntry(const entry_ref& to, message_type type,
+                             const T& message) {
+  const auto peer = entry_peers_.find(to);
+  if (peer == entry_peers_.end()) return;
+  link_->Send(peer->second, type, loan_message<T>{Self(), to, message});
+}
+
 void entry_task::Perform(const loan_actions& actions) {
-  const entry_ref self{settings_.common.vm, loop_index_, link_->Incarnation()};
-  const auto send = [&](const entry_ref& to, message_type type,
-                        const auto& message) {
-    const auto peer = entry_peers_.find(to);
-    if (peer == entry_peers_.end()) return;
-    using body = std::decay_t<decltype(message)>;
-    link_->Send(peer->second, type, loan_message<body>{self, to, message});
-  };
   for (const loan_action& action : actions) {
     if (const auto* ask = std::get_if<send_loan_ask>(&action)) {
-      send(ask->to, message_type::kLoanAsk, ask->message);
+      SendToEntry(ask->to, message_type::kLoanAsk, ask->message);
     } else if (const auto* grant = std::get_if<send_loan_grant>(&action)) {
-      send(grant->to, message_type::kLoanGrant, grant->message);
+      SendToEntry(grant->to, message_type::kLoanGrant, grant->message);
     } else if (const auto* back = std::get_if<send_loan_return>(&action)) {
-      send(back->to, message_type::kLoanReturn, back->message);
+      SendToEntry(back->to, message_type::kLoanReturn, back->message);
     }
   }
 }
 
+void entry_task::Perform(const token_grants& grants) {
+  for (const send_token_grant& grant : grants) {
+    SendToEntry(grant.to, message_type::kTokenGrant, grant.message);
+  }
+}
+
+void entry_task::OnTokenAsk(const entry_ref& from, const token_ask& ask) {
+  const monotonic_time now = MonotonicNow();
+  stats_.Count("citron_token_asks_total", {{"side", "home"}});
+  const bool may_borrow = loans_->MayBorrow(ask.workspace, now);
+  Perform(homes_->OnTokenAsk(*admission_, from, ask, may_borrow, now));
+  Perform(loans_->OnDemand(ask.workspace, now));
+}
+
+// A refusal ends the oldest that waits: each of them has asked once, and which
+// of them a token would have served is all the same.
+void entry_task::OnTokenGrant(const entry_ref& from, const token_grant& grant) {
+  const monotonic_time now = MonotonicNow();
+  const grant_result result = homes_->OnTokenGrant(from, grant, now);
+  ServeWaiting();
+  const auto* over = std::get_if<over_rate>(&result);
+  if (over == nullptr) return;
+  const auto oldest = waiting_.TakeOldest(grant.workspace);
+  if (oldest) RefuseOverRate(TakeWaiting(*oldest), over->retry_at);
+}
+
 void entry_task::OnTick() {
   const monotonic_time now = MonotonicNow();
   tick_.Arm(now + loan_settings{}.tick);
@@ -388,13 +472,17 @@
   }
   const client_site* site = clients_->Find(*address);
   const client_site own{settings_.common.region, settings_.common.zone};
-  const vm_answer answer =
-      ranker_.Rank(site == nullptr ? &own : site, HashBytes(client), now);
+  const client_site& at = site == nullptr ? own : *site;
+  vm_answer answer = ranker_.Rank(&at, HashBytes(client), now);
   if (answer.vms.empty()) {
     return ReplyError(exchange,
                       {kServiceUnavailable, "no_vm", "no entry VM is known yet",
                        verdict::kNotRun, now + kFreshnessRetry});
   }
+  const vm_seen* home = HomeFor(exchange.Request(), at);
+  if (home != nullptr) {
+    RankFirst(home->view.vm, home->view.entries.front().http, answer.vms);
+  }
   nlohmann::json page;
   for (const ranked_vm& vm : answer.vms) {
     page["vms"].push_back({{"vm", vm.id.Str()},
@@ -403,12 +491,32 @@
   }
   page["expires_ms"] = Milliseconds(answer.expires_at - now);
   LogDecision("lookup", "{} sent to {}: {}", client, answer.vms[0].id.Str(),
-              site == nullptr ? "its block is unknown, own zone first"
-                              : "nearest to its block");
+              home != nullptr   ? "it holds the workspace's tokens"
+              : site == nullptr ? "its block is unknown, own zone first"
+                                : "nearest to its block");
   stats_.Count("citron_lookups_total", {});
   exchange.Reply({{kOk, {{"Content-Type", "application/json"}}}, page.dump()});
 }
 
+// A caller of a small workspace that sends to its home spares each request the
+// way there for a token. Only inside the caller's region: the way to another
+// one costs the caller more than that.
+const vm_seen* entry_task::HomeFor(const http_request& request,
+                                   const client_site& site) const {
+  const auto identified = Identify(request);
+  const auto* who = std::get_if<identity>(&identified);
+  if (who == nullptr) return nullptr;
+  const entry_ref* home = homes_->HomeOf(who->terms->workspace);
+  if (home == nullptr) return nullptr;
+  const auto seen = link_->Vms().find(home->vm);
+  if (seen == link_->Vms().end()) return nullptr;
+  const vm_view& view = seen->second.view;
+  const bool is_usable = seen->second.state == member_state::kLive &&
+                         !view.leaving && !view.entries.empty() &&
+                         view.region == site.region;
+  return is_usable ? &seen->second : nullptr;
+}
+
 void entry_task::OnRequestIds(http_exchange& exchange) {
   const http_request& request = exchange.Request();
   const auto identified = Identify(request);
@@ -542,15 +650,38 @@
   const admit_result admitted = admission_->Admit(workspace, now);
   const auto* over = std::get_if<over_rate>(&admitted);
   if (over == nullptr) return Run(c);
+  SeekToken(c, over->retry_at);
+}
+
+void entry_task::SeekToken(call& c, monotonic_time retry_at) {
+  const monotonic_time now = MonotonicNow();
+  const workspace_id& workspace = c.workspace;
   Perform(loans_->OnDemand(workspace, now));
+  const seek_result sought = homes_->Seek(workspace, now);
+  if (std::holds_alternative<admitted>(sought)) return Run(c);
+  if (const auto* over = std::get_if<over_rate>(&sought)) {
+    return RefuseOverRate(c, over->retry_at);
+  }
+  const auto* ask = std::get_if<send_token_ask>(&sought);
+  if (ask != nullptr) {
+    stats_.Count("citron_token_asks_total", {{"side", "asker"}});
+    SendToEntry(ask->to, message_type::kTokenAsk, ask->message);
+  }
   // A caller may send the same id twice; each of the two waits by itself.
   c.wait_id = NextForwardId();
-  if (waiting_.TryWait(workspace, c.wait_id, loans_->MayBorrow(workspace, now),
-                       now, c.deadline)) {
+  const bool may_come = ask != nullptr || loans_->MayBorrow(workspace, now);
+  if (waiting_.TryWait(workspace, c.wait_id, may_come, now, c.deadline)) {
     waiting_calls_[c.wait_id] = &c;
     return;
   }
-  RefuseOverRate(c, over->retry_at);
+  RefuseOverRate(c, retry_at);
+}
+
+entry_task::call& entry_task::TakeWaiting(const request_id& wait_id) {
+  const auto found = waiting_calls_.find(wait_id);
+  call* c = found->second;
+  waiting_calls_.erase(found);
+  return *c;
 }
 
 void entry_task::RefuseOverRate(call& c, monotonic_time retry_at) {
@@ -565,24 +696,22 @@
 
 void entry_task::ServeWaiting() {
   const monotonic_time now = MonotonicNow();
-  const auto take = [this](const request_id& id) {
-    call* c = waiting_calls_.at(id);
-    waiting_calls_.erase(id);
-    return c;
-  };
+  Perform(homes_->ServeHeld(*admission_, now));
   for (const workspace_id& workspace : waiting_.Workspaces()) {
     const auto admit = [this, now](const workspace_id& w) {
       workspace_limit* limit = admission_->Find(w);
       // Looked at before it is asked for, since each ask counts as demand.
-      if (limit == nullptr || limit->bucket.TokensAt(now) < 1) return false;
+      if (limit == nullptr || limit->bucket.TokensAt(now) < 1) {
+        return homes_->TakeSpare(w, now);
+      }
       return std::holds_alternative<admitted>(admission_->Admit(w, now));
     };
     for (const request_id& id : waiting_.TakeAdmitted(workspace, admit)) {
-      Run(*take(id));
+      Run(TakeWaiting(id));
     }
   }
   for (const request_id& id : waiting_.TakeExpired(now)) {
-    RefuseOverRate(*take(id), now + kOverRateRetry);
+    RefuseOverRate(TakeWaiting(id), now + kOverRateRetry);
   }
 }
 
--- a/src/policy/admission_wait.cc
+++ b/src/policy/admission_wait.cc
@@ -48,6 +48,16 @@
   return taken;
 }
 
+std::optional<request_id> admission_wait::TakeOldest(
+    const workspace_id& workspace) {
+  const auto found = waiting_.find(workspace);
+  if (found == waiting_.end()) return std::nullopt;
+  const request_id oldest = found->second.front().id;
+  found->second.pop_front();
+  if (found->second.empty()) waiting_.erase(found);
+  return oldest;
+}
+
 void admission_wait::Remove(const workspace_id& workspace,
                             const request_id& id) {
   const auto found = waiting_.find(workspace);
--- a/tests/protocol/fleet_limits_test.cc
+++ b/tests/protocol/fleet_limits_test.cc
@@ -205,3 +205,26 @@
   BOOST_TEST(sum.admitted > 200'000u);
   BOOST_TEST(sum.token_asks > 100'000u);
 }
+
+// Demand after a pause empties the full bucket of a home, and its tokens reach
+// the farther entries while it refills. If nothing made room for those under
+// way, the workspace would get its burst and what refilled meanwhile.
+BOOST_AUTO_TEST_CASE(TokensUnderWayAreNoSecondBurst) {
+  for (std::uint64_t seed = 301; seed <= 312; ++seed) {
+    fleet_options options;
+    options.seed = seed;
+    options.homes = true;
+    options.longest_wait = citron::FromMilliseconds(150);
+    options.region_latency = citron::FromMilliseconds(50);
+    options.home.small_capacity = 50;
+    simulated_fleet fleet(options);
+    AddDemand(fleet, options);
+    fleet.Run(FromSeconds(kSeconds));
+    BOOST_TEST(fleet.TokenAsks() > 1'000u);
+    for (const auto& [id, record] : fleet.Records()) {
+      BOOST_TEST(record.least_slack >= -1e-6, "seed " << seed << " " << id.Str()
+                                                      << " "
+                                                      << record.least_slack);
+    }
+  }
+}
