A dead VM's leased part comes back: controls show the share holder who lives

share_holder::OnMembership was never called, so that no silent VM was marked as suspect and its leased part of every limit stayed with it until an operator's word. Now control_task shows it, at each membership timer, the VMs of the table that are listed, live, draining or leaving.

--- a/include/citron/control/control_task.h
+++ b/include/citron/control/control_task.h
@@ -45,6 +45,7 @@
   void OnConfigChanged(const fleet_config& config);
   void OnViewTimer();
   void OnMembershipTimer();
+  void ShowMembershipToShares();
 
   void PollList();
   void Perform(const membership::actions& actions);
--- a/include/citron/control/share_feed.h
+++ b/include/citron/control/share_feed.h
@@ -17,6 +17,7 @@
              std::function<void(const vm_share&)> granted);
 
   void Start();
+  void OnMembership(const std::set<vm_id>& live);
   void OnGoneVms(const std::set<vm_id>& gone);
   void OnGrantApplied(std::uint64_t sequence);
   // Gives the share back; `released` is called when the table says so.
--- a/src/control/control_task.cc
+++ b/src/control/control_task.cc
@@ -243,6 +243,23 @@
 
 void control_task::OnMembershipTimer() {
   Perform(membership_->OnTimer(MonotonicNow()));
+  ShowMembershipToShares();
+}
+
+// A VM that died holds its leased part of every limit until another VM asks
+// for it back; without this the fleet's limits would lose a part with each
+// death, and one would notice by requests refused inside the rate. A VM that
+// only seems dead clears the mark by itself.
+void control_task::ShowMembershipToShares() {
+  std::set<vm_id> live;
+  for (const share_entry& part : shares_->Table().entries) {
+    const std::optional<member_state> state = membership_->StateOf(part.vm);
+    // One that drains or leaves holds its share until it has ended.
+    const bool seems_dead = !state || *state == member_state::kSilent ||
+                            *state == member_state::kGone;
+    if (!seems_dead) live.insert(part.vm);
+  }
+  shares_->OnMembership(live);
 }
 
 void control_task::PollList() {
--- a/src/control/share_feed.cc
+++ b/src/control/share_feed.cc
@@ -47,6 +47,10 @@
 
 void share_feed::Start() { Perform(holder_.Start(MonotonicNow())); }
 
+void share_feed::OnMembership(const std::set<vm_id>& live) {
+  holder_.OnMembership(live);
+}
+
 void share_feed::OnGoneVms(const std::set<vm_id>& gone) {
   Perform(holder_.OnGoneVms(gone, MonotonicNow()));
 }
--- a/tests/policy/admission_wait_test.cc
+++ b/tests/policy/admission_wait_test.cc
@@ -34,6 +34,15 @@
   BOOST_TEST(wait.Workspaces().empty());
 }
 
+BOOST_AUTO_TEST_CASE(OldestIsTakenFirst) {
+  admission_wait wait({});
+  wait.TryWait(kPenco, Id(1), true, kStart, kFar);
+  wait.TryWait(kPenco, Id(2), true, kStart, kFar);
+  BOOST_TEST(wait.TakeOldest(kPenco)->Str() == "1");
+  BOOST_TEST(wait.TakeOldest(kPenco)->Str() == "2");
+  BOOST_TEST(!wait.TakeOldest(kPenco).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(NumberAndTimeAreBounded) {
   admission_wait_options options;
   options.max_waiting = 2;
--- a/tests/wire/messages_test.cc
+++ b/tests/wire/messages_test.cc
@@ -48,6 +48,22 @@
   BOOST_TEST(ValueOf(decoded).message.tokens == 2.5);
 }
 
+BOOST_AUTO_TEST_CASE(TokenMessagesRoundTrip) {
+  loan_message<token_grant> sent;
+  sent.message = {workspace_id("w"), 9, true, 70, 4.5};
+  const auto decoded = DecodeWire<loan_message<token_grant>>(EncodeWire(sent));
+  BOOST_REQUIRE(IsOk(decoded));
+  const token_grant& grant = ValueOf(decoded).message;
+  BOOST_TEST(grant.granted);
+  BOOST_TEST(grant.number == 9u);
+  BOOST_TEST(grant.retry_ms == 70);
+  BOOST_TEST(grant.burst == 4.5);
+  const auto ask =
+      DecodeWire<token_ask>(EncodeWire(token_ask{workspace_id("w"), 3}));
+  BOOST_REQUIRE(IsOk(ask));
+  BOOST_TEST(ValueOf(ask).number == 3u);
+}
+
 // A daemon of another version, or a fault on the way, sends bytes that are no
 // message. They must give an error, never a crash or a half-filled message.
 BOOST_AUTO_TEST_CASE(ChangedBytesGiveErrorsOrMessages) {
