--- a/bench/run_forward.sh
+++ b/bench/run_forward.sh
@@ -99,6 +99,13 @@
   before=$(ticks "$@")
   line=$("$bench" load --to "$address" --path "$path" --key "$key" --connections "$connections" \
     --threads "$threads" --calls "$count")
+  if [ "$(echo "$line" | jq .failed)" != 0 ]; then
+    # Of the first loop alone; the others have pages on ports of their own.
+    curl -s "http://$(jq -r .metrics_listen "$work/fleet/entry.json")/metrics" |
+      grep -E '^citron_(refusals|errors)' >&2 || true
+    curl -s "http://$(jq -r .metrics_listen "$work/fleet/dispatch.json")/metrics" |
+      grep -E '^citron_dispatch_(refusals|slots|usable)' >&2 || true
+  fi
   echo "$line" | jq -c --arg name "$name" --argjson connections "$connections" \
     --argjson cpu "$(($(ticks "$@") - before))" --arg load "$(cut -d' ' -f1 /proc/loadavg)" \
     '{name: $name, connections: $connections} + .
