--- a/bench/run_controls.sh
+++ b/bench/run_controls.sh
@@ -68,18 +68,27 @@
   sleep "$seconds"
   sample "$work/at2"
   end=$(date +%s.%N)
+  # From before the operator's call to the answer that every VM has it in force.
+  : >"$work/force"
+  for _ in 1 2 3 4 5 6 7; do
+    before=$(date +%s%N)
+    CITRON_FLEET="$work/fleet/fleet.json" "$build/citronctl" key grant caller --label bench --json \
+      --wait-ms 8000 >/dev/null || true
+    echo $((($(date +%s%N) - before) / 1000000)) >>"$work/force"
+  done
   jq -nc --arg size "$size" --argjson s "$(echo "$end - $begin" | awk '{print $1 - $3}')" \
     --argjson cpu "$(mean "$work/at2" 1) " --argjson cpu1 "$(mean "$work/at1" 1)" \
     --argjson bytes "$(mean "$work/at2" 2)" --argjson bytes1 "$(mean "$work/at1" 2)" \
     --argjson n "$(mean "$work/at2" 3)" --argjson n1 "$(mean "$work/at1" 3)" \
     --argjson rss "$(mean "$work/at2" 4)" --arg load "$(cut -d' ' -f1 /proc/loadavg)" \
     --slurpfile store1 "$work/at1.store" --slurpfile store2 "$work/at2.store" \
+    --slurpfile force "$work/force" \
     'def r: . * 100 | round / 100;
       {size: $size, vms: ($size | split("x") | map(tonumber) | .[0] * .[1]),
        sent_bytes_per_s: (($bytes - $bytes1) / $s | r), messages_per_s: (($n - $n1) / $s | r),
        cpu_percent: (($cpu - $cpu1) / $s | r), memory_mb: ($rss / 1e6 | r),
        store_per_s: ($store2[0] | with_entries(select(.value | type == "number")
          | .value = ((.value - ($store1[0][.key] // 0)) / $s | r) | select(.value != 0))),
-       load: $load}'
+       in_force_ms: ($force | sort | {least: .[0], median: .[3], most: .[6]}), load: $load}'
   stop_all
 done
--- a/bench/run_forward.sh
+++ b/bench/run_forward.sh
@@ -145,6 +145,7 @@
   exit 0
 fi
 for _ in $(seq "$rounds"); do round 1 32 2; done
+measure lookup-1 "$entry" "/v1/lookup?client=127.0.0.9" 32 2 "$calls" "$entry_pid"
 stop_all
 if [ -n "${CITRON_ONE_LOOP_ONLY:-}" ]; then
   jq -s 'group_by([.name, .connections])[] | {name: .[0].name, connections: .[0].connections,
