Loads are told for each loop of a dispatch

The status page goes on adding the loops up. Ruled out: a second try at another loop, since it costs a hop and a retry token for each such request.

--- a/include/citron/wire/messages.h
+++ b/include/citron/wire/messages.h
@@ -79,10 +79,11 @@
   std::uint64_t sequence = 0;
 };
 
-// The queue of one service at one dispatch.
+// The queue of one service at one loop of a dispatch.
 struct service_load {
   service_id service;
   scheduler_load load;
+  int loop = 0;
 };
 
 // From a dispatch's loop to its control.
@@ -221,7 +222,9 @@
   return std::tie(m.slots, m.usable_slots, m.in_flight, m.queued,
                   m.expected_wait, m.mean_service_time, m.usable_upstreams);
 }
-inline auto WireFields(service_load& m) { return std::tie(m.service, m.load); }
+inline auto WireFields(service_load& m) {
+  return std::tie(m.service, m.load, m.loop);
+}
 inline auto WireFields(dispatch_report& m) {
   return std::tie(m.loop, m.services);
 }
--- a/src/control/control_task.cc
+++ b/src/control/control_task.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -31,6 +32,27 @@
   handle(ValueOf(decoded));
 }
 
+void AddLoad(std::map<service_id, scheduler_load>& sums,
+             const service_load& added) {
+  const auto [found, is_new] = sums.try_emplace(added.service, added.load);
+  if (is_new) return;
+  scheduler_load& sum = found->second;
+  sum.slots += added.load.slots;
+  sum.usable_slots += added.load.usable_slots;
+  sum.in_flight += added.load.in_flight;
+  sum.queued += added.load.queued;
+  sum.usable_upstreams += added.load.usable_upstreams;
+  sum.expected_wait = std::min(sum.expected_wait, added.load.expected_wait);
+  sum.mean_service_time =
+      std::max(sum.mean_service_time, added.load.mean_service_time);
+}
+
+std::map<service_id, scheduler_load> LoadsOf(const vm_view& view) {
+  std::map<service_id, scheduler_load> sums;
+  for (const service_load& load : view.loads) AddLoad(sums, load);
+  return sums;
+}
+
 }  // namespace
 
 result<std::unique_ptr<control_task>> control_task::Make(
@@ -401,14 +423,14 @@
     for (const task_address& entry : seen.view.entries) {
       member["entries"].push_back(entry.http.Str());
     }
-    for (const service_load& load : seen.view.loads) {
-      member["services"][load.service.Str()] = {
-          {"slots", load.load.slots},
-          {"usable_slots", load.load.usable_slots},
-          {"in_flight", load.load.in_flight},
-          {"queued", load.load.queued},
-          {"usable_upstreams", load.load.usable_upstreams},
-          {"expected_wait_ms", ToMilliseconds(load.load.expected_wait)}};
+    for (const auto& [service, load] : LoadsOf(seen.view)) {
+      member["services"][service.Str()] = {
+          {"slots", load.slots},
+          {"usable_slots", load.usable_slots},
+          {"in_flight", load.in_flight},
+          {"queued", load.queued},
+          {"usable_upstreams", load.usable_upstreams},
+          {"expected_wait_ms", ToMilliseconds(load.expected_wait)}};
     }
     page["members"].push_back(member);
   }
--- a/src/control/local_daemons.cc
+++ b/src/control/local_daemons.cc
@@ -11,21 +11,6 @@
 // task is not told of to others.
 constexpr duration kSilentAfter = std::chrono::milliseconds(1500);
 
-void AddLoad(std::map<service_id, scheduler_load>& sums,
-             const service_load& added) {
-  const auto [found, is_new] = sums.try_emplace(added.service, added.load);
-  if (is_new) return;
-  scheduler_load& sum = found->second;
-  sum.slots += added.load.slots;
-  sum.usable_slots += added.load.usable_slots;
-  sum.in_flight += added.load.in_flight;
-  sum.queued += added.load.queued;
-  sum.usable_upstreams += added.load.usable_upstreams;
-  sum.expected_wait = std::min(sum.expected_wait, added.load.expected_wait);
-  sum.mean_service_time =
-      std::max(sum.mean_service_time, added.load.mean_service_time);
-}
-
 }  // namespace
 
 bool local_daemons::OnHello(const hello& message, monotonic_time now) {
@@ -88,7 +73,6 @@
 }
 
 void local_daemons::Describe(vm_view& view, monotonic_time now) const {
-  std::map<service_id, scheduler_load> sums;
   for (const auto& [key, known] : tasks_) {
     if (now >= known.silent_at) continue;
     if (key.first == daemon_role::kEntry) {
@@ -98,10 +82,12 @@
     }
     if (known.leaving) continue;
     view.dispatches.push_back(known.address);
-    for (const service_load& load : known.loads) AddLoad(sums, load);
+    // Each loop for itself: one that owns no upstream of a service refuses
+    // what is sent to it, whatever the others have room for.
+    for (const service_load& load : known.loads) {
+      view.loads.push_back({load.service, load.load, known.address.loop});
+    }
   }
-  for (const auto& [service, load] : sums)
-    view.loads.push_back({service, load});
 }
 
 std::vector<endpoint> local_daemons::Peers() const {
--- a/src/entry/dispatch_directory.cc
+++ b/src/entry/dispatch_directory.cc
@@ -39,6 +39,7 @@
       if (load.load.usable_slots == 0) continue;
       const place where{seen.view.zone, load.service};
       for (const task_address& task : seen.view.dispatches) {
+        if (task.loop != load.loop) continue;
         candidates_[where].push_back(
             {vm, seen.view.region, task.http, task.peer, load.load});
       }
--- a/tests/entry/dispatch_directory_test.cc
+++ b/tests/entry/dispatch_directory_test.cc
@@ -50,8 +50,29 @@
   BOOST_TEST(!directory.Choose(kZone, kDesk, {{"127.0.0.1", 2}}).has_value());
 }
 
-// A VM dies. Until its upstreams are taken over, its neighbour in the zone still
-// has slots; callers must not be refused because the dead one is asked first.
+// A dispatch runs two loops, and one of them owns no upstream of the service.
+// Were the slots of both taken for each of them, half of the callers would be
+// refused while upstreams are idle.
+BOOST_AUTO_TEST_CASE(LoopWithoutSlotsIsNotChosen) {
+  dispatch_directory directory(1);
+  vm_seen vm = Vm("a", 1, 8, 0);
+  vm.view.dispatches.push_back({1, 2, {"127.0.0.1", 2}, {"127.0.0.1", 2}, {}});
+  service_load idle = vm.view.loads[0];
+  idle.loop = 1;
+  idle.load.usable_slots = 0;
+  vm.view.loads.push_back(idle);
+  directory.Update({{vm_id("a"), vm}});
+  for (int i = 0; i < 20; ++i) {
+    const auto chosen = directory.Choose(kZone, kDesk, {});
+    BOOST_REQUIRE(chosen.has_value());
+    BOOST_TEST((chosen->http == endpoint{"127.0.0.1", 1}));
+  }
+  BOOST_TEST(directory.ZoneReports()[0].slots == 8);
+}
+
+// A VM dies. Until its upstreams are taken over, its neighbour in the zone
+// still has slots; callers must not be refused because the dead one is asked
+// first.
 BOOST_AUTO_TEST_CASE(SilentVmIsNotChosen) {
   dispatch_directory directory(1);
   vm_seen silent = Vm("a", 1, 8, 0);
