--- a/bench/run_forward.sh
+++ b/bench/run_forward.sh
@@ -99,6 +99,13 @@
   before=$(ticks "$@")
   line=$("$bench" load --to "$address" --path "$path" --key "$key" --connections "$connections" \
     --threads "$threads" --calls "$count")
+  if [ "$(echo "$line" | jq .failed)" != 0 ]; then
+    # Of the first loop alone; the others have pages on ports of their own.
+    curl -s "http://$(jq -r .metrics_listen "$work/fleet/entry.json")/metrics" |
+      grep -E '^citron_(refusals|errors)' >&2 || true
+    curl -s "http://$(jq -r .metrics_listen "$work/fleet/dispatch.json")/metrics" |
+      grep -E '^citron_dispatch_(refusals|slots|usable)' >&2 || true
+  fi
   echo "$line" | jq -c --arg name "$name" --argjson connections "$connections" \
     --argjson cpu "$(($(ticks "$@") - before))" --arg load "$(cut -d' ' -f1 /proc/loadavg)" \
     '{name: $name, connections: $connections} + .
@@ -138,6 +145,7 @@
   exit 0
 fi
 for _ in $(seq "$rounds"); do round 1 32 2; done
+measure lookup-1 "$entry" "/v1/lookup?client=127.0.0.9" 32 2 "$calls" "$entry_pid"
 stop_all
 if [ -n "${CITRON_ONE_LOOP_ONLY:-}" ]; then
   jq -s 'group_by([.name, .connections])[] | {name: .[0].name, connections: .[0].connections,
