--- a/src/config/json_reader.cc
+++ b/src/config/json_reader.cc
@@ -98,9 +98,12 @@
     Fail(name, fmt::format("expected a whole number, got {}", Shown(*value)));
     return;
   }
+  // Larger ones wrap round to negative numbers, which may be in the range.
+  const bool is_huge =
+      value->is_number_unsigned() && value->get<std::uint64_t>() > INT64_MAX;
   const auto number = value->get<std::int64_t>();
-  if (number < low || number > high) {
-    Fail(name, fmt::format("{} is outside {} to {}", number, low, high));
+  if (is_huge || number < low || number > high) {
+    Fail(name, fmt::format("{} is outside {} to {}", Shown(*value), low, high));
     return;
   }
   out = number;
