A client may go with its answer; a whole answer is bounded at 16 MiB

whole_call put off a step that referred to its client: a client destroyed between the answer and the loop's next turn was used after its end. Found by reading, not from a crash; no daemon destroys a client today before it ends. What is deferred now knows whether the client is there, connections of calls under way are closed on the next turn, and the callback is held apart from the call, so that a client may be destroyed inside it.

A server that answered without end filled the asker's memory: a probe, or a read of the platform's service. A body above max_answer_bytes (16 MiB, in the constructor) now ends the call with kTooLarge, and its connection is not used again. Answers that are relayed are not gathered and stay unbounded.

--- a/include/citron/net/http_client.h
+++ b/include/citron/net/http_client.h
@@ -1,6 +1,7 @@
 #ifndef CITRON_NET_HTTP_CLIENT_H_
 #define CITRON_NET_HTTP_CLIENT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -27,6 +28,7 @@
   kTimedOut,
   kCancelled,
   kNotAllowed,  // The sender's own check stopped it before its first byte.
+  kTooLarge,    // A whole answer with more bytes than its asker takes.
 };
 
 std::string_view CallProblemName(call_problem problem);
@@ -110,8 +112,12 @@
   monotonic_time idle_since_{};
 };
 
+// Bytes of a whole answer's body, where nothing else is said.
+inline constexpr std::size_t kDefaultMaxAnswerBytes = std::size_t{16} << 20;
+
 // A pool of connections to any number of servers; calls that want the whole
-// answer at once.
+// answer at once. It may be destroyed at any time, also in a call's callback;
+// calls under way then end without one.
 class http_client {
  public:
   using on_response =
@@ -120,7 +126,8 @@
   // Addresses that are reached by another address than their own.
   using dial_map = std::map<std::string, std::string>;
 
-  explicit http_client(event_loop& loop, dial_map dial_overrides = {});
+  explicit http_client(event_loop& loop, dial_map dial_overrides = {},
+                       std::size_t max_answer_bytes = kDefaultMaxAnswerBytes);
   ~http_client();
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
@@ -141,9 +148,13 @@
   class whole_call;
 
   void Retire(whole_call* call);
+  void CloseLater(std::unique_ptr<http_connection> connection);
 
   event_loop& loop_;
   dial_map dial_overrides_;
+  std::size_t max_answer_bytes_;
+  // False once the client is gone; for what was deferred before.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::vector<std::unique_ptr<http_connection>> idle_;
   std::vector<std::unique_ptr<whole_call>> calls_;
 };
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -67,6 +67,8 @@
       return "cancelled";
     case call_problem::kNotAllowed:
       return "not allowed any more";
+    case call_problem::kTooLarge:
+      return "answer too large";
   }
   return "unknown";
 }
@@ -253,7 +255,15 @@
   void OnHead(const http_response_head& head) override {
     response_.head = head;
   }
-  void OnBody(std::string_view bytes) override { response_.body.append(bytes); }
+  // A server that answers without end would fill the daemon's memory and end
+  // it; the call ends instead, and its connection with it.
+  void OnBody(std::string_view bytes) override {
+    if (bytes.size() > client_.max_answer_bytes_ - response_.body.size()) {
+      connection_->Cancel();
+      return Finish(nullptr, {call_problem::kTooLarge, true});
+    }
+    response_.body.append(bytes);
+  }
   void OnDone() override { Finish(&response_, {}); }
   void OnFailed(const call_failure& failure) override {
     Finish(nullptr, failure);
@@ -262,8 +272,12 @@
  private:
   void Finish(const http_response* response, const call_failure& failure) {
     // Kept until the callback has returned; then it takes the connection back.
-    client_.loop_.Defer([&client = client_, this] { client.Retire(this); });
-    done_(response, failure);
+    client_.loop_.Defer([client = &client_, alive = client_.alive_, this] {
+      if (*alive) client->Retire(this);
+    });
+    // The callback may destroy the client, and this call with it.
+    const on_response done = std::move(done_);
+    done(response, failure);
   }
 
   friend class http_client;
@@ -273,10 +287,26 @@
   http_response response_;
 };
 
-http_client::http_client(event_loop& loop, dial_map dial_overrides)
-    : loop_(loop), dial_overrides_(std::move(dial_overrides)) {}
+http_client::http_client(event_loop& loop, dial_map dial_overrides,
+                         std::size_t max_answer_bytes)
+    : loop_(loop),
+      dial_overrides_(std::move(dial_overrides)),
+      max_answer_bytes_(max_answer_bytes) {}
+
+http_client::~http_client() {
+  *alive_ = false;
+  for (const auto& call : calls_) {
+    call->connection_->Cancel();
+    CloseLater(std::move(call->connection_));
+  }
+}
 
-http_client::~http_client() = default;
+// The present call may come from inside the connection's own callback, where
+// the library goes on to use it.
+void http_client::CloseLater(std::unique_ptr<http_connection> connection) {
+  loop_.Defer([held = std::make_shared<std::unique_ptr<http_connection>>(
+                   std::move(connection))] { held->reset(); });
+}
 
 std::unique_ptr<http_connection> http_client::Take(const endpoint& server) {
   const monotonic_time now = MonotonicNow();
@@ -288,19 +318,15 @@
     if (now - taken->IdleSince() <= kMaxIdleAge) return taken;
   }
   const auto other_way = dial_overrides_.find(server.Str());
-  const std::optional<endpoint> dial =
-      other_way == dial_overrides_.end() ? std::nullopt
-                                         : ParseEndpoint(other_way->second);
+  const std::optional<endpoint> dial = other_way == dial_overrides_.end()
+                                           ? std::nullopt
+                                           : ParseEndpoint(other_way->second);
   return std::make_unique<http_connection>(loop_, server,
                                            dial.value_or(endpoint{}));
 }
 
 void http_client::Give(std::unique_ptr<http_connection> connection) {
-  if (!connection->IsReusable()) {
-    loop_.Defer([held = std::make_shared<std::unique_ptr<http_connection>>(
-                     std::move(connection))] { held->reset(); });
-    return;
-  }
+  if (!connection->IsReusable()) return CloseLater(std::move(connection));
   if (idle_.size() >= kMaxIdleConnections) idle_.erase(idle_.begin());
   idle_.push_back(std::move(connection));
 }
