--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -37,6 +37,9 @@
 constexpr double kDefaultAnswerBytes = 4096;
 constexpr double kAnswerBytesWeight = 0.1;
 
+constexpr char kUnreachable[] = "dispatch_unreachable";
+constexpr char kLost[] = "dispatch_lost";
+
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
@@ -567,6 +570,9 @@
   retries_.OnRequest();
   call& c = *started;
   Start(std::move(started));
+  // Before admission: what became of an id is told also to a workspace that is
+  // over its rate, and costs it nothing.
+  if (!BeginOrReply(c)) return;
   const admit_result admitted = admission_->Admit(workspace, now);
   const auto* over = std::get_if<over_rate>(&admitted);
   if (over == nullptr) return Run(c);
@@ -649,7 +655,7 @@
   started->id = started->caller_id;
   call& c = *started;
   Start(std::move(started));
-  Run(c);
+  if (BeginOrReply(c)) Run(c);
 }
 
 void entry_task::Start(std::unique_ptr<call> started) {
@@ -658,14 +664,18 @@
 }
 
 void entry_task::Run(call& c) {
-  if (!c.caller_id.IsEmpty()) {
-    if (const auto problem = BeginOnce(c)) {
-      c.ReplyError(*problem);
-      return End(c, problem->ran, problem->status);
-    }
-    if (c.to_issuer) return;
-  }
-  Place(c);
+  if (c.issuer.IsEmpty()) return Place(c);
+  c.Send(c.issuer, NextForwardId());
+}
+
+// False if the request has its final answer.
+bool entry_task::BeginOrReply(call& c) {
+  if (c.caller_id.IsEmpty()) return true;
+  const auto problem = BeginOnce(c);
+  if (!problem) return true;
+  c.ReplyError(*problem);
+  End(c, problem->ran, problem->status);
+  return false;
 }
 
 // Only the process that issued an id may run it, and it remembers what became
@@ -679,6 +689,7 @@
   const begin_result begun =
       registry_->Begin(c.caller_id, HashBytes(like), now);
   namespace ans = begin_answer;
+  c.issuer_is_here = !std::holds_alternative<ans::other_issuer>(begun);
   if (std::holds_alternative<ans::run>(begun)) {
     c.in_registry = true;
     return std::nullopt;
@@ -693,8 +704,7 @@
     }
     LogDecision(kLogPart, "{} forwarded to its issuer {}", c.id.Str(),
                 other->vm.Str());
-    c.to_issuer = true;
-    c.Send(*issuer, NextForwardId());
+    c.issuer = *issuer;
     return std::nullopt;
   }
   if (std::holds_alternative<ans::already_running>(begun)) {
@@ -755,7 +765,7 @@
                    other.reason);
   }
   const auto target =
-      directory_.Choose(choice.zone, c.service, c.tried_dispatches);
+      directory_.Choose(choice.zone, c.service, c.tried_dispatches, now);
   if (!target) {
     placement_->OnRefused(c.service, choice.zone, now);
     c.tried_zones.push_back(choice.zone);
@@ -782,11 +792,14 @@
   const monotonic_time now = MonotonicNow();
   if (!c.dispatch.IsEmpty()) {
     directory_.OnDone(c.dispatch);
+    const bool was_reached = reason != kUnreachable && reason != kLost;
+    if (!was_reached) directory_.OnUnreachable(c.dispatch, now);
     c.dispatch = {};
     // The zone's other dispatch has slots of its own: the zone is given up only
     // when there is none left to ask.
     const bool is_done =
-        !directory_.Choose(c.zone, c.service, c.tried_dispatches).has_value();
+        !directory_.Choose(c.zone, c.service, c.tried_dispatches, now)
+             .has_value();
     if (is_done) {
       placement_->OnRefused(c.service, c.zone, now);
       c.tried_zones.push_back(c.zone);
@@ -796,7 +809,7 @@
   }
   constexpr int kMaxSends = 2;
   const bool is_final = reason == "key_refused" || reason == "poison" ||
-                        c.to_issuer || now >= c.deadline;
+                        !c.issuer.IsEmpty() || now >= c.deadline;
   if (!is_final && c.sends < kMaxSends && retries_.TryTake()) {
     LogDecision(kLogPart, "{} tried elsewhere after {}", c.id.Str(), reason);
     return Place(c);
@@ -876,7 +889,12 @@
 void entry_task::ReplyError(http_exchange& exchange,
                             const caller_error& problem) {
   stats_.Count("citron_errors_total", {{"code", problem.code}});
-  exchange.Reply(ErrorResponse(problem, ""));
+  caller_error said = problem;
+  // An earlier attempt with the same id may have run; see HonestVerdict.
+  const bool has_id =
+      FindHeader(exchange.Request().headers, "Citron-Request-Id").has_value();
+  if (has_id && said.ran == verdict::kNotRun) said.ran = verdict::kMayHaveRun;
+  exchange.Reply(ErrorResponse(said, ""));
 }
 
 http_response entry_task::ErrorResponse(const caller_error& problem,
