--- a/include/citron/config/settings.h
+++ b/include/citron/config/settings.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "citron/base/endpoint.h"
@@ -72,6 +73,11 @@
 result<entry_settings> LoadEntrySettings(const std::string& file);
 result<dispatch_settings> LoadDispatchSettings(const std::string& file);
 
+// The same for text that is at hand already; errors name path and value.
+result<control_settings> ParseControlSettings(std::string_view text);
+result<entry_settings> ParseEntrySettings(std::string_view text);
+result<dispatch_settings> ParseDispatchSettings(std::string_view text);
+
 // The secret that the settings name; errors never show it.
 result<std::string> LoadSecret(const common_settings& settings);
 
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -195,6 +195,38 @@
   return std::monostate{};
 }
 
+struct named_duration {
+  const char* name;
+  duration value;
+};
+
+void RequireBelow(json_reader& reader, const named_duration& shorter,
+                  const named_duration& longer) {
+  if (shorter.value < longer.value) return;
+  reader.Fail(
+      shorter.name,
+      fmt::format("{} is not below {}, {}", ToMilliseconds(shorter.value),
+                  longer.name, ToMilliseconds(longer.value)));
+}
+
+// The classes that hold leases assert that they are renewed before they lapse.
+// A file that breaks this would pass every field's own range and then end the
+// daemon in its start, without a word on the setting that is wrong.
+void CheckLeases(json_reader& reader, const control_settings& s) {
+  RequireBelow(reader, {"share_renew_interval_ms", s.share_renew_interval},
+               {"share_lease_ms", s.share_lease});
+}
+
+void CheckLeases(json_reader&, const entry_settings&) {}
+
+void CheckLeases(json_reader& reader, const dispatch_settings& s) {
+  RequireBelow(reader,
+               {"ownership_renew_interval_ms", s.ownership_renew_interval},
+               {"ownership_ttl_ms", s.ownership_ttl});
+  RequireBelow(reader, {"ownership_ttl_ms", s.ownership_ttl},
+               {"ownership_horizon_ms", s.ownership_horizon});
+}
+
 void CheckOwnAddresses(json_reader& reader, const control_settings& s) {
   CheckEndpoints(reader, {{"peer_listen", s.common.peer_listen},
                           {"metrics_listen", s.common.metrics_listen}});
@@ -216,29 +248,34 @@
 }
 
 template <class Settings>
-result<Settings> Load(const std::string& file) {
-  const auto failed = [&](const error& problem) {
-    return MakeError(problem.code,
-                     fmt::format("{}: {}", file, problem.message));
-  };
-  const result<std::string> text = ReadFile(file);
-  if (!IsOk(text)) return failed(ErrorOf(text));
-  const result<nlohmann::json> parsed = ParseJson(ValueOf(text));
-  if (!IsOk(parsed)) return failed(ErrorOf(parsed));
+result<Settings> Parse(std::string_view text) {
+  const result<nlohmann::json> parsed = ParseJson(text);
+  if (!IsOk(parsed)) return ErrorOf(parsed);
   Settings settings;
   json_reader reader(ValueOf(parsed), "");
   reading_visitor visitor(reader);
   Visit(visitor, settings);
   CheckOwnAddresses(reader, settings);
+  CheckLeases(reader, settings);
   if (settings.common.secret_file.empty() &&
       settings.common.secret_env.empty()) {
     reader.Fail("secret_file", "missing, and secret_env too");
   }
   const status finished = reader.Finish();
-  if (!IsOk(finished)) return failed(ErrorOf(finished));
+  if (!IsOk(finished)) return ErrorOf(finished);
   return settings;
 }
 
+template <class Settings>
+result<Settings> Load(const std::string& file) {
+  const result<std::string> text = ReadFile(file);
+  result<Settings> settings =
+      IsOk(text) ? Parse<Settings>(ValueOf(text)) : ErrorOf(text);
+  if (IsOk(settings)) return settings;
+  const error& problem = ErrorOf(settings);
+  return MakeError(problem.code, fmt::format("{}: {}", file, problem.message));
+}
+
 template <class Settings>
 std::vector<setting_description> Describe() {
   Settings defaults;
@@ -261,6 +298,18 @@
   return Load<dispatch_settings>(file);
 }
 
+result<control_settings> ParseControlSettings(std::string_view text) {
+  return Parse<control_settings>(text);
+}
+
+result<entry_settings> ParseEntrySettings(std::string_view text) {
+  return Parse<entry_settings>(text);
+}
+
+result<dispatch_settings> ParseDispatchSettings(std::string_view text) {
+  return Parse<dispatch_settings>(text);
+}
+
 result<std::string> LoadSecret(const common_settings& settings) {
   std::string secret;
   if (!settings.secret_file.empty()) {
--- a/tests/ctl/config_writer_test.cc
+++ b/tests/ctl/config_writer_test.cc
@@ -3,24 +3,13 @@
 #include <boost/test/unit_test.hpp>
 #include <trompeloeil.hpp>
 
+#include "platform/mock_platform_store.h"
+
 namespace citron {
 namespace {
 
 using trompeloeil::_;
 
-class mock_store : public trompeloeil::mock_interface<platform_store> {
- public:
-  IMPLEMENT_MOCK3(Get);
-  IMPLEMENT_MOCK3(Put);
-  IMPLEMENT_MOCK4(Remove);
-  IMPLEMENT_MOCK3(Range);
-  IMPLEMENT_MOCK5(Watch);
-  IMPLEMENT_MOCK3(GrantLease);
-  IMPLEMENT_MOCK3(RenewLease);
-  IMPLEMENT_MOCK3(RevokeLease);
-  IMPLEMENT_MOCK2(ListVms);
-};
-
 // Time passes only in pauses; every callback comes at once.
 class scripted_waiter final : public task_waiter {
  public:
@@ -53,7 +42,7 @@
   }
   void HoldsOld() { Holds({store_item{kKey, kOld, 5, "old"}, 5}); }
 
-  mock_store store;
+  mock_platform_store store;
   scripted_waiter waiter;
 
  private:
--- a/tests/integration/settings_test.cc
+++ b/tests/integration/settings_test.cc
@@ -133,6 +133,26 @@
   ExpectRefused("control", late, "share_lease_ms: 1 is outside 500 to 3600000");
 }
 
+// A lease that ends before it is renewed would lapse again and again. Such a
+// file must be refused at the start and by --check, not end a running daemon.
+BOOST_AUTO_TEST_CASE(LeaseShorterThanItsRenewalIsRefused) {
+  nlohmann::json shares = Good("control");
+  shares["share_lease_ms"] = 3000;
+  ExpectRefused("control", shares,
+                "share_renew_interval_ms: 3000 is not below share_lease_ms, "
+                "3000");
+  nlohmann::json owners = Good("dispatch");
+  owners["ownership_renew_interval_ms"] = 4000;
+  ExpectRefused("dispatch", owners,
+                "ownership_renew_interval_ms: 4000 is not below "
+                "ownership_ttl_ms, 3000");
+  nlohmann::json horizon = Good("dispatch");
+  horizon["ownership_horizon_ms"] = 2000;
+  ExpectRefused("dispatch", horizon,
+                "ownership_ttl_ms: 3000 is not below ownership_horizon_ms, "
+                "2000");
+}
+
 // A line break in a field's name must not make a second line of the error.
 BOOST_AUTO_TEST_CASE(ErrorStaysOneLine) {
   nlohmann::json forged = Good("entry");
