A sender's incarnation 0 no longer writes beyond the replay window

Found by the fuzz run of the forward head (undefined-behaviour sanitizer): for a sender not heard before with incarnation 0 the window was never made, and the first request wrote through an empty vector. Only daemons of the fleet can seal such a head, and their incarnations come from the clock, so no user has met it. forward_head_test shows it: memory access violation before, clean after.

--- a/src/link/forward_head.cc
+++ b/src/link/forward_head.cc
@@ -209,7 +209,8 @@
   if (!parts) return false;
   sender& from = senders_[parts->sender];
   if (parts->incarnation < from.incarnation) return false;
-  if (parts->incarnation > from.incarnation) {
+  // A sender that was not heard before has no window, whatever it counts from.
+  if (parts->incarnation > from.incarnation || from.seen.empty()) {
     from = {parts->incarnation, 0, std::vector<bool>(kWindow, false)};
   }
   if (parts->number + kWindow <= from.highest) return false;
--- a/tests/link/forward_head_test.cc
+++ b/tests/link/forward_head_test.cc
@@ -92,5 +92,14 @@
   BOOST_TEST(MayReturnHeader("Content-Length"));
 }
 
+// A sender counts its incarnations from 0. Its first request wrote beyond a
+// window that was never made, which ends the process or spoils its memory.
+BOOST_AUTO_TEST_CASE(IncarnationZeroHasAWindowToo) {
+  forward_replay_window window;
+  BOOST_TEST(window.Accept(request_id("vm.0.0.1771")));
+  BOOST_TEST(!window.Accept(request_id("vm.0.0.1771")));
+  BOOST_TEST(window.Accept(request_id("vm.0.0.1772")));
+}
+
 }  // namespace
 }  // namespace citron
