A request that a former owner did not send may go where it was meant to

Cause: a request whose send was withheld, as its upstream was no longer owned, was kept for any other upstream. A woken dispatch that was given back just that one upstream kept it until its deadline. Ruled out: the freeze (they were answered long after it), and the entry. integration_ownership_takeover_test: before, 4 requests were refused after 40 s and the test took 42 s; after, none took 30 s and it took 12 s. policy_service_scheduler_test is green.

--- a/src/policy/service_scheduler.cc
+++ b/src/policy/service_scheduler.cc
@@ -210,6 +210,10 @@
     entries_.erase(id);
     return;
   }
+  // One that is leaving gets nothing while it is. If it stays, or was given to
+  // another owner and came back, it may be all that this dispatch has, and
+  // what waits for a different one would wait until its deadline.
+  if (free_retry) e.tried = upstream_id();
   latest_starts_.emplace(e.place.latest_start, id);
   held_.emplace(e.place.latest_start, id);
 }
--- a/tests/integration/ownership_takeover_test.cc
+++ b/tests/integration/ownership_takeover_test.cc
@@ -10,6 +10,10 @@
 namespace citron {
 namespace {
 
+constexpr duration kDeadline = std::chrono::seconds(40);
+// Far above the freeze and the work that waits: whoever waits for longer is
+// forgotten, and hears of it at its deadline.
+constexpr duration kPatience = std::chrono::seconds(30);
 constexpr std::size_t kUpstreams = 3;
 constexpr std::size_t kSlots = 12;  // Of the zone.
 // Enough for a queue at both dispatches, each time.
@@ -19,7 +23,7 @@
   fleet_plan plan = SmallPlan(1, 2, kUpstreams);
   // Longer than the freeze, so that what the frozen dispatch holds is wanted
   // still when it wakes.
-  plan.contracts["depot"]["default_deadline_ms"] = 40000;
+  plan.contracts["depot"]["default_deadline_ms"] = ToMilliseconds(kDeadline);
   return plan;
 }
 
@@ -98,6 +102,10 @@
   Begin(kRequests, target);
   BOOST_REQUIRE(Ledger().WaitForAll());
   BOOST_TEST(BeyondSlots() == 0u);
+  for (const caller_record& record : Ledger().Records()) {
+    const bool in_time = record.call->ended < record.call->started + kPatience;
+    BOOST_TEST(in_time, record.upstream_target + " was kept waiting");
+  }
   BOOST_TEST(Ledger().Answered(200) > kRequests);
   for (const std::string& record : Ledger().FalselyNotRun(Fleet().Ledger())) {
     BOOST_ERROR("answered as not run, but ran: " + record);
