--- a/include/citron/entry/dispatch_directory.h
+++ b/include/citron/entry/dispatch_directory.h
@@ -32,6 +32,9 @@
   // random ones. `excluded` were tried already.
   std::optional<choice> Choose(const zone_id& zone, const service_id& service,
                                const std::set<endpoint>& excluded);
+  // The dispatch said that it has no upstream for the service; it is left out
+  // until the next report of it.
+  void OnNoUpstream(const endpoint& http, const service_id& service);
   // Where to ask for permits to send to the region; spread over its zones.
   std::optional<endpoint> PermitPeer(const region_id& region,
                                      const service_id& service);
--- a/src/entry/dispatch_directory.cc
+++ b/src/entry/dispatch_directory.cc
@@ -70,6 +70,18 @@
   return choice{best->vm, best->http};
 }
 
+// Its report is some hundred milliseconds late, and an idle dispatch looks like
+// the best one. Each request until the next report would be refused there, and
+// the retry budget would not last for them: when an upstream left, callers were
+// turned away though the neighbour had free slots.
+void dispatch_directory::OnNoUpstream(const endpoint& http,
+                                      const service_id& service) {
+  for (auto& [where, found] : candidates_) {
+    if (where.second != service) continue;
+    std::erase_if(found, [&](const candidate& c) { return c.http == http; });
+  }
+}
+
 // Expected wait by the last report, plus what was sent from here since: a
 // report is late, and without that every request until the next one would go
 // to the same dispatch.
--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -761,6 +761,9 @@
   const monotonic_time now = MonotonicNow();
   if (!c.dispatch.IsEmpty()) {
     directory_.OnDone(c.dispatch);
+    if (reason == RefusalName(refusal_reason::kNoUpstream)) {
+      directory_.OnNoUpstream(c.dispatch, c.service);
+    }
     c.dispatch = {};
     // The zone's other dispatch has slots of its own: the zone is given up only
     // when there is none left to ask.
--- a/tests/entry/dispatch_directory_test.cc
+++ b/tests/entry/dispatch_directory_test.cc
@@ -50,8 +50,9 @@
   BOOST_TEST(!directory.Choose(kZone, kDesk, {{"127.0.0.1", 2}}).has_value());
 }
 
-// A VM dies. Until its upstreams are taken over, its neighbour in the zone still
-// has slots; callers must not be refused because the dead one is asked first.
+// A VM dies. Until its upstreams are taken over, its neighbour in the zone
+// still has slots; callers must not be refused because the dead one is asked
+// first.
 BOOST_AUTO_TEST_CASE(SilentVmIsNotChosen) {
   dispatch_directory directory(1);
   vm_seen silent = Vm("a", 1, 8, 0);
@@ -81,5 +82,20 @@
   BOOST_TEST(sent["b"] > 35);
 }
 
+// A dispatch's only upstream leaves. Its last report still shows free slots,
+// and until the next one every request would be refused there first.
+BOOST_AUTO_TEST_CASE(DispatchWithoutUpstreamWaitsForItsNextReport) {
+  dispatch_directory directory(7);
+  const std::map<vm_id, vm_seen> vms = {{vm_id("a"), Vm("a", 1, 4, 0)},
+                                        {vm_id("b"), Vm("b", 2, 4, 1)}};
+  directory.Update(vms);
+  directory.OnNoUpstream({"127.0.0.1", 1}, kDesk);
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(directory.Choose(kZone, kDesk, {})->vm.Str() == "b");
+  }
+  directory.Update(vms);
+  BOOST_TEST(directory.Choose(kZone, kDesk, {{"127.0.0.1", 2}}).has_value());
+}
+
 }  // namespace
 }  // namespace citron
