--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -929,6 +929,9 @@
     directory_.OnDone(c.dispatch);
     const bool was_reached = reason != kUnreachable && reason != kLost;
     if (!was_reached) directory_.OnUnreachable(c.dispatch, now);
+    if (reason == RefusalName(refusal_reason::kNoUpstream)) {
+      directory_.OnNoUpstream(c.dispatch, c.service);
+    }
     c.dispatch = {};
     // The zone's other dispatch has slots of its own: the zone is given up only
     // when there is none left to ask.
--- a/tests/entry/dispatch_directory_test.cc
+++ b/tests/entry/dispatch_directory_test.cc
@@ -124,5 +124,20 @@
   BOOST_TEST(sent["b"] > 35);
 }
 
+// A dispatch's only upstream leaves. Its last report still shows free slots,
+// and until the next one every request would be refused there first.
+BOOST_AUTO_TEST_CASE(DispatchWithoutUpstreamWaitsForItsNextReport) {
+  dispatch_directory directory(7);
+  const std::map<vm_id, vm_seen> vms = {{vm_id("a"), Vm("a", 1, 4, 0)},
+                                        {vm_id("b"), Vm("b", 2, 4, 1)}};
+  directory.Update(vms);
+  directory.OnNoUpstream({"127.0.0.1", 1}, kDesk);
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(directory.Choose(kZone, kDesk, {}, kStart)->vm.Str() == "b");
+  }
+  directory.Update(vms);
+  BOOST_TEST(directory.Choose(kZone, kDesk, {{"127.0.0.1", 2}}).has_value());
+}
+
 }  // namespace
 }  // namespace citron
