--- a/tests/entry/dispatch_directory_test.cc
+++ b/tests/entry/dispatch_directory_test.cc
@@ -136,7 +136,8 @@
     BOOST_TEST(directory.Choose(kZone, kDesk, {}, kStart)->vm.Str() == "b");
   }
   directory.Update(vms);
-  BOOST_TEST(directory.Choose(kZone, kDesk, {{"127.0.0.1", 2}}).has_value());
+  BOOST_TEST(
+      directory.Choose(kZone, kDesk, {{"127.0.0.1", 2}}, kStart).has_value());
 }
 
 }  // namespace
