--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -7,7 +7,6 @@
 #include <cerrno>
 #include <charconv>
 #include <cmath>
-#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -31,9 +30,16 @@
 constexpr duration kOverRateRetry = std::chrono::milliseconds(500);
 constexpr std::size_t kMaxKeyBytes = 256;
 constexpr int kMaxIdsPerCall = 100;
+// A body that is too large by up to this is read to its end and refused in the
+// words of callers; above it the library answers with a page of its own before
+// the body has come. Without the margin each such caller gets that page.
+constexpr std::size_t kBodyMargin = std::size_t{64} << 10;
 constexpr double kDefaultAnswerBytes = 4096;
 constexpr double kAnswerBytesWeight = 0.1;
 
+constexpr char kUnreachable[] = "dispatch_unreachable";
+constexpr char kLost[] = "dispatch_lost";
+
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
@@ -41,6 +47,7 @@
 constexpr int kMethodNotAllowed = 405;
 constexpr int kConflict = 409;
 constexpr int kGone = 410;
+constexpr int kPayloadTooLarge = 413;
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 
@@ -87,6 +94,15 @@
   vms.resize(std::min(vms.size(), size));
 }
 
+// The whole text is one decimal number; anything else is none.
+std::optional<int> ParseCount(std::string_view text) {
+  int count = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, problem] = std::from_chars(text.data(), end, count);
+  if (problem != std::errc() || rest != end) return std::nullopt;
+  return count;
+}
+
 nlohmann::json Milliseconds(duration d) {
   return std::max(0.0, std::ceil(ToMilliseconds(d)));
 }
@@ -138,7 +154,8 @@
   http_server_limits limits;
   limits.max_header_bytes =
       static_cast<std::size_t>(settings_.max_header_bytes);
-  limits.max_body_bytes = static_cast<std::size_t>(settings_.max_body_bytes);
+  limits.max_body_bytes =
+      static_cast<std::size_t>(settings_.max_body_bytes) + kBodyMargin;
   limits.max_connections = settings_.max_connections;
   limits.request_deadline_after = settings_.request_read_limit;
   return http_server::Make(loop_, at, limits, std::move(handler), reuse_port);
@@ -527,15 +544,16 @@
     return ReplyError(exchange, {kMethodNotAllowed, "method",
                                  "request ids are issued by POST"});
   }
-  const int count = std::atoi(request.Query("count").value_or("1").c_str());
-  if (count < 1 || count > kMaxIdsPerCall) {
+  const std::optional<int> count =
+      ParseCount(request.Query("count").value_or("1"));
+  if (!count || *count < 1 || *count > kMaxIdsPerCall) {
     return ReplyError(exchange,
                       {kBadRequest, "bad_count",
                        fmt::format("count is not 1 to {}", kMaxIdsPerCall)});
   }
   const monotonic_time now = MonotonicNow();
   nlohmann::json page;
-  for (int i = 0; i < count; ++i) {
+  for (int i = 0; i < *count; ++i) {
     const result<request_id> issued = registry_->IssueId(now);
     if (!IsOk(issued)) {
       return ReplyError(exchange, {kServiceUnavailable, "ids_exhausted",
@@ -628,6 +646,20 @@
   if (const auto* problem = std::get_if<caller_error>(&deadline)) {
     return ReplyError(exchange, *problem);
   }
+  if (request.body.size() >
+      static_cast<std::size_t>(settings_.max_body_bytes)) {
+    return ReplyError(exchange, {kPayloadTooLarge, "body_too_large",
+                                 fmt::format("the body has more than {} bytes",
+                                             settings_.max_body_bytes)});
+  }
+  const auto caller_id = FindHeader(request.headers, "Citron-Request-Id");
+  // An id is part of answers and log lines, so one of any other shape than our
+  // own stops here. Bytes that are no UTF-8 made the JSON of the answer throw,
+  // which ended the process: one request took an entry down.
+  if (caller_id && !caller_id->empty() && !ParseRequestId(*caller_id)) {
+    return ReplyError(exchange, {kBadRequest, "bad_request_id",
+                                 "the id was not issued by this fleet"});
+  }
   const workspace_id& workspace = who.terms->workspace;
   const monotonic_time now = MonotonicNow();
   auto started = std::make_unique<call>(*this, exchange);
@@ -640,13 +672,15 @@
       ClassName(*known, std::string_view(rest).substr(0, rest.find('?')));
   started->deadline = std::get<monotonic_time>(deadline);
   started->idempotent = IsIdempotent(request.method);
-  started->caller_id = request_id(std::string(
-      FindHeader(request.headers, "Citron-Request-Id").value_or("")));
+  started->caller_id = request_id(std::string(caller_id.value_or("")));
   started->id =
       started->caller_id.IsEmpty() ? NextForwardId() : started->caller_id;
   retries_.OnRequest();
   call& c = *started;
   Start(std::move(started));
+  // Before admission: what became of an id is told also to a workspace that is
+  // over its rate, and costs it nothing.
+  if (!BeginOrReply(c)) return;
   const admit_result admitted = admission_->Admit(workspace, now);
   const auto* over = std::get_if<over_rate>(&admitted);
   if (over == nullptr) return Run(c);
@@ -750,7 +784,7 @@
   started->id = started->caller_id;
   call& c = *started;
   Start(std::move(started));
-  Run(c);
+  if (BeginOrReply(c)) Run(c);
 }
 
 void entry_task::Start(std::unique_ptr<call> started) {
@@ -759,14 +793,18 @@
 }
 
 void entry_task::Run(call& c) {
-  if (!c.caller_id.IsEmpty()) {
-    if (const auto problem = BeginOnce(c)) {
-      c.ReplyError(*problem);
-      return End(c, problem->ran, problem->status);
-    }
-    if (c.to_issuer) return;
-  }
-  Place(c);
+  if (c.issuer.IsEmpty()) return Place(c);
+  c.Send(c.issuer, NextForwardId());
+}
+
+// False if the request has its final answer.
+bool entry_task::BeginOrReply(call& c) {
+  if (c.caller_id.IsEmpty()) return true;
+  const auto problem = BeginOnce(c);
+  if (!problem) return true;
+  c.ReplyError(*problem);
+  End(c, problem->ran, problem->status);
+  return false;
 }
 
 // Only the process that issued an id may run it, and it remembers what became
@@ -780,6 +818,7 @@
   const begin_result begun =
       registry_->Begin(c.caller_id, HashBytes(like), now);
   namespace ans = begin_answer;
+  c.issuer_is_here = !std::holds_alternative<ans::other_issuer>(begun);
   if (std::holds_alternative<ans::run>(begun)) {
     c.in_registry = true;
     return std::nullopt;
@@ -794,8 +833,7 @@
     }
     LogDecision(kLogPart, "{} forwarded to its issuer {}", c.id.Str(),
                 other->vm.Str());
-    c.to_issuer = true;
-    c.Send(*issuer, NextForwardId());
+    c.issuer = *issuer;
     return std::nullopt;
   }
   if (std::holds_alternative<ans::already_running>(begun)) {
@@ -856,7 +894,7 @@
                    other.reason);
   }
   const auto target =
-      directory_.Choose(choice.zone, c.service, c.tried_dispatches);
+      directory_.Choose(choice.zone, c.service, c.tried_dispatches, now);
   if (!target) {
     placement_->OnRefused(c.service, choice.zone, now);
     c.tried_zones.push_back(choice.zone);
@@ -883,11 +921,14 @@
   const monotonic_time now = MonotonicNow();
   if (!c.dispatch.IsEmpty()) {
     directory_.OnDone(c.dispatch);
+    const bool was_reached = reason != kUnreachable && reason != kLost;
+    if (!was_reached) directory_.OnUnreachable(c.dispatch, now);
     c.dispatch = {};
     // The zone's other dispatch has slots of its own: the zone is given up only
     // when there is none left to ask.
     const bool is_done =
-        !directory_.Choose(c.zone, c.service, c.tried_dispatches).has_value();
+        !directory_.Choose(c.zone, c.service, c.tried_dispatches, now)
+             .has_value();
     if (is_done) {
       placement_->OnRefused(c.service, c.zone, now);
       c.tried_zones.push_back(c.zone);
@@ -897,7 +938,7 @@
   }
   constexpr int kMaxSends = 2;
   const bool is_final = reason == "key_refused" || reason == "poison" ||
-                        c.to_issuer || now >= c.deadline;
+                        !c.issuer.IsEmpty() || now >= c.deadline;
   if (!is_final && c.sends < kMaxSends && retries_.TryTake()) {
     LogDecision(kLogPart, "{} tried elsewhere after {}", c.id.Str(), reason);
     return Place(c);
@@ -977,7 +1018,12 @@
 void entry_task::ReplyError(http_exchange& exchange,
                             const caller_error& problem) {
   stats_.Count("citron_errors_total", {{"code", problem.code}});
-  exchange.Reply(ErrorResponse(problem, ""));
+  caller_error said = problem;
+  // An earlier attempt with the same id may have run; see HonestVerdict.
+  const bool has_id =
+      FindHeader(exchange.Request().headers, "Citron-Request-Id").has_value();
+  if (has_id && said.ran == verdict::kNotRun) said.ran = verdict::kMayHaveRun;
+  exchange.Reply(ErrorResponse(said, ""));
 }
 
 http_response entry_task::ErrorResponse(const caller_error& problem,
@@ -1005,7 +1051,9 @@
     response.head.headers.push_back(
         {"Retry-After", std::to_string(std::max<std::int64_t>(1, seconds))});
   }
-  response.body = body.dump();
+  // Never by exception: an error's answer may name bytes of the caller's.
+  response.body =
+      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   return response;
 }
 
--- a/tests/protocol/token_home_test.cc
+++ b/tests/protocol/token_home_test.cc
@@ -5,7 +5,24 @@
 
 namespace {
 
-using namespace citron;
+using citron::admission;
+using citron::admitted;
+using citron::entry_ref;
+using citron::FromSeconds;
+using citron::grant_ignored;
+using citron::home_role;
+using citron::monotonic_time;
+using citron::no_home;
+using citron::over_rate;
+using citron::seek_result;
+using citron::send_token_ask;
+using citron::token_ask;
+using citron::token_bucket;
+using citron::token_grant;
+using citron::token_grants;
+using citron::token_home;
+using citron::vm_id;
+using citron::workspace_id;
 
 const monotonic_time kStart{std::chrono::seconds(1000)};
 const workspace_id kTiny("tiny");
