--- a/src/protocol/token_home.cc
+++ b/src/protocol/token_home.cc
@@ -70,7 +70,7 @@
 //
 // A round trip to the home is what it costs; so workspaces whose part here
 // carries a burst of its own don't have one. At a load of 0.8 and two tokens a
-// VM 13% of the requests in the rate are refused without a home and 0.5% with
+// VM 13% of the requests in the rate are refused without a home and 0.7% with
 // one; with three it is 1.9% (4% beside an overload) and 0.5%; with four less
 // than 1.5% without one, and lost asks cost nearly as much.
 bool token_home::IsSmall(const workspace_id& workspace) const {
