--- a/tests/integration/download_test.cc
+++ b/tests/integration/download_test.cc
@@ -12,7 +12,7 @@
 
 constexpr char kKey[] = "key-of-depot";
 constexpr std::uint64_t kDownloadBytes = 100'000'000;
-constexpr std::int64_t kMaxGrowthKb = 16 * 1024;
+constexpr std::int64_t kMaxGrowthKb = 16'384;
 // The reader stops each time that it has got so much more.
 constexpr std::uint64_t kPauseEvery = 4 << 20;
 // Looks at an unmoving sender before it is taken to be held back.
