--- a/include/citron/entry/dispatch_directory.h
+++ b/include/citron/entry/dispatch_directory.h
@@ -31,7 +31,8 @@
   // A dispatch of the zone that serves the service: the less loaded of two
   // random ones. `excluded` were tried already.
   std::optional<choice> Choose(const zone_id& zone, const service_id& service,
-                               const std::set<endpoint>& excluded);
+                               const std::set<endpoint>& excluded,
+                               monotonic_time now);
   // The dispatch said that it has no upstream for the service; it is left out
   // until the next report of it.
   void OnNoUpstream(const endpoint& http, const service_id& service);
@@ -41,6 +42,8 @@
 
   void OnSent(const endpoint& http) { ++in_flight_[http]; }
   void OnDone(const endpoint& http);
+  // A connection to it failed or was lost.
+  void OnUnreachable(const endpoint& http, monotonic_time now);
 
  private:
   struct candidate {
@@ -58,6 +61,7 @@
   std::map<place, std::vector<candidate>> candidates_;
   std::vector<zone_report> reports_;
   std::map<endpoint, int> in_flight_;
+  std::map<endpoint, monotonic_time> avoid_until_;
 };
 
 }  // namespace citron
--- a/include/citron/wire/messages.h
+++ b/include/citron/wire/messages.h
@@ -11,6 +11,7 @@
 #include "citron/protocol/membership.h"
 #include "citron/protocol/ownership.h"
 #include "citron/protocol/share_holder.h"
+#include "citron/protocol/token_home.h"
 #include "citron/wire/fields.h"
 
 namespace citron {
@@ -38,6 +39,8 @@
   kLoanAsk = 40,
   kLoanGrant,
   kLoanReturn,
+  kTokenAsk,
+  kTokenGrant,
   // Dispatches of different VMs, and entries to dispatches.
   kPromiseAsk = 60,
   kPromise,
@@ -79,10 +82,11 @@
   std::uint64_t sequence = 0;
 };
 
-// The queue of one service at one dispatch.
+// The queue of one service at one loop of a dispatch.
 struct service_load {
   service_id service;
   scheduler_load load;
+  int loop = 0;
 };
 
 // From a dispatch's loop to its control.
@@ -100,6 +104,7 @@
   std::uint64_t sequence = 0;
   bool leaving = false;
   endpoint control;
+  endpoint status;  // Where /status and /metrics are served.
   config_revision revision = 0;
   duration config_age{};
   std::vector<task_address> entries;
@@ -164,7 +169,7 @@
   monotonic_time asked;
 };
 
-// A message of the loan protocol with its ends.
+// A message of the loan protocol or between an entry and a home, with its ends.
 template <class T>
 struct loan_message {
   entry_ref from;
@@ -221,14 +226,16 @@
   return std::tie(m.slots, m.usable_slots, m.in_flight, m.queued,
                   m.expected_wait, m.mean_service_time, m.usable_upstreams);
 }
-inline auto WireFields(service_load& m) { return std::tie(m.service, m.load); }
+inline auto WireFields(service_load& m) {
+  return std::tie(m.service, m.load, m.loop);
+}
 inline auto WireFields(dispatch_report& m) {
   return std::tie(m.loop, m.services);
 }
 inline auto WireFields(vm_view& m) {
   return std::tie(m.vm, m.zone, m.region, m.incarnation, m.sequence, m.leaving,
-                  m.control, m.revision, m.config_age, m.entries, m.dispatches,
-                  m.loads);
+                  m.control, m.status, m.revision, m.config_age, m.entries,
+                  m.dispatches, m.loads);
 }
 inline auto WireFields(vm_seen& m) {
   return std::tie(m.view, m.state, m.received_at);
@@ -286,6 +293,10 @@
 inline auto WireFields(loan_return& m) {
   return std::tie(m.workspace, m.number, m.kept_ppb, m.tokens);
 }
+inline auto WireFields(token_ask& m) { return std::tie(m.workspace, m.number); }
+inline auto WireFields(token_grant& m) {
+  return std::tie(m.workspace, m.number, m.granted, m.retry_ms, m.burst);
+}
 template <class T>
 auto WireFields(loan_message<T>& m) {
   return std::tie(m.from, m.to, m.message);
--- a/src/control/control_task.cc
+++ b/src/control/control_task.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -34,6 +35,27 @@
   handle(ValueOf(decoded));
 }
 
+void AddLoad(std::map<service_id, scheduler_load>& sums,
+             const service_load& added) {
+  const auto [found, is_new] = sums.try_emplace(added.service, added.load);
+  if (is_new) return;
+  scheduler_load& sum = found->second;
+  sum.slots += added.load.slots;
+  sum.usable_slots += added.load.usable_slots;
+  sum.in_flight += added.load.in_flight;
+  sum.queued += added.load.queued;
+  sum.usable_upstreams += added.load.usable_upstreams;
+  sum.expected_wait = std::min(sum.expected_wait, added.load.expected_wait);
+  sum.mean_service_time =
+      std::max(sum.mean_service_time, added.load.mean_service_time);
+}
+
+std::map<service_id, scheduler_load> LoadsOf(const vm_view& view) {
+  std::map<service_id, scheduler_load> sums;
+  for (const service_load& load : view.loads) AddLoad(sums, load);
+  return sums;
+}
+
 }  // namespace
 
 result<std::unique_ptr<control_task>> control_task::Make(
@@ -246,6 +268,23 @@
 
 void control_task::OnMembershipTimer() {
   Perform(membership_->OnTimer(MonotonicNow()));
+  ShowMembershipToShares();
+}
+
+// A VM that died holds its leased part of every limit until another VM asks
+// for it back; without this the fleet's limits would lose a part with each
+// death, and one would notice by requests refused inside the rate. A VM that
+// only seems dead clears the mark by itself.
+void control_task::ShowMembershipToShares() {
+  std::set<vm_id> live;
+  for (const share_entry& part : shares_->Table().entries) {
+    const std::optional<member_state> state = membership_->StateOf(part.vm);
+    // One that drains or leaves holds its share until it has ended.
+    const bool seems_dead = !state || *state == member_state::kSilent ||
+                            *state == member_state::kGone;
+    if (!seems_dead) live.insert(part.vm);
+  }
+  shares_->OnMembership(live);
 }
 
 void control_task::PollList() {
@@ -344,6 +383,7 @@
   view.sequence = ++view_sequence_;
   view.leaving = leaving_;
   view.control = peers_->Address();
+  view.status = pages_->Address();
   view.revision = config_->Revision();
   view.config_age = config_->Age();
   locals_.Describe(view, now);
@@ -412,20 +452,23 @@
     nlohmann::json member;
     member["vm"] = vm.Str();
     member["zone"] = seen.view.zone.Str();
-    member["state"] = static_cast<int>(seen.state);
+    if (!seen.view.status.IsEmpty()) {
+      member["status"] = seen.view.status.Str();
+    }
+    member["state"] = StateName(seen.state);
     member["revision"] = seen.view.revision;
     member["heard_ms_ago"] = age(seen.received_at);
     for (const task_address& entry : seen.view.entries) {
       member["entries"].push_back(entry.http.Str());
     }
-    for (const service_load& load : seen.view.loads) {
-      member["services"][load.service.Str()] = {
-          {"slots", load.load.slots},
-          {"usable_slots", load.load.usable_slots},
-          {"in_flight", load.load.in_flight},
-          {"queued", load.load.queued},
-          {"usable_upstreams", load.load.usable_upstreams},
-          {"expected_wait_ms", ToMilliseconds(load.load.expected_wait)}};
+    for (const auto& [service, load] : LoadsOf(seen.view)) {
+      member["services"][service.Str()] = {
+          {"slots", load.slots},
+          {"usable_slots", load.usable_slots},
+          {"in_flight", load.in_flight},
+          {"queued", load.queued},
+          {"usable_upstreams", load.usable_upstreams},
+          {"expected_wait_ms", ToMilliseconds(load.expected_wait)}};
     }
     page["members"].push_back(member);
   }
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -20,8 +20,8 @@
   void Send(const endpoint& to, const request_id& forward_id);
   void ReplyError(const caller_error& problem);
   void CancelForward();
-  // What may be said of the request by someone who did not send it.
-  verdict HonestVerdict(verdict ran) const;
+  // The verdict on the whole request, when its last try ended with this one.
+  verdict HonestVerdict(verdict last) const;
 
   void OnHead(const http_response_head& head) override;
   void OnBody(std::string_view bytes) override;
@@ -44,6 +44,7 @@
   bool in_registry = false;
   // Whether the id's issuer is this process, which knows what became of it.
   bool issuer_is_here = false;
+  bool id_is_forged = false;  // The fleet never issued it.
   // Where the entry that issued the id takes forwarded requests; else empty.
   endpoint issuer;
 
@@ -55,6 +56,9 @@
   std::set<endpoint> tried_dispatches;
   std::uint64_t expected_bytes = 0;
   int sends = 0;
+  // One try was lost after its bytes were out. Whatever becomes of the next
+  // try, the request as a whole can't be called "not run" any more.
+  bool may_have_run = false;
 
   const http_request& Request() const { return request_; }
   answer_relay& Relay() { return relay_; }
--- a/tests/entry/dispatch_directory_test.cc
+++ b/tests/entry/dispatch_directory_test.cc
@@ -7,6 +7,7 @@
 
 const service_id kDesk("yard-desk");
 const zone_id kZone("santiago-a");
+const monotonic_time kStart{FromSeconds(1000)};
 
 vm_seen Vm(const std::string& name, std::uint16_t port, int usable_slots,
            double wait_ms) {
@@ -43,11 +44,32 @@
   directory.Update(
       {{vm_id("a"), Vm("a", 1, 0, 0)}, {vm_id("b"), Vm("b", 2, 4, 50)}});
   for (int i = 0; i < 20; ++i) {
-    const auto chosen = directory.Choose(kZone, kDesk, {});
+    const auto chosen = directory.Choose(kZone, kDesk, {}, kStart);
     BOOST_REQUIRE(chosen.has_value());
     BOOST_TEST(chosen->vm.Str() == "b");
   }
-  BOOST_TEST(!directory.Choose(kZone, kDesk, {{"127.0.0.1", 2}}).has_value());
+  BOOST_TEST(
+      !directory.Choose(kZone, kDesk, {{"127.0.0.1", 2}}, kStart).has_value());
+}
+
+// A dispatch runs two loops, and one of them owns no upstream of the service.
+// Were the slots of both taken for each of them, half of the callers would be
+// refused while upstreams are idle.
+BOOST_AUTO_TEST_CASE(LoopWithoutSlotsIsNotChosen) {
+  dispatch_directory directory(1);
+  vm_seen vm = Vm("a", 1, 8, 0);
+  vm.view.dispatches.push_back({1, 2, {"127.0.0.1", 2}, {"127.0.0.1", 2}, {}});
+  service_load idle = vm.view.loads[0];
+  idle.loop = 1;
+  idle.load.usable_slots = 0;
+  vm.view.loads.push_back(idle);
+  directory.Update({{vm_id("a"), vm}});
+  for (int i = 0; i < 20; ++i) {
+    const auto chosen = directory.Choose(kZone, kDesk, {}, kStart);
+    BOOST_REQUIRE(chosen.has_value());
+    BOOST_TEST((chosen->http == endpoint{"127.0.0.1", 1}));
+  }
+  BOOST_TEST(directory.ZoneReports()[0].slots == 8);
 }
 
 // A VM dies. Until its upstreams are taken over, its neighbour in the zone
@@ -59,13 +81,33 @@
   silent.state = member_state::kSilent;
   directory.Update({{vm_id("a"), silent}, {vm_id("b"), Vm("b", 2, 4, 50)}});
   for (int i = 0; i < 20; ++i) {
-    const auto chosen = directory.Choose(kZone, kDesk, {});
+    const auto chosen = directory.Choose(kZone, kDesk, {}, kStart);
     BOOST_REQUIRE(chosen.has_value());
     BOOST_TEST(chosen->vm.Str() == "b");
   }
   BOOST_TEST(directory.ZoneReports()[0].slots == 4);
 }
 
+// A VM has just died and heartbeats don't tell yet. Callers whose requests are
+// tried there first would use up the retries of all.
+BOOST_AUTO_TEST_CASE(UnreachableDispatchIsLeftAloneForAWhile) {
+  dispatch_directory directory(1);
+  directory.Update(
+      {{vm_id("a"), Vm("a", 1, 8, 0)}, {vm_id("b"), Vm("b", 2, 4, 50)}});
+  directory.OnUnreachable({"127.0.0.1", 1}, kStart);
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(directory.Choose(kZone, kDesk, {}, kStart)->vm.Str() == "b");
+  }
+  const endpoint other{"127.0.0.1", 2};
+  BOOST_TEST(directory.Choose(kZone, kDesk, {other}, kStart)->vm.Str() == "a");
+  const monotonic_time later = kStart + FromSeconds(1);
+  std::map<std::string, int> chosen;
+  for (int i = 0; i < 20; ++i) {
+    ++chosen[directory.Choose(kZone, kDesk, {}, later)->vm.Str()];
+  }
+  BOOST_TEST(chosen["a"] > 0);
+}
+
 // Reports are late. Were they all that counts, every request until the next
 // report would go to the dispatch that looked idle in the last one.
 BOOST_AUTO_TEST_CASE(WhatWasSentSinceTheReportCounts) {
@@ -74,7 +116,7 @@
       {{vm_id("a"), Vm("a", 1, 4, 0)}, {vm_id("b"), Vm("b", 2, 4, 1)}});
   std::map<std::string, int> sent;
   for (int i = 0; i < 100; ++i) {
-    const auto chosen = directory.Choose(kZone, kDesk, {});
+    const auto chosen = directory.Choose(kZone, kDesk, {}, kStart);
     ++sent[chosen->vm.Str()];
     directory.OnSent(chosen->http);
   }
@@ -91,7 +133,7 @@
   directory.Update(vms);
   directory.OnNoUpstream({"127.0.0.1", 1}, kDesk);
   for (int i = 0; i < 20; ++i) {
-    BOOST_TEST(directory.Choose(kZone, kDesk, {})->vm.Str() == "b");
+    BOOST_TEST(directory.Choose(kZone, kDesk, {}, kStart)->vm.Str() == "b");
   }
   directory.Update(vms);
   BOOST_TEST(directory.Choose(kZone, kDesk, {{"127.0.0.1", 2}}).has_value());
