--- a/include/citron/control/control_task.h
+++ b/include/citron/control/control_task.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "citron/control/config_feed.h"
@@ -45,6 +46,7 @@
   void OnConfigChanged(const fleet_config& config);
   void OnViewTimer();
   void OnMembershipTimer();
+  void ShowMembershipToShares();
 
   void PollList();
   void Perform(const membership::actions& actions);
@@ -77,6 +79,7 @@
   std::uint64_t view_sequence_ = 0;
   bool leaving_ = false;
   std::function<void()> left_;
+  std::optional<monotonic_time> release_deadline_;
 };
 
 }  // namespace citron
--- a/src/control/control_task.cc
+++ b/src/control/control_task.cc
@@ -17,6 +17,9 @@
 constexpr char kLogPart[] = "control";
 constexpr duration kStoreTimeout = std::chrono::seconds(1);
 constexpr duration kListTimeout = std::chrono::seconds(2);
+// How long a stop waits for the store to take the share back: the time that
+// loans need to end, and a lost answer.
+constexpr duration kReleaseLimit = std::chrono::seconds(4);
 // The only keys that daemons may have written for them.
 constexpr char kOwnersPrefix[] = "owners/";
 
@@ -265,6 +268,23 @@
 
 void control_task::OnMembershipTimer() {
   Perform(membership_->OnTimer(MonotonicNow()));
+  ShowMembershipToShares();
+}
+
+// A VM that died holds its leased part of every limit until another VM asks
+// for it back; without this the fleet's limits would lose a part with each
+// death, and one would notice by requests refused inside the rate. A VM that
+// only seems dead clears the mark by itself.
+void control_task::ShowMembershipToShares() {
+  std::set<vm_id> live;
+  for (const share_entry& part : shares_->Table().entries) {
+    const std::optional<member_state> state = membership_->StateOf(part.vm);
+    // One that drains or leaves holds its share until it has ended.
+    const bool seems_dead = !state || *state == member_state::kSilent ||
+                            *state == member_state::kGone;
+    if (!seems_dead) live.insert(part.vm);
+  }
+  shares_->OnMembership(live);
 }
 
 void control_task::PollList() {
@@ -363,6 +383,7 @@
   view.sequence = ++view_sequence_;
   view.leaving = leaving_;
   view.control = peers_->Address();
+  view.status = pages_->Address();
   view.revision = config_->Revision();
   view.config_age = config_->Age();
   locals_.Describe(view, now);
@@ -371,13 +392,27 @@
 
 // While an entry still answers requests its share must stay: a request that
 // was let in would else be refused in the middle of a planned stop.
+//
+// A store that is gone doesn't take the share. A stop that waited for it would
+// last as long as the outage, and whoever replaces VMs would kill the process.
+// The share then stays in the table, as after a crash: nobody uses it twice,
+// and the VM's next process takes it over.
 void control_task::ReleaseWhenAlone() {
-  if (!left_ || !locals_.AllGone(MonotonicNow())) return;
-  Log(kLogPart, "leaving: giving the share back");
-  // The entry is gone, so that every grant counts as applied.
-  auto left = std::exchange(left_, nullptr);
-  shares_->Release(std::move(left));
-  shares_->OnGrantApplied(UINT64_MAX);
+  const monotonic_time now = MonotonicNow();
+  if (!left_ || !locals_.AllGone(now)) return;
+  if (!release_deadline_) {
+    release_deadline_ = now + kReleaseLimit;
+    Log(kLogPart, "leaving: giving the share back");
+    // The entry is gone, so that every grant counts as applied.
+    shares_->Release([this] {
+      if (left_) std::exchange(left_, nullptr)();
+    });
+    shares_->OnGrantApplied(UINT64_MAX);
+    return;
+  }
+  if (now < *release_deadline_) return;
+  Log(kLogPart, "leaving without giving the share back: no word of the store");
+  std::exchange(left_, nullptr)();
 }
 
 void control_task::OnPage(http_exchange& exchange) {
@@ -417,7 +452,10 @@
     nlohmann::json member;
     member["vm"] = vm.Str();
     member["zone"] = seen.view.zone.Str();
-    member["state"] = static_cast<int>(seen.state);
+    if (!seen.view.status.IsEmpty()) {
+      member["status"] = seen.view.status.Str();
+    }
+    member["state"] = StateName(seen.state);
     member["revision"] = seen.view.revision;
     member["heard_ms_ago"] = age(seen.received_at);
     for (const task_address& entry : seen.view.entries) {
