--- a/src/control/share_feed.cc
+++ b/src/control/share_feed.cc
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr char kTableKey[] = "shares/fleet";
 constexpr char kLogPart[] = "shares";
 
 share_settings SettingsFor(const control_settings& settings) {
@@ -73,18 +72,19 @@
 void share_feed::Do(const read_table&) {
   const monotonic_time deadline =
       MonotonicNow() + share_settings{}.reply_timeout;
-  context_.store.Get(kTableKey, deadline, [this](result<store_lookup> answer) {
-    const monotonic_time now = MonotonicNow();
-    if (!IsOk(answer)) return Perform(holder_.OnReadFailed(now));
-    const std::optional<store_item>& item = ValueOf(answer).item;
-    Perform(item ? holder_.OnTableRead(item->value, item->revision, now)
-                 : holder_.OnTableRead("", 0, now));
-  });
+  context_.store.Get(
+      kShareTableKey, deadline, [this](result<store_lookup> answer) {
+        const monotonic_time now = MonotonicNow();
+        if (!IsOk(answer)) return Perform(holder_.OnReadFailed(now));
+        const std::optional<store_item>& item = ValueOf(answer).item;
+        Perform(item ? holder_.OnTableRead(item->value, item->revision, now)
+                     : holder_.OnTableRead("", 0, now));
+      });
 }
 
 void share_feed::Do(const write_table& action) {
   store_write write;
-  write.key = kTableKey;
+  write.key = kShareTableKey;
   write.value = action.json;
   write.expected = action.expected_revision;
   write.write_id = fmt::format("{}/{}/{}", context_.settings.common.vm.Str(),
--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -1029,9 +1029,10 @@
                             const caller_error& problem) {
   stats_.Count("citron_errors_total", {{"code", problem.code}});
   caller_error said = problem;
-  // An earlier attempt with the same id may have run; see HonestVerdict.
-  const bool has_id =
-      FindHeader(exchange.Request().headers, "Citron-Request-Id").has_value();
+  // An earlier attempt with the same id may have run; see HonestVerdict. What
+  // isn't even shaped like an id was never issued.
+  const auto id = FindHeader(exchange.Request().headers, "Citron-Request-Id");
+  const bool has_id = id && ParseRequestId(*id).has_value();
   if (has_id && said.ran == verdict::kNotRun) said.ran = verdict::kMayHaveRun;
   exchange.Reply(ErrorResponse(said, ""));
 }
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -35,7 +35,8 @@
   event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
   // A kept connection turns its reading and writing on and off several times a
   // request; with the list only what is left at the end of a turn reaches the
-  // kernel. Unsafe for duplicated descriptors alone, and nothing here makes any.
+  // kernel. Unsafe for duplicated descriptors alone, and nothing here makes
+  // any.
   event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
   base_ = event_base_new_with_config(config);
   event_config_free(config);
