What callers write is read in one place; the client table is made anew only with its blocks

The class of a request and its fingerprint were worked out in the entry and in the dispatch; each stands once. With 180,000 blocks every change of a contract stopped the entry's loop for some 70 ms (docs/CAPACITY.md); now only a change of a block does. Fellows of a relay ask for the list of VMs five times less often.

--- a/include/citron/config/fleet_config.h
+++ b/include/citron/config/fleet_config.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "citron/base/endpoint.h"
@@ -35,6 +36,11 @@
   double short_reserve = 0.25;
   // How long a started or returning upstream takes to get its full part.
   duration cold_start_ramp{};
+
+  // The class with the longest prefix of the target's path; null if none.
+  const request_class* ClassOf(std::string_view target) const;
+  // Its name, or "".
+  std::string ClassNameOf(std::string_view target) const;
 };
 
 struct upstream_config {
@@ -119,6 +125,9 @@
   std::map<std::string, client_site_config> client_blocks;
   // Blocks of each group, so that a group is replaced as a whole.
   std::map<std::string, std::vector<std::string>> client_groups;
+  // Grows with each change of a group, so that tables made from the blocks are
+  // made anew only then.
+  std::uint64_t client_version = 0;
 
   const contract* FindContract(const workspace_id& id) const;
   const key_grant* FindKey(const std::string& digest) const;
--- a/include/citron/entry/entry_task.h
+++ b/include/citron/entry/entry_task.h
@@ -11,6 +11,7 @@
 
 #include "citron/base/verdict.h"
 #include "citron/config/settings.h"
+#include "citron/entry/caller_error.h"
 #include "citron/entry/dispatch_directory.h"
 #include "citron/entry/service_quality.h"
 #include "citron/link/control_link.h"
@@ -49,14 +50,6 @@
   class call;
   class id_mac;
 
-  // Why a caller's request gets an error of ours.
-  struct caller_error {
-    int status = 500;
-    std::string code;
-    std::string message;
-    verdict ran = verdict::kNotRun;
-    std::optional<monotonic_time> retry_at;
-  };
   // A key that is good, with the contract of its workspace.
   struct identity {
     std::string key_digest;
@@ -71,6 +64,7 @@
                                               bool reuse_port);
 
   void OnConfig();
+  void RebuildClients();
   void OnView();
   void OnMessage(const envelope& message);
   void OnShare(const share_update& update);
@@ -119,8 +113,6 @@
                     duration retry_after);
   void End(call& c, verdict ran, int status);
   void ReplyError(http_exchange& exchange, const caller_error& problem);
-  http_response ErrorResponse(const caller_error& problem,
-                              const std::string& id) const;
   void CountRefusal(const workspace_id& workspace, const std::string& reason);
 
   request_id NextForwardId();
@@ -151,6 +143,7 @@
   retry_budget retries_;
   vm_ranker ranker_;
   std::shared_ptr<const client_table> clients_;
+  std::uint64_t client_version_ = 0;  // Of the configuration, in clients_.
   std::map<std::pair<service_id, std::string>, double> answer_bytes_;
   std::map<entry_ref, endpoint> entry_peers_;
 
--- a/src/config/fleet_config.cc
+++ b/src/config/fleet_config.cc
@@ -162,6 +162,7 @@
     config.client_blocks.erase(block);
   }
   config.client_groups.erase(found);
+  ++config.client_version;
 }
 
 status ReadClients(fleet_config& config, const std::string& group,
@@ -182,6 +183,7 @@
     config.client_blocks[block] = site;
     config.client_groups[group].push_back(block);
   }
+  ++config.client_version;
   return finished;
 }
 
@@ -222,6 +224,24 @@
 
 }  // namespace
 
+const request_class* service_config::ClassOf(std::string_view target) const {
+  const std::string_view path = target.substr(0, target.find('?'));
+  const request_class* best = nullptr;
+  for (const request_class& candidate : classes) {
+    const std::string& prefix = candidate.path_prefix;
+    if (path.substr(0, prefix.size()) != prefix) continue;
+    if (best == nullptr || prefix.size() > best->path_prefix.size()) {
+      best = &candidate;
+    }
+  }
+  return best;
+}
+
+std::string service_config::ClassNameOf(std::string_view target) const {
+  const request_class* found = ClassOf(target);
+  return found == nullptr ? "" : found->name;
+}
+
 const contract* fleet_config::FindContract(const workspace_id& id) const {
   const auto found = contracts.find(id);
   return found == contracts.end() ? nullptr : &found->second;
--- a/src/control/control_task.cc
+++ b/src/control/control_task.cc
@@ -16,6 +16,7 @@
 
 constexpr char kLogPart[] = "control";
 constexpr duration kStoreTimeout = std::chrono::seconds(1);
+constexpr int kFellowListFactor = 5;
 constexpr duration kListTimeout = std::chrono::seconds(2);
 // How long a stop waits for the store to take the share back: the time that
 // loans need to end, and a lost answer.
@@ -289,7 +290,10 @@
 
 void control_task::PollList() {
   const monotonic_time now = MonotonicNow();
-  list_timer_.Arm(now + settings_.list_interval);
+  // The zone's relay asks often, its fellows seldom: they hear of the others by
+  // heartbeats, and the platform counts every call.
+  const int factor = membership_->IsRelay() ? 1 : kFellowListFactor;
+  list_timer_.Arm(now + settings_.list_interval * factor);
   store_->ListVms(now + kListTimeout,
                   [this](result<std::vector<vm_record>> answer) {
                     if (!IsOk(answer)) return;
--- a/src/dispatch/dispatch_task.cc
+++ b/src/dispatch/dispatch_task.cc
@@ -31,19 +31,6 @@
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
 
-const request_class* ClassOf(const service_config& service,
-                             std::string_view path) {
-  const request_class* best = nullptr;
-  for (const request_class& candidate : service.classes) {
-    const std::string& prefix = candidate.path_prefix;
-    if (path.substr(0, prefix.size()) != prefix) continue;
-    if (best == nullptr || prefix.size() > best->path_prefix.size()) {
-      best = &candidate;
-    }
-  }
-  return best;
-}
-
 scheduler_options OptionsFor(const service_config& service) {
   scheduler_options options;
   for (const request_class& known : service.classes) {
@@ -324,13 +311,11 @@
   described.idempotent = head.idempotent;
   described.arrived_at = MonotonicNow();
   described.deadline = described.arrived_at + head.time_left;
-  std::string like = head.workspace.Str();
-  like.append("\n").append(request.method).append("\n");
-  like.append(request.target).append("\n").append(request.body);
-  described.fingerprint = HashBytes(like);
+  described.fingerprint = RequestFingerprint(
+      head.workspace, {request.method, request.target, request.body});
   const service_config* config = link_->Config().FindService(service.id);
   const request_class* known =
-      config == nullptr ? nullptr : ClassOf(*config, request.Path());
+      config == nullptr ? nullptr : config->ClassOf(request.target);
   if (known != nullptr) {
     described.request_class = known->name;
     described.long_running = known->long_running;
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -119,7 +119,7 @@
   if (relay_.IsStarted()) return relay_.Break();
   caller_error said = problem;
   said.ran = HonestVerdict(problem.ran);
-  relay_.Reply(task_.ErrorResponse(said, id.Str()));
+  relay_.Reply(ErrorResponse(said, id.Str(), MonotonicNow()));
 }
 
 // One try may have been lost after its bytes were out; whatever became of the
--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -1,17 +1,15 @@
 #include "citron/entry/entry_task.h"
 
-#include <arpa/inet.h>
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cerrno>
-#include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "citron/base/digest.h"
 #include "citron/base/log.h"
+#include "citron/entry/caller_request.h"
 #include "citron/policy/patience.h"
 #include "entry/entry_call.h"
 
@@ -28,7 +26,6 @@
 constexpr duration kFreshnessRetry = std::chrono::seconds(2);
 constexpr duration kQualityWindow = std::chrono::seconds(30);
 constexpr duration kOverRateRetry = std::chrono::milliseconds(500);
-constexpr std::size_t kMaxKeyBytes = 256;
 constexpr int kMaxIdsPerCall = 100;
 // A body that is too large by up to this is read to its end and refused in the
 // words of callers; above it the library answers with a page of its own before
@@ -51,48 +48,6 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 
-bool IsIdempotent(const std::string& method) {
-  return method == "GET" || method == "HEAD";
-}
-
-// The last of the classes with the longest matching prefix.
-std::string ClassName(const service_config& service, std::string_view path) {
-  const request_class* best = nullptr;
-  for (const request_class& c : service.classes) {
-    if (path.substr(0, c.path_prefix.size()) != c.path_prefix) continue;
-    if (best == nullptr || c.path_prefix.size() > best->path_prefix.size()) {
-      best = &c;
-    }
-  }
-  return best == nullptr ? "" : best->name;
-}
-
-// "/service/rest" -> {"service", "/rest"}
-std::pair<service_id, std::string> SplitTarget(const std::string& target) {
-  const std::size_t begin = target.find_first_not_of('/');
-  if (begin == std::string::npos) return {};
-  const std::size_t end = target.find_first_of("/?", begin);
-  if (end == std::string::npos) return {service_id(target.substr(begin)), "/"};
-  std::string rest = target.substr(end);
-  if (rest[0] == '?') rest.insert(0, "/");
-  return {service_id(target.substr(begin, end - begin)), rest};
-}
-
-std::optional<std::uint32_t> ParseAddress(const std::string& text) {
-  in_addr address;
-  if (inet_pton(AF_INET, text.c_str(), &address) != 1) return std::nullopt;
-  return ntohl(address.s_addr);
-}
-
-// The whole text is one decimal number; anything else is none.
-std::optional<int> ParseCount(std::string_view text) {
-  int count = 0;
-  const char* end = text.data() + text.size();
-  const auto [rest, problem] = std::from_chars(text.data(), end, count);
-  if (problem != std::errc() || rest != end) return std::nullopt;
-  return count;
-}
-
 // The others stay behind it for when it fails, without a part of the callers.
 void RankFirst(const vm_id& vm, const endpoint& address,
                std::vector<ranked_vm>& vms) {
@@ -280,6 +235,14 @@
     placement_->SetRegionDrained(zone.region,
                                  config.drained_regions.contains(zone.region));
   }
+  if (config.client_version != client_version_) RebuildClients();
+}
+
+// Takes some 70 ms for 180,000 blocks, in which no request is served; so only
+// when a block has changed, not with each of the day's changes.
+void entry_task::RebuildClients() {
+  const fleet_config& config = link_->Config();
+  client_version_ = config.client_version;
   client_routes routes;
   for (const auto& [text, site] : config.client_blocks) {
     const std::optional<client_block> block = ParseClientBlock(text);
@@ -566,23 +529,12 @@
   exchange.Reply({{kOk, {{"Content-Type", "application/json"}}}, page.dump()});
 }
 
-std::variant<entry_task::identity, entry_task::caller_error>
-entry_task::Identify(const http_request& request) const {
-  constexpr std::string_view kScheme = "Bearer ";
-  const auto header = FindHeader(request.headers, "Authorization");
-  if (!header) {
-    return caller_error{kUnauthorized, "key_missing",
-                        "no Authorization: Bearer header"};
-  }
-  const bool well_formed =
-      header->size() > kScheme.size() && header->size() < kMaxKeyBytes &&
-      HeaderNameIs(header->substr(0, kScheme.size()), kScheme);
-  if (!well_formed) {
-    return caller_error{kUnauthorized, "key_malformed",
-                        "Authorization is not \"Bearer KEY\""};
-  }
+std::variant<entry_task::identity, caller_error> entry_task::Identify(
+    const http_request& request) const {
+  const auto key = ReadKey(request.headers);
+  if (const auto* problem = std::get_if<caller_error>(&key)) return *problem;
   identity who;
-  who.key_digest = Sha256Hex(header->substr(kScheme.size()));
+  who.key_digest = Sha256Hex(std::get<std::string_view>(key));
   const key_grant* grant = link_->Config().FindKey(who.key_digest);
   if (grant != nullptr)
     who.terms = link_->Config().FindContract(grant->workspace);
@@ -596,7 +548,7 @@
 
 // A VM that is cut off can't hear of a withdrawn key. The contract says how
 // long it may go on with what it last heard.
-std::optional<entry_task::caller_error> entry_task::CheckFreshness(
+std::optional<caller_error> entry_task::CheckFreshness(
     const contract& terms) const {
   const monotonic_time now = MonotonicNow();
   if (now - link_->FreshAsOf() <= terms.stale_key_limit) return std::nullopt;
@@ -605,28 +557,14 @@
                       now + kFreshnessRetry};
 }
 
-std::variant<monotonic_time, entry_task::caller_error> entry_task::DeadlineOf(
+std::variant<monotonic_time, caller_error> entry_task::DeadlineOf(
     const http_request& request, const contract& terms,
     const service_id& service) const {
   const monotonic_time now = MonotonicNow();
-  std::optional<duration> asked;
-  if (const auto text = FindHeader(request.headers, "Citron-Deadline-Ms")) {
-    double ms = 0;
-    const char* end = text->data() + text->size();
-    const auto [rest, problem] = std::from_chars(text->data(), end, ms);
-    constexpr double kMaxMs = 24.0 * 3600 * 1000;
-    if (problem != std::errc() || rest != end || !(ms <= kMaxMs)) {
-      return caller_error{kBadRequest, "bad_deadline",
-                          "Citron-Deadline-Ms is no number of milliseconds"};
-    }
-    if (ms <= 0) {
-      return caller_error{kBadRequest, "deadline_passed",
-                          "the deadline has passed already"};
-    }
-    asked = FromMilliseconds(ms);
-  }
+  const auto asked = ReadDeadline(request.headers);
+  if (const auto* problem = std::get_if<caller_error>(&asked)) return *problem;
   return DeadlineFor(terms, service, std::chrono::system_clock::now(), now,
-                     asked);
+                     std::get<std::optional<duration>>(asked));
 }
 
 void entry_task::OnServiceRequest(http_exchange& exchange) {
@@ -668,8 +606,7 @@
   started->workspace = workspace;
   started->service = service;
   started->target = rest;
-  started->request_class =
-      ClassName(*known, std::string_view(rest).substr(0, rest.find('?')));
+  started->request_class = known->ClassNameOf(rest);
   started->deadline = std::get<monotonic_time>(deadline);
   started->idempotent = IsIdempotent(request.method);
   started->caller_id = request_id(std::string(caller_id.value_or("")));
@@ -776,7 +713,7 @@
   started->service = head.service;
   started->target = request.target;
   if (const service_config* known = link_->Config().FindService(head.service)) {
-    started->request_class = ClassName(*known, request.Path());
+    started->request_class = known->ClassNameOf(request.target);
   }
   started->deadline = started->arrived_at + head.time_left;
   started->idempotent = head.idempotent;
@@ -810,13 +747,13 @@
 // Only the process that issued an id may run it, and it remembers what became
 // of it; so that a caller can ask again with the same id, at any entry, without
 // the work being done twice.
-std::optional<entry_task::caller_error> entry_task::BeginOnce(call& c) {
-  std::string like = c.workspace.Str();
-  like.append("\n").append(c.Request().method).append("\n");
-  like.append(c.target).append("\n").append(c.Request().body);
+std::optional<caller_error> entry_task::BeginOnce(call& c) {
   const monotonic_time now = MonotonicNow();
-  const begin_result begun =
-      registry_->Begin(c.caller_id, HashBytes(like), now);
+  const begin_result begun = registry_->Begin(
+      c.caller_id,
+      RequestFingerprint(c.workspace,
+                         {c.Request().method, c.target, c.Request().body}),
+      now);
   namespace ans = begin_answer;
   c.issuer_is_here = !std::holds_alternative<ans::other_issuer>(begun);
   if (std::holds_alternative<ans::run>(begun)) {
@@ -1034,38 +971,7 @@
   const auto id = FindHeader(exchange.Request().headers, "Citron-Request-Id");
   const bool has_id = id && ParseRequestId(*id).has_value();
   if (has_id && said.ran == verdict::kNotRun) said.ran = verdict::kMayHaveRun;
-  exchange.Reply(ErrorResponse(said, ""));
-}
-
-http_response entry_task::ErrorResponse(const caller_error& problem,
-                                        const std::string& id) const {
-  nlohmann::json body;
-  nlohmann::json& inner = body["error"];
-  inner["code"] = problem.code;
-  inner["message"] = problem.message;
-  inner["verdict"] = VerdictName(problem.ran);
-  http_response response;
-  response.head.status = problem.status;
-  response.head.headers = {
-      {"Content-Type", "application/json"},
-      {"Citron-Verdict", std::string(VerdictName(problem.ran))}};
-  if (!id.empty()) {
-    inner["request_id"] = id;
-    response.head.headers.push_back({"Citron-Request-Id", id});
-  }
-  if (problem.retry_at) {
-    const duration wait =
-        std::max(duration::zero(), *problem.retry_at - MonotonicNow());
-    inner["retry_after_ms"] = Milliseconds(wait);
-    // The header counts whole seconds; the body is exact.
-    const auto seconds = std::chrono::ceil<std::chrono::seconds>(wait).count();
-    response.head.headers.push_back(
-        {"Retry-After", std::to_string(std::max<std::int64_t>(1, seconds))});
-  }
-  // Never by exception: an error's answer may name bytes of the caller's.
-  response.body =
-      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-  return response;
+  exchange.Reply(ErrorResponse(said, "", MonotonicNow()));
 }
 
 void entry_task::OnPage(http_exchange& exchange) {
--- a/tests/config/fleet_config_test.cc
+++ b/tests/config/fleet_config_test.cc
@@ -35,6 +35,25 @@
   BOOST_TEST(!config.drained_vms.contains(vm_id("a")));
 }
 
+// Tables of blocks are large. Made anew with each contract that changes, they
+// would stop every look-up for a moment.
+BOOST_AUTO_TEST_CASE(ClientVersionGrowsOnlyWithBlocks) {
+  fleet_config config;
+  const std::string group = "config/clients/chile";
+  const std::string blocks =
+      R"({"blocks": {"10.0.0.0/8": {"region": "santiago"}}})";
+  BOOST_REQUIRE(IsOk(ApplyConfigObject(config, group, blocks)));
+  const std::uint64_t first = config.client_version;
+  BOOST_TEST(first > 0u);
+  ApplyConfigObject(config, "config/drain/vm/a", "{}");
+  ApplyConfigObject(config, "config/contract/w",
+                    R"({"rate_per_s": 1, "burst": 1})");
+  BOOST_TEST(config.client_version == first);
+  BOOST_REQUIRE(IsOk(ApplyConfigObject(config, group, "")));
+  BOOST_TEST(config.client_version > first);
+  BOOST_TEST(config.client_blocks.empty());
+}
+
 // An operator mistypes a contract. The message has to name the place, since
 // the file may hold hundreds of lines.
 BOOST_AUTO_TEST_CASE(ErrorsNameThePath) {
