The daemons start by one piece of code; a share is logged when its size changes

Three mains repeated command line, settings and secret; the share's line was written with every renewal, some hundred lines in one unit test, and hid the lines that matter at night.

--- a/apps/citron_control.cc
+++ b/apps/citron_control.cc
@@ -1,44 +1,37 @@
-#include "citron/base/log.h"
-#include "citron/config/command_line.h"
+#include "apps/daemon_main.h"
 #include "citron/control/control_task.h"
-#include "citron/net/daemon_runner.h"
 #include "citron/platform/http_platform_store.h"
 
+namespace citron {
 namespace {
 
-constexpr char kProgram[] = "citron_control";
-
-int Fail(const citron::error& problem, int exit_status) {
-  citron::PrintStartProblem(kProgram, problem.message);
-  return exit_status;
-}
-
-}  // namespace
-
-int main(int argc, char** argv) {
-  using namespace citron;  // NOLINT(google-build-using-namespace)
-  const daemon_command command = ParseDaemonCommandLine(
-      argc, argv, kProgram,
-      "The VM's client of the platform: configuration, membership, shares.",
-      CITRON_VERSION, DescribeControlSettings());
-  if (command.exit_status) return *command.exit_status;
-  const auto settings = LoadControlSettings(command.config_file);
-  if (!IsOk(settings)) return Fail(ErrorOf(settings), kExitUsage);
-  const auto secret = LoadSecret(ValueOf(settings).common);
-  if (!IsOk(secret)) return Fail(ErrorOf(secret), kExitUsage);
-  if (command.check_only) return 0;
-  SetDecisionLog(ValueOf(settings).common.log_decisions);
+int Run(const daemon_description& daemon,
+        const daemon_start<control_settings>& start) {
   const auto loop = event_loop::Make();
   auto task = control_task::Make(
-      *loop, ValueOf(settings), ValueOf(secret),
-      std::make_unique<http_platform_store>(*loop, ValueOf(settings).platform));
-  if (!IsOk(task)) return Fail(ErrorOf(task), kExitFailed);
+      *loop, start.settings, start.secret,
+      std::make_unique<http_platform_store>(*loop, start.settings.platform));
+  if (!IsOk(task)) return FailToStart(daemon, ErrorOf(task), kExitFailed);
   control_task& control = *ValueOf(task);
-  Log("control", "listening peer={} metrics={}", control.PeerAddress().Str(),
+  Log(daemon.part, "listening peer={} metrics={}", control.PeerAddress().Str(),
       control.MetricsAddress().Str());
   RunUntilSignal(*loop, [&](std::function<void()> done) {
     control.Leave(std::move(done));
   });
-  Log("control", "stopped");
+  Log(daemon.part, "stopped");
   return 0;
 }
+
+}  // namespace
+}  // namespace citron
+
+int main(int argc, char** argv) {
+  const citron::daemon_description daemon{
+      "citron_control", "control",
+      "The VM's client of the platform: configuration, membership, shares.",
+      citron::DescribeControlSettings()};
+  const auto prepared = citron::PrepareDaemon<citron::control_settings>(
+      argc, argv, daemon, citron::LoadControlSettings);
+  if (const int* exit_status = std::get_if<int>(&prepared)) return *exit_status;
+  return citron::Run(daemon, std::get<0>(prepared));
+}
--- a/include/citron/control/share_feed.h
+++ b/include/citron/control/share_feed.h
@@ -39,6 +39,7 @@
   std::function<void(const vm_share&)> granted_;
   std::function<void()> released_;
   loop_timer timer_;
+  vm_share shown_;  // In the log.
 };
 
 }  // namespace citron
--- a/src/control/share_feed.cc
+++ b/src/control/share_feed.cc
@@ -98,8 +98,14 @@
 }
 
 void share_feed::Do(const grant_changed& action) {
-  Log(kLogPart, "share is now {} ppm lasting and {} ppm leased",
-      action.share.floor_ppm, action.share.leased_ppm);
+  // A grant comes with every renewal; only another size is news.
+  const bool is_news = action.share.floor_ppm != shown_.floor_ppm ||
+                       action.share.leased_ppm != shown_.leased_ppm;
+  if (is_news) {
+    Log(kLogPart, "share is now {} ppm lasting and {} ppm leased",
+        action.share.floor_ppm, action.share.leased_ppm);
+  }
+  shown_ = action.share;
   granted_(action.share);
 }
 
--- a/tests/control/dead_vm_share_test.cc
+++ b/tests/control/dead_vm_share_test.cc
@@ -1,28 +1,15 @@
 #include "citron/control/share_feed.h"
 
 #include <boost/test/unit_test.hpp>
-#include <trompeloeil.hpp>
 
 #include "net/loop_fixture.h"
+#include "platform/mock_platform_store.h"
 
 namespace citron {
 namespace {
 
 using trompeloeil::_;
 
-class mock_store : public trompeloeil::mock_interface<platform_store> {
- public:
-  IMPLEMENT_MOCK3(Get);
-  IMPLEMENT_MOCK3(Put);
-  IMPLEMENT_MOCK4(Remove);
-  IMPLEMENT_MOCK3(Range);
-  IMPLEMENT_MOCK5(Watch);
-  IMPLEMENT_MOCK3(GrantLease);
-  IMPLEMENT_MOCK3(RenewLease);
-  IMPLEMENT_MOCK3(RevokeLease);
-  IMPLEMENT_MOCK2(ListVms);
-};
-
 const vm_id kOwn("own");
 const vm_id kLiving("living");
 const vm_id kDead("dead");
@@ -73,7 +60,7 @@
     return part == nullptr ? 0 : part->leased_ppm;
   }
 
-  mock_store store;
+  mock_platform_store store;
   std::unique_ptr<share_feed> feed;
   int reads = 0;
 
