--- a/run_tests.sh
+++ b/run_tests.sh
@@ -9,7 +9,7 @@
 jobs=${CITRON_JOBS:-$(nproc)}
 cmake -S . -B "$build" -G Ninja -DCITRON_SANITIZE="${CITRON_SANITIZE:-}" \
   -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >/dev/null
-cmake --build "$build" -j "$jobs"
+cmake --build "$build" -j "$jobs" ${CITRON_TARGET:+--target "$CITRON_TARGET"}
 known=""
 if [ -s KNOWN-RED.txt ]; then
   echo "Known faults, not counted (KNOWN-RED.txt):"
