--- a/include/citron/dispatch/dispatch_task.h
+++ b/include/citron/dispatch/dispatch_task.h
@@ -69,6 +69,7 @@
   void RefreshUpstreams();
   void RefreshShiftCap(service_state& service);
   void ReportLoad();
+  void EndNotice();
   void ContinueLeaving();
   void OnPage(http_exchange& exchange);
 
@@ -87,6 +88,7 @@
   std::map<service_id, std::unique_ptr<service_state>> services_;
   std::unordered_map<request_id, std::unique_ptr<call>> calls_;
   loop_timer report_timer_;
+  loop_timer notice_timer_;
   bool leaving_ = false;
   monotonic_time leave_deadline_;
   monotonic_time give_back_deadline_{};
--- a/src/dispatch/dispatch_task.cc
+++ b/src/dispatch/dispatch_task.cc
@@ -84,7 +84,8 @@
       secret_(secret),
       loop_index_(loop_index),
       client_(loop, settings.common.dial_overrides),
-      report_timer_(loop, [this] { ReportLoad(); }) {}
+      report_timer_(loop, [this] { ReportLoad(); }),
+      notice_timer_(loop, [this] { EndNotice(); }) {}
 
 dispatch_task::~dispatch_task() = default;
 
@@ -140,12 +141,11 @@
   give_back_deadline_ = MonotonicNow() + kLeaveNotice + kGiveBackLimit;
   Log(kLogPart, "leaving with {} requests here", calls_.size());
   link_->SetLeaving();
-  auto notice = std::make_shared<std::unique_ptr<loop_timer>>();
-  *notice = std::make_unique<loop_timer>(loop_, [this, notice] {
-    owner_->Leave([this] { ContinueLeaving(); });
-    loop_.Defer([notice] { notice->reset(); });
-  });
-  (*notice)->Arm(MonotonicNow() + kLeaveNotice);
+  notice_timer_.Arm(MonotonicNow() + kLeaveNotice);
+}
+
+void dispatch_task::EndNotice() {
+  owner_->Leave([this] { ContinueLeaving(); });
 }
 
 // Called when the zone's table no longer names this dispatch, and again with
