The cut VM of the key test serves before it is cut off

Under the address sanitizer its first request came before the VM had a share of the workspace's rate (429, once); the check is about the cut, and stays.

--- a/tests/integration/key_withdrawal_test.cc
+++ b/tests/integration/key_withdrawal_test.cc
@@ -122,6 +122,8 @@
 // A cut-off VM can't hear of a withdrawal. It serves on as long as the contract
 // lets it, so that a cut alone stops nobody, and not for longer.
 BOOST_AUTO_TEST_CASE(CutOffVmObeysTheContract) {
+  // A VM that has just started has no share of the workspace's rate yet.
+  BOOST_REQUIRE(Caller().WaitFor([&] { return StatusAt("z2vm1") == 200; }));
   CutOffZ2(true);
   const monotonic_time cut = MonotonicNow();
   WithdrawKey();
