A request waits for a token of the own rate; the limits of a loop are one state machine

Cause: a request that found the bucket empty for a moment was refused with a Retry-After of 0 ms, though the next token was a millisecond away; seen as 429 over_rate inside the rate under the address sanitizer. And demand that had moved was refused for the round trip that its loans take. Now a request waits (150 ms at most) when the rate here makes a token for it in time, behind those who wait already; what can't be helped is refused at once, as before. As many wait as the contract lets in meanwhile. Newcomers no longer take the token that one who waits was promised.

The loop that admitted, borrowed, asked homes and let wait stood twice, in entry_task and in the simulated fleet, and differed (demand was counted twice for those who waited). It is protocol/rate_limiter now, which both drive.

Ruled out: refusing without waiting but with a longer Retry-After; it keeps the refusal.

--- a/include/citron/entry/entry_task.h
+++ b/include/citron/entry/entry_task.h
@@ -19,15 +19,12 @@
 #include "citron/net/http_client.h"
 #include "citron/net/http_server.h"
 #include "citron/net/metrics.h"
-#include "citron/policy/admission_wait.h"
 #include "citron/policy/client_table.h"
 #include "citron/policy/placement.h"
 #include "citron/policy/retry_budget.h"
 #include "citron/policy/vm_ranker.h"
-#include "citron/protocol/admission.h"
-#include "citron/protocol/loan_book.h"
+#include "citron/protocol/rate_limiter.h"
 #include "citron/protocol/request_registry.h"
-#include "citron/protocol/token_home.h"
 
 namespace citron {
 
@@ -69,12 +66,18 @@
   void OnMessage(const envelope& message);
   void OnShare(const share_update& update);
   void OnPermits(const permit_grant& grant);
-  void Perform(const loan_actions& actions);
-  void Perform(const token_grants& grants);
+  template <class T>
+  void OnLimitMessage(const envelope& message);
+  void PerformLimits(const limit_actions& actions);
+  void Do(const let_in& action);
+  void Do(const turn_away& action);
+  void Do(const send_loan_ask& ask);
+  void Do(const send_loan_grant& grant);
+  void Do(const send_loan_return& returned);
+  void Do(const send_token_ask& ask);
+  void Do(const send_token_grant& grant);
   template <class T>
   void SendToEntry(const entry_ref& to, message_type type, const T& message);
-  void OnTokenAsk(const entry_ref& from, const token_ask& ask);
-  void OnTokenGrant(const entry_ref& from, const token_grant& grant);
   void SetPeers();
   entry_ref Self() const;
   void OnTick();
@@ -86,14 +89,11 @@
   void OnServiceRequest(http_exchange& exchange);
   void Start(std::unique_ptr<call> started);
   void Run(call& c);
-  // A request that found no token here.
-  void SeekToken(call& c, monotonic_time retry_at);
-  call& TakeWaiting(const request_id& wait_id);
+  void Admit(call& c);
+  call* TakeWaiting(wait_ticket ticket);
   // The home of the caller's workspace, for a look-up by a caller at `site`.
   const vm_seen* HomeFor(const http_request& request,
                          const client_site& site) const;
-  // Lets waiting requests in, or refuses those whose time is over.
-  void ServeWaiting();
   void RefuseOverRate(call& c, monotonic_time retry_at);
   std::variant<identity, caller_error> Identify(
       const http_request& request) const;
@@ -134,10 +134,7 @@
 
   std::unique_ptr<id_mac> mac_;
   std::unique_ptr<request_registry> registry_;
-  std::unique_ptr<admission> admission_;
-  std::unique_ptr<token_home> homes_;
-  std::unique_ptr<loan_book> loans_;
-  admission_wait waiting_;
+  std::unique_ptr<rate_limiter> limiter_;
   std::unique_ptr<placement> placement_;
   dispatch_directory directory_;
   retry_budget retries_;
@@ -148,10 +145,11 @@
   std::map<entry_ref, endpoint> entry_peers_;
 
   std::unordered_map<call*, std::unique_ptr<call>> calls_;
-  std::unordered_map<request_id, call*> waiting_calls_;  // For a token.
+  std::unordered_map<wait_ticket, call*> waiting_calls_;  // For a token.
   std::uint64_t last_forward_ = 0;
   service_quality quality_;
   loop_timer tick_;
+  loop_timer token_timer_;
   bool leaving_ = false;
   monotonic_time leave_deadline_;
   monotonic_time quiet_at_;
--- a/include/citron/protocol/token_bucket.h
+++ b/include/citron/protocol/token_bucket.h
@@ -2,6 +2,7 @@
 #define CITRON_PROTOCOL_TOKEN_BUCKET_H_
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -55,9 +56,10 @@
   // Of the parts that last until then, without what is set aside.
   double CapacityUntil(monotonic_time until) const;
 
-  // When one token will be there, by the parts as they are now; empty when it
-  // never will.
-  std::optional<monotonic_time> NextTokenAt(monotonic_time now);
+  // When one token will be there, by the parts as they are now, for one who
+  // comes behind `ahead` others that take one each; empty when it never will.
+  std::optional<monotonic_time> NextTokenAt(monotonic_time now,
+                                            std::size_t ahead = 0) const;
 
   void Advance(monotonic_time now) {
     if (now < next_change_) {
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -2,6 +2,7 @@
 #define CITRON_ENTRY_ENTRY_CALL_H_
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -38,9 +39,9 @@
   monotonic_time arrived_at;
   monotonic_time deadline;
   bool idempotent = false;
-  request_id id;         // As the caller and the logs see it.
-  request_id caller_id;  // From the caller; may be empty.
-  request_id wait_id;    // While it waits for a token.
+  request_id id;                      // As the caller and the logs see it.
+  request_id caller_id;               // From the caller; may be empty.
+  std::optional<wait_ticket> ticket;  // While it waits for a token.
   bool in_registry = false;
   // Whether the id's issuer is this process, which knows what became of it.
   bool issuer_is_here = false;
--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -25,7 +25,6 @@
 constexpr duration kLeaveNotice = std::chrono::milliseconds(1000);
 constexpr duration kFreshnessRetry = std::chrono::seconds(2);
 constexpr duration kQualityWindow = std::chrono::seconds(30);
-constexpr duration kOverRateRetry = std::chrono::milliseconds(500);
 constexpr int kMaxIdsPerCall = 100;
 // A body that is too large by up to this is read to its end and refused in the
 // words of callers; above it the library answers with a page of its own before
@@ -93,13 +92,15 @@
       secret_(secret),
       loop_index_(loop_index),
       client_(loop, settings.common.dial_overrides),
-      waiting_({}),
       directory_(HashBytes(settings.common.vm.Str(), NewIncarnation())),
       retries_(kRetryShare),
       ranker_({3, settings.lookup_lifetime}),
       clients_(client_routes().Build()),
       quality_(kQualityWindow),
-      tick_(loop, [this] { OnTick(); }) {}
+      tick_(loop, [this] { OnTick(); }),
+      token_timer_(loop, [this] {
+        PerformLimits(limiter_->OnTokenTime(MonotonicNow()));
+      }) {}
 
 entry_task::~entry_task() = default;
 
@@ -152,17 +153,13 @@
   const std::uint64_t seed =
       HashBytes(settings_.common.vm.Str(), incarnation + loop_index_);
   const monotonic_time now = MonotonicNow();
-  const loan_settings loan_options;
   mac_ = std::make_unique<id_mac>(secret_);
   request_registry_options registry;
   registry.vm = vm_id(RegistryName(settings_.common.vm, loop_index_));
   registry.incarnation = incarnation;
   registry_ = std::make_unique<request_registry>(registry, *mac_);
-  admission_ = std::make_unique<admission>(now + loan_options.SettleTime());
-  homes_ =
-      std::make_unique<token_home>(Self(), *admission_, token_home_settings{});
-  loans_ = std::make_unique<loan_book>(Self(), *admission_, loan_options, seed);
-  loans_->SetHomes(homes_.get());
+  limiter_ =
+      std::make_unique<rate_limiter>(Self(), rate_limiter_options{}, seed, now);
   placement_options place;
   place.zone = settings_.common.zone;
   place.region = settings_.common.region;
@@ -186,7 +183,7 @@
   Log(kLogPart, "leaving with {} requests here", calls_.size());
   link_->SetLeaving();
   SetPeers();
-  Perform(loans_->OnRelease(now));
+  PerformLimits(limiter_->OnRelease(now));
   server_->StopAccepting();
 }
 
@@ -203,25 +200,11 @@
 void entry_task::OnConfig() {
   const fleet_config& config = link_->Config();
   const monotonic_time now = MonotonicNow();
-  std::vector<workspace_id> without_contract;
-  for (const auto& [workspace, limit] : admission_->Limits()) {
-    if (config.FindContract(workspace) == nullptr) {
-      without_contract.push_back(workspace);
-    }
-  }
-  for (const workspace_id& workspace : without_contract) {
-    admission_->RemoveContract(workspace, now);
-    homes_->OnContract(workspace);
-  }
+  std::map<workspace_id, rate_contract> contracts;
   for (const auto& [workspace, terms] : config.contracts) {
-    const workspace_limit* limit = admission_->Find(workspace);
-    const bool is_same = limit != nullptr && !limit->is_withdrawn &&
-                         limit->bucket.ContractRate() == terms.rate_per_s &&
-                         limit->bucket.ContractBurst() == terms.burst;
-    if (is_same) continue;
-    admission_->SetContract(workspace, terms.rate_per_s, terms.burst, now);
-    homes_->OnContract(workspace);
+    contracts[workspace] = {terms.rate_per_s, terms.burst};
   }
+  limiter_->SetContracts(contracts, now);
   for (const auto& [id, service] : config.services) {
     const auto planned = config.shifts.find(id);
     std::optional<shift> wanted;
@@ -302,8 +285,7 @@
   zone.insert(zone.end(), region.begin(), region.end());
   zone.insert(zone.end(), far.begin(), far.end());
   if (zone.size() > kMaxLenders) zone.resize(kMaxLenders);
-  loans_->SetPeers(std::move(zone));
-  homes_->SetLive(std::move(live));
+  limiter_->SetEntries(std::move(zone), std::move(live));
 }
 
 entry_ref entry_task::Self() const {
@@ -311,40 +293,21 @@
 }
 
 void entry_task::OnMessage(const envelope& message) {
-  const monotonic_time now = MonotonicNow();
-  const entry_ref self = Self();
   switch (static_cast<message_type>(message.type)) {
     case message_type::kShareUpdate:
       return control_link::Decode<share_update>(
           message, [&](const auto& m) { OnShare(m); });
     case message_type::kLoanAsk:
-      return control_link::Decode<loan_message<loan_ask>>(
-          message, [&](const auto& m) {
-            if (m.to != self) return;
-            Perform(loans_->OnLoanAsk(m.from, m.message, now));
-          });
+      return OnLimitMessage<loan_ask>(message);
     case message_type::kLoanGrant:
-      return control_link::Decode<loan_message<loan_grant>>(
-          message, [&](const auto& m) {
-            if (m.to != self) return;
-            loans_->OnLoanGrant(m.from, m.message, now);
-            ServeWaiting();
-          });
+      return OnLimitMessage<loan_grant>(message);
+    case message_type::kLoanReturn:
+      return OnLimitMessage<loan_return>(message);
     case message_type::kTokenAsk:
-      return control_link::Decode<loan_message<token_ask>>(
-          message, [&](const auto& m) {
-            if (m.to == self) OnTokenAsk(m.from, m.message);
-          });
+      stats_.Count("citron_token_asks_total", {{"side", "home"}});
+      return OnLimitMessage<token_ask>(message);
     case message_type::kTokenGrant:
-      return control_link::Decode<loan_message<token_grant>>(
-          message, [&](const auto& m) {
-            if (m.to == self) OnTokenGrant(m.from, m.message);
-          });
-    case message_type::kLoanReturn:
-      return control_link::Decode<loan_message<loan_return>>(
-          message, [&](const auto& m) {
-            if (m.to == self) loans_->OnLoanReturn(m.from, m.message, now);
-          });
+      return OnLimitMessage<token_grant>(message);
     case message_type::kPermitGrant:
       return control_link::Decode<permit_grant>(
           message, [&](const auto& m) { OnPermits(m); });
@@ -354,9 +317,17 @@
   }
 }
 
+template <class T>
+void entry_task::OnLimitMessage(const envelope& message) {
+  control_link::Decode<loan_message<T>>(message, [&](const auto& m) {
+    if (m.to != Self()) return;
+    PerformLimits(limiter_->OnMessage(m.from, m.message, MonotonicNow()));
+  });
+}
+
 void entry_task::OnShare(const share_update& update) {
   const monotonic_time now = MonotonicNow();
-  admission_->SetShare(update.share, update.divisor, now);
+  limiter_->SetShare(update.share, update.divisor, now);
   placement_->SetLinkShare(update.link_fraction / update.divisor, now);
   link_->SendToControl(message_type::kShareApplied,
                        share_applied{loop_index_, update.share.sequence});
@@ -375,49 +346,42 @@
   link_->Send(peer->second, type, loan_message<T>{Self(), to, message});
 }
 
-void entry_task::Perform(const loan_actions& actions) {
-  for (const loan_action& action : actions) {
-    if (const auto* ask = std::get_if<send_loan_ask>(&action)) {
-      SendToEntry(ask->to, message_type::kLoanAsk, ask->message);
-    } else if (const auto* grant = std::get_if<send_loan_grant>(&action)) {
-      SendToEntry(grant->to, message_type::kLoanGrant, grant->message);
-    } else if (const auto* back = std::get_if<send_loan_return>(&action)) {
-      SendToEntry(back->to, message_type::kLoanReturn, back->message);
-    }
+void entry_task::PerformLimits(const limit_actions& actions) {
+  for (const limit_action& action : actions) {
+    std::visit([this](const auto& a) { Do(a); }, action);
   }
-}
-
-void entry_task::Perform(const token_grants& grants) {
-  for (const send_token_grant& grant : grants) {
-    SendToEntry(grant.to, message_type::kTokenGrant, grant.message);
+  if (const auto next = limiter_->NextTokenAt(MonotonicNow())) {
+    token_timer_.Arm(*next);
   }
 }
 
-void entry_task::OnTokenAsk(const entry_ref& from, const token_ask& ask) {
-  const monotonic_time now = MonotonicNow();
-  stats_.Count("citron_token_asks_total", {{"side", "home"}});
-  const bool may_borrow = loans_->MayBorrow(ask.workspace, now);
-  Perform(homes_->OnTokenAsk(*admission_, from, ask, may_borrow, now));
-  Perform(loans_->OnDemand(ask.workspace, now));
+void entry_task::Do(const let_in& action) {
+  if (call* c = TakeWaiting(action.ticket)) Run(*c);
 }
-
-// A refusal ends the oldest that waits: each of them has asked once, and which
-// of them a token would have served is all the same.
-void entry_task::OnTokenGrant(const entry_ref& from, const token_grant& grant) {
-  const monotonic_time now = MonotonicNow();
-  const grant_result result = homes_->OnTokenGrant(from, grant, now);
-  ServeWaiting();
-  const auto* over = std::get_if<over_rate>(&result);
-  if (over == nullptr) return;
-  const auto oldest = waiting_.TakeOldest(grant.workspace);
-  if (oldest) RefuseOverRate(TakeWaiting(*oldest), over->retry_at);
+void entry_task::Do(const turn_away& action) {
+  if (call* c = TakeWaiting(action.ticket)) RefuseOverRate(*c, action.retry_at);
+}
+void entry_task::Do(const send_loan_ask& ask) {
+  SendToEntry(ask.to, message_type::kLoanAsk, ask.message);
+}
+void entry_task::Do(const send_loan_grant& grant) {
+  SendToEntry(grant.to, message_type::kLoanGrant, grant.message);
+}
+void entry_task::Do(const send_loan_return& returned) {
+  SendToEntry(returned.to, message_type::kLoanReturn, returned.message);
+}
+void entry_task::Do(const send_token_ask& ask) {
+  stats_.Count("citron_token_asks_total", {{"side", "asker"}});
+  SendToEntry(ask.to, message_type::kTokenAsk, ask.message);
+}
+void entry_task::Do(const send_token_grant& grant) {
+  SendToEntry(grant.to, message_type::kTokenGrant, grant.message);
 }
 
 void entry_task::OnTick() {
   const monotonic_time now = MonotonicNow();
   tick_.Arm(now + loan_settings{}.tick);
-  Perform(loans_->OnTimer(now));
-  ServeWaiting();
+  PerformLimits(limiter_->OnTimer(now));
   for (const permit_want& want : placement_->TakeWants()) {
     const auto peer = directory_.PermitPeer(want.region, want.service);
     if (!peer) continue;
@@ -486,7 +450,7 @@
   const auto identified = Identify(request);
   const auto* who = std::get_if<identity>(&identified);
   if (who == nullptr) return nullptr;
-  const entry_ref* home = homes_->HomeOf(who->terms->workspace);
+  const entry_ref* home = limiter_->HomeOf(who->terms->workspace);
   if (home == nullptr) return nullptr;
   const auto seen = link_->Vms().find(home->vm);
   if (seen == link_->Vms().end()) return nullptr;
@@ -599,7 +563,6 @@
                                  "the id was not issued by this fleet"});
   }
   const workspace_id& workspace = who.terms->workspace;
-  const monotonic_time now = MonotonicNow();
   auto started = std::make_unique<call>(*this, exchange);
   started->key_digest = who.key_digest;
   started->weight = who.terms->weight;
@@ -618,41 +581,32 @@
   // Before admission: what became of an id is told also to a workspace that is
   // over its rate, and costs it nothing.
   if (!BeginOrReply(c)) return;
-  const admit_result admitted = admission_->Admit(workspace, now);
-  const auto* over = std::get_if<over_rate>(&admitted);
-  if (over == nullptr) return Run(c);
-  SeekToken(c, over->retry_at);
+  Admit(c);
 }
 
-void entry_task::SeekToken(call& c, monotonic_time retry_at) {
-  const monotonic_time now = MonotonicNow();
-  const workspace_id& workspace = c.workspace;
-  Perform(loans_->OnDemand(workspace, now));
-  const seek_result sought = homes_->Seek(workspace, now);
-  if (std::holds_alternative<admitted>(sought)) return Run(c);
-  if (const auto* over = std::get_if<over_rate>(&sought)) {
-    return RefuseOverRate(c, over->retry_at);
-  }
-  const auto* ask = std::get_if<send_token_ask>(&sought);
-  if (ask != nullptr) {
-    stats_.Count("citron_token_asks_total", {{"side", "asker"}});
-    SendToEntry(ask->to, message_type::kTokenAsk, ask->message);
-  }
-  // A caller may send the same id twice; each of the two waits by itself.
-  c.wait_id = NextForwardId();
-  const bool may_come = ask != nullptr || loans_->MayBorrow(workspace, now);
-  if (waiting_.TryWait(workspace, c.wait_id, may_come, now, c.deadline)) {
-    waiting_calls_[c.wait_id] = &c;
-    return;
-  }
-  RefuseOverRate(c, retry_at);
-}
-
-entry_task::call& entry_task::TakeWaiting(const request_id& wait_id) {
-  const auto found = waiting_calls_.find(wait_id);
+void entry_task::Admit(call& c) {
+  limit_actions actions;
+  const limit_decision decision =
+      limiter_->OnRequest(c.workspace, c.deadline, MonotonicNow(), actions);
+  if (const auto* awaited = std::get_if<token_awaited>(&decision)) {
+    c.ticket = awaited->ticket;
+    waiting_calls_[awaited->ticket] = &c;
+  }
+  // Those who came before go first.
+  PerformLimits(actions);
+  if (std::holds_alternative<admitted>(decision)) return Run(c);
+  const auto* over = std::get_if<over_rate>(&decision);
+  if (over != nullptr) RefuseOverRate(c, over->retry_at);
+}
+
+// Null for a call that has ended, as an action for another call may end it.
+entry_task::call* entry_task::TakeWaiting(wait_ticket ticket) {
+  const auto found = waiting_calls_.find(ticket);
+  if (found == waiting_calls_.end()) return nullptr;
   call* c = found->second;
   waiting_calls_.erase(found);
-  return *c;
+  c->ticket.reset();
+  return c;
 }
 
 void entry_task::RefuseOverRate(call& c, monotonic_time retry_at) {
@@ -665,27 +619,6 @@
   End(c, verdict::kNotRun, kTooManyRequests);
 }
 
-void entry_task::ServeWaiting() {
-  const monotonic_time now = MonotonicNow();
-  Perform(homes_->ServeHeld(*admission_, now));
-  for (const workspace_id& workspace : waiting_.Workspaces()) {
-    const auto admit = [this, now](const workspace_id& w) {
-      workspace_limit* limit = admission_->Find(w);
-      // Looked at before it is asked for, since each ask counts as demand.
-      if (limit == nullptr || limit->bucket.TokensAt(now) < 1) {
-        return homes_->TakeSpare(w, now);
-      }
-      return std::holds_alternative<admitted>(admission_->Admit(w, now));
-    };
-    for (const request_id& id : waiting_.TakeAdmitted(workspace, admit)) {
-      Run(TakeWaiting(id));
-    }
-  }
-  for (const request_id& id : waiting_.TakeExpired(now)) {
-    RefuseOverRate(TakeWaiting(id), now + kOverRateRetry);
-  }
-}
-
 // A request that another entry forwarded, because its id was issued here. The
 // other entry has admitted it.
 void entry_task::OnForwarded(http_exchange& exchange) {
@@ -915,8 +848,9 @@
     const auto bytes = static_cast<double>(c.Relay().BodyBytes());
     typical += kAnswerBytesWeight * (bytes - typical);
   }
-  if (waiting_calls_.erase(c.wait_id) != 0) {
-    waiting_.Remove(c.workspace, c.wait_id);
+  if (c.ticket) {
+    waiting_calls_.erase(*c.ticket);
+    limiter_->OnCancel(c.workspace, *c.ticket);
   }
   if (c.in_registry) registry_->OnOutcome(c.caller_id, ran, status);
   const metric_labels labels{{"service", c.service.Str()},
--- a/src/policy/admission_wait.cc
+++ b/src/policy/admission_wait.cc
@@ -7,40 +7,48 @@
 admission_wait::admission_wait(admission_wait_options options)
     : options_(options) {}
 
-bool admission_wait::TryWait(const workspace_id& workspace,
-                             const request_id& id, bool may_borrow,
+bool admission_wait::TryWait(const workspace_id& workspace, wait_ticket ticket,
+                             const token_prospects& prospects,
                              monotonic_time now, monotonic_time deadline) {
-  if (!may_borrow) return false;
-  std::deque<waiting_request>& waiting = waiting_[workspace];
-  // More than a few that wait are a burst over the rate, not the rounding of
-  // small parts; they would only come to wait in vain.
-  if (waiting.size() >= options_.max_waiting) return false;
-  waiting.push_back({id, std::min(deadline, now + options_.longest_wait)});
+  const monotonic_time give_up_at =
+      std::min(deadline, now + options_.longest_wait);
+  const std::optional<monotonic_time>& token_at = prospects.own_token_at;
+  const bool has_own = token_at && *token_at < give_up_at;
+  if (give_up_at <= now) return false;
+  if (!has_own && !prospects.may_borrow) return false;
+  if (Waiting(workspace) >= MostWaiting(prospects.contract_rate_per_s)) {
+    return false;
+  }
+  waiting_[workspace].push_back({ticket, give_up_at, token_at});
   return true;
 }
 
-std::vector<request_id> admission_wait::TakeAdmitted(
-    const workspace_id& workspace,
-    const std::function<bool(const workspace_id&)>& admit) {
-  std::vector<request_id> taken;
+std::size_t admission_wait::MostWaiting(double contract_rate_per_s) const {
+  const double let_in = contract_rate_per_s * ToSeconds(options_.longest_wait);
+  return std::max(options_.max_waiting, static_cast<std::size_t>(let_in));
+}
+
+std::vector<wait_ticket> admission_wait::TakeAdmitted(
+    const workspace_id& workspace, const std::function<bool()>& take_token) {
+  std::vector<wait_ticket> taken;
   const auto found = waiting_.find(workspace);
   if (found == waiting_.end()) return taken;
   std::deque<waiting_request>& waiting = found->second;
-  while (!waiting.empty() && admit(workspace)) {
-    taken.push_back(waiting.front().id);
+  while (!waiting.empty() && take_token()) {
+    taken.push_back(waiting.front().ticket);
     waiting.pop_front();
   }
   if (waiting.empty()) waiting_.erase(found);
   return taken;
 }
 
-std::vector<request_id> admission_wait::TakeExpired(monotonic_time now) {
-  std::vector<request_id> taken;
+std::vector<wait_ticket> admission_wait::TakeExpired(monotonic_time now) {
+  std::vector<wait_ticket> taken;
   for (auto it = waiting_.begin(); it != waiting_.end();) {
     std::deque<waiting_request>& waiting = it->second;
     std::erase_if(waiting, [&](const waiting_request& request) {
       const bool is_over = now >= request.give_up_at;
-      if (is_over) taken.push_back(request.id);
+      if (is_over) taken.push_back(request.ticket);
       return is_over;
     });
     it = waiting.empty() ? waiting_.erase(it) : std::next(it);
@@ -48,26 +56,30 @@
   return taken;
 }
 
-std::optional<request_id> admission_wait::TakeOldest(
+std::optional<wait_ticket> admission_wait::TakeOldest(
     const workspace_id& workspace) {
   const auto found = waiting_.find(workspace);
   if (found == waiting_.end()) return std::nullopt;
-  const request_id oldest = found->second.front().id;
+  const wait_ticket oldest = found->second.front().ticket;
   found->second.pop_front();
   if (found->second.empty()) waiting_.erase(found);
   return oldest;
 }
 
-void admission_wait::Remove(const workspace_id& workspace,
-                            const request_id& id) {
+void admission_wait::Remove(const workspace_id& workspace, wait_ticket ticket) {
   const auto found = waiting_.find(workspace);
   if (found == waiting_.end()) return;
   std::erase_if(found->second, [&](const waiting_request& request) {
-    return request.id == id;
+    return request.ticket == ticket;
   });
   if (found->second.empty()) waiting_.erase(found);
 }
 
+std::size_t admission_wait::Waiting(const workspace_id& workspace) const {
+  const auto found = waiting_.find(workspace);
+  return found == waiting_.end() ? 0 : found->second.size();
+}
+
 std::vector<workspace_id> admission_wait::Workspaces() const {
   std::vector<workspace_id> workspaces;
   for (const auto& [workspace, waiting] : waiting_) {
@@ -76,4 +88,17 @@
   return workspaces;
 }
 
+// A time that has passed foresaw what didn't come; that request is looked at
+// with the driver's timer.
+std::optional<monotonic_time> admission_wait::NextTokenAt(
+    monotonic_time now) const {
+  std::optional<monotonic_time> next;
+  for (const auto& [workspace, waiting] : waiting_) {
+    const std::optional<monotonic_time>& at = waiting.front().token_at;
+    if (!at || *at <= now) continue;
+    next = next ? std::min(*next, *at) : *at;
+  }
+  return next;
+}
+
 }  // namespace citron
--- a/src/protocol/token_bucket.cc
+++ b/src/protocol/token_bucket.cc
@@ -86,22 +86,32 @@
          aside_;
 }
 
-std::optional<monotonic_time> token_bucket::NextTokenAt(monotonic_time now) {
+std::optional<monotonic_time> token_bucket::NextTokenAt(
+    monotonic_time now, std::size_t ahead) const {
   // Played on a copy: the wait may reach over the ends of several parts.
-  token_bucket ahead = *this;
-  ahead.Advance(now);
+  token_bucket bucket = *this;
+  bucket.Advance(now);
+  double missing = static_cast<double>(ahead) + 1 - bucket.tokens_;
   monotonic_time at = now;
-  while (ahead.tokens_ < 1.0) {
-    const double missing = 1.0 - ahead.tokens_;
-    if (ahead.capacity_ >= 1.0 && missing < ahead.rate_ * kLongestWaitSeconds) {
+  while (missing > 0) {
+    const bool reaches_whole_tokens = bucket.capacity_ >= 1.0;
+    if (reaches_whole_tokens && missing < bucket.rate_ * kLongestWaitSeconds) {
       // One nanosecond more, so that rounding doesn't fall short of a token.
-      const monotonic_time full =
-          at + FromSeconds(missing / ahead.rate_) + std::chrono::nanoseconds(1);
-      if (full < ahead.next_change_) return full;
+      const monotonic_time full = at + FromSeconds(missing / bucket.rate_) +
+                                  std::chrono::nanoseconds(1);
+      if (full < bucket.next_change_) return full;
+    }
+    const monotonic_time change = bucket.next_change_;
+    if (change == monotonic_time::max()) return std::nullopt;
+    if (reaches_whole_tokens) {
+      missing -= bucket.rate_ * ToSeconds(change - at);
+    }
+    at = change;
+    bucket.Advance(at);
+    // Of less room than a token nothing was taken: what is left of it counts.
+    if (!reaches_whole_tokens) {
+      missing = static_cast<double>(ahead) + 1 - bucket.tokens_;
     }
-    if (ahead.next_change_ == monotonic_time::max()) return std::nullopt;
-    at = ahead.next_change_;
-    ahead.Advance(at);
   }
   return at;
 }
--- a/tests/policy/admission_wait_test.cc
+++ b/tests/policy/admission_wait_test.cc
@@ -9,20 +9,24 @@
 const monotonic_time kStart{FromSeconds(100)};
 const monotonic_time kFar = kStart + FromSeconds(5);
 
-request_id Id(int n) { return request_id(std::to_string(n)); }
+constexpr token_prospects kMayBorrow{true, std::nullopt, 0};
+constexpr token_prospects kNothing{false, std::nullopt, 0};
+
+wait_ticket Id(int n) { return wait_ticket(n); }
+int NumberOf(wait_ticket ticket) { return static_cast<int>(ticket); }
 
 // A small workspace's part of its burst is less than one token at each of many
 // VMs. A planner in the morning sends one request and is refused although the
 // workspace has hardly been used.
 BOOST_AUTO_TEST_CASE(WaitingRequestIsLetInWhenATokenArrives) {
   admission_wait wait({});
-  BOOST_TEST(wait.TryWait(kPenco, Id(1), true, kStart, kFar));
-  BOOST_TEST(wait.TryWait(kPenco, Id(2), true, kStart, kFar));
+  BOOST_TEST(wait.TryWait(kPenco, Id(1), kMayBorrow, kStart, kFar));
+  BOOST_TEST(wait.TryWait(kPenco, Id(2), kMayBorrow, kStart, kFar));
   int tokens = 1;
-  const auto admit = [&](const workspace_id&) { return tokens-- > 0; };
+  const auto admit = [&] { return tokens-- > 0; };
   const auto admitted = wait.TakeAdmitted(kPenco, admit);
   BOOST_REQUIRE(admitted.size() == 1u);
-  BOOST_TEST(admitted[0].Str() == "1");
+  BOOST_TEST(NumberOf(admitted[0]) == 1);
   BOOST_TEST(wait.Workspaces().size() == 1u);
 }
 
@@ -30,16 +34,48 @@
 // caller that was held back would only learn later that it has to come back.
 BOOST_AUTO_TEST_CASE(NothingWaitsInVain) {
   admission_wait wait({});
-  BOOST_TEST(!wait.TryWait(kPenco, Id(1), false, kStart, kFar));
+  BOOST_TEST(!wait.TryWait(kPenco, Id(1), kNothing, kStart, kFar));
   BOOST_TEST(wait.Workspaces().empty());
 }
 
+// A VM has just started and its bucket is empty. A clerk's request finds none
+// of the thousand tokens a second, and a refusal would tell her desk to ask
+// again in 0 ms; the next token is there before that refusal would be read.
+BOOST_AUTO_TEST_CASE(RequestWaitsForTheNextTokenOfTheOwnRate) {
+  admission_wait wait({});
+  const monotonic_time soon = kStart + FromMilliseconds(1);
+  BOOST_TEST(wait.TryWait(kPenco, Id(1), {false, soon, 1000}, kStart, kFar));
+  BOOST_TEST((wait.NextTokenAt(kStart) == soon));
+  BOOST_TEST(!wait.NextTokenAt(soon).has_value());
+}
+
+// The own rate makes a token only after the caller's deadline, or after the
+// time for which anything may wait.
+BOOST_AUTO_TEST_CASE(NothingWaitsForATokenThatComesTooLate) {
+  admission_wait wait({});
+  const monotonic_time late = kStart + FromMilliseconds(150);
+  BOOST_TEST(!wait.TryWait(kPenco, Id(1), {false, late, 5}, kStart, kFar));
+  const monotonic_time soon = kStart + FromMilliseconds(20);
+  BOOST_TEST(!wait.TryWait(kPenco, Id(1), {false, soon, 50}, kStart, soon));
+  BOOST_TEST(!wait.TryWait(kPenco, Id(1), kMayBorrow, kStart, kStart));
+}
+
+// The demand of a large workspace has moved here and its loans are under way.
+// As many wait as the contract lets in meanwhile, and no more.
+BOOST_AUTO_TEST_CASE(AsManyWaitAsTheContractLetsInMeanwhile) {
+  admission_wait wait({});
+  const token_prospects large{true, std::nullopt, 400};
+  int waiting = 0;
+  while (wait.TryWait(kPenco, Id(waiting + 1), large, kStart, kFar)) ++waiting;
+  BOOST_TEST(waiting == 60);
+}
+
 BOOST_AUTO_TEST_CASE(OldestIsTakenFirst) {
   admission_wait wait({});
-  wait.TryWait(kPenco, Id(1), true, kStart, kFar);
-  wait.TryWait(kPenco, Id(2), true, kStart, kFar);
-  BOOST_TEST(wait.TakeOldest(kPenco)->Str() == "1");
-  BOOST_TEST(wait.TakeOldest(kPenco)->Str() == "2");
+  wait.TryWait(kPenco, Id(1), kMayBorrow, kStart, kFar);
+  wait.TryWait(kPenco, Id(2), kMayBorrow, kStart, kFar);
+  BOOST_TEST(NumberOf(*wait.TakeOldest(kPenco)) == 1);
+  BOOST_TEST(NumberOf(*wait.TakeOldest(kPenco)) == 2);
   BOOST_TEST(!wait.TakeOldest(kPenco).has_value());
 }
 
@@ -47,22 +83,22 @@
   admission_wait_options options;
   options.max_waiting = 2;
   admission_wait wait(options);
-  BOOST_TEST(wait.TryWait(kPenco, Id(1), true, kStart, kFar));
+  BOOST_TEST(wait.TryWait(kPenco, Id(1), kMayBorrow, kStart, kFar));
   const monotonic_time soon = kStart + FromMilliseconds(10);
-  BOOST_TEST(wait.TryWait(kPenco, Id(2), true, kStart, soon));
-  BOOST_TEST(!wait.TryWait(kPenco, Id(3), true, kStart, kFar));
+  BOOST_TEST(wait.TryWait(kPenco, Id(2), kMayBorrow, kStart, soon));
+  BOOST_TEST(!wait.TryWait(kPenco, Id(3), kMayBorrow, kStart, kFar));
   BOOST_TEST(wait.TakeExpired(kStart).empty());
   const auto early = wait.TakeExpired(soon);
   BOOST_REQUIRE(early.size() == 1u);
-  BOOST_TEST(early[0].Str() == "2");
+  BOOST_TEST(NumberOf(early[0]) == 2);
   const auto late = wait.TakeExpired(kStart + options.longest_wait);
   BOOST_REQUIRE(late.size() == 1u);
-  BOOST_TEST(late[0].Str() == "1");
+  BOOST_TEST(NumberOf(late[0]) == 1);
 }
 
 BOOST_AUTO_TEST_CASE(CallerThatHangsUpWaitsNoMore) {
   admission_wait wait({});
-  wait.TryWait(kPenco, Id(1), true, kStart, kFar);
+  wait.TryWait(kPenco, Id(1), kMayBorrow, kStart, kFar);
   wait.Remove(kPenco, Id(1));
   BOOST_TEST(wait.TakeExpired(kFar).empty());
 }
--- a/tests/protocol/token_bucket_test.cc
+++ b/tests/protocol/token_bucket_test.cc
@@ -80,6 +80,20 @@
   BOOST_TEST(bucket.TryTake(*at));
 }
 
+// Three requests wait; a fourth is told when its own token will be there. The
+// bucket never holds four, since each is taken as it comes.
+BOOST_AUTO_TEST_CASE(TokenBehindOthersComesLater) {
+  token_bucket bucket(100, 10, kStart);
+  bucket.SetPart({1, kWholePpb / 5, After(1000)}, kStart);
+  for (std::size_t ahead = 0; ahead < 4; ++ahead) {
+    const auto at = bucket.NextTokenAt(kStart, ahead);
+    BOOST_REQUIRE(at.has_value());
+    BOOST_TEST(citron::ToSeconds(*at - kStart) ==
+                   0.05 * static_cast<double>(ahead + 1),
+               boost::test_tools::tolerance(0.001));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(NoTokenIsPromisedWhereNoneWillCome) {
   token_bucket bucket(10, 10, kStart);
   BOOST_TEST(!bucket.NextTokenAt(kStart).has_value());
--- a/tools/limits_experiment/simulated_fleet.h
+++ b/tools/limits_experiment/simulated_fleet.h
@@ -17,9 +17,8 @@
 #include <vector>
 
 #include "citron/protocol/admission.h"
-#include "citron/protocol/loan_book.h"
+#include "citron/protocol/rate_limiter.h"
 #include "citron/protocol/share_holder.h"
-#include "citron/protocol/token_home.h"
 
 namespace citron {
 
@@ -134,18 +133,13 @@
     e.process.frozen = false;
     ++e.process.generation;
     const monotonic_time now = Local(i);
-    e.limits = std::make_unique<admission>(now + options_.loan.SettleTime());
     e.ref = {vms_[i]->id, loop, ++incarnations_};
-    e.book =
-        std::make_unique<loan_book>(e.ref, *e.limits, options_.loan, random_());
-    if (options_.homes) {
-      e.home = std::make_unique<token_home>(e.ref, *e.limits, options_.home);
-      e.book->SetHomes(e.home.get());
-    }
+    e.limiter =
+        std::make_unique<rate_limiter>(e.ref, LimiterOptions(), random_(), now);
     for (const auto& [id, contract] : contracts_) ApplyContract(i, loop, id);
     // Only control can say what the share is.
     if (vms_[i]->control.alive) {
-      e.limits->SetShare(vms_[i]->last_share, options_.loops, now);
+      e.limiter->SetShare(vms_[i]->last_share, options_.loops, now);
       e.applied = vms_[i]->last_share.sequence;
       e.applied_by = vms_[i]->control.generation;
     }
@@ -176,7 +170,7 @@
     vm& v = *vms_[i];
     for (int loop = 0; loop < options_.loops; ++loop) {
       entry& e = v.entries[loop];
-      if (e.process.alive) Carry(i, loop, e.book->OnRelease(Local(i)));
+      if (e.process.alive) Carry(i, loop, e.limiter->OnRelease(Local(i)));
     }
     if (v.holder) Carry(i, v.holder->OnRelease(Local(i)));
   }
@@ -219,28 +213,19 @@
   void Decide(int i, int loop, const workspace_id& id) {
     entry& e = vms_[i]->entries[loop];
     const bool is_in_rate = RecordArrival(id);
-    if (std::holds_alternative<admitted>(e.limits->Admit(id, Local(i)))) {
-      return RecordAdmitted(id);
-    }
-    if (options_.loans) Carry(i, loop, e.book->OnDemand(id, Local(i)));
-    bool may_wait = options_.loans && e.book->MayBorrow(id, Local(i));
-    if (e.home) {
-      const seek_result sought = e.home->Seek(id, Local(i));
-      if (std::holds_alternative<admitted>(sought)) return RecordAdmitted(id);
-      if (std::holds_alternative<over_rate>(sought)) may_wait = false;
-      if (const auto* ask = std::get_if<send_token_ask>(&sought)) {
-        may_wait = true;
-        ++token_asks_;
-        Send(i, e.ref, ask->to, ask->message);
-      }
-    }
-    std::deque<waiting>& queue = e.waits[id];
-    constexpr std::size_t kMaxWaiting = 16;
-    if (!may_wait || options_.longest_wait == duration::zero() ||
-        queue.size() >= kMaxWaiting) {
-      return RecordRefused(id, is_in_rate);
+    const monotonic_time now = Local(i);
+    limit_actions actions;
+    const limit_decision decision =
+        e.limiter->OnRequest(id, now + std::chrono::hours(1), now, actions);
+    if (std::holds_alternative<admitted>(decision)) {
+      RecordAdmitted(id);
+    } else if (const auto* awaited = std::get_if<token_awaited>(&decision)) {
+      e.waits[awaited->ticket] = {id, is_in_rate};
+    } else {
+      RecordRefused(id, is_in_rate);
     }
-    queue.push_back({is_in_rate, Local(i) + options_.longest_wait});
+    Carry(i, loop, actions);
+    ArmTokenTime(i, loop);
   }
 
   void Run(duration until) {
@@ -315,7 +300,7 @@
     std::int64_t sum = 0;
     for (int i = 0; i < Size(); ++i) {
       for (const entry& e : vms_[i]->entries) {
-        workspace_limit* w = e.limits ? e.limits->Find(id) : nullptr;
+        const workspace_limit* w = LimitOf(e, id);
         if (w == nullptr) continue;
         token_bucket bucket = w->bucket;
         bucket.Advance(Local(i));
@@ -346,16 +331,15 @@
     std::vector<std::function<void()>> backlog;
   };
   struct waiting {
+    workspace_id workspace;
     bool is_in_rate = false;
-    monotonic_time give_up_at{};
   };
   struct entry {
     process_state process;
     entry_ref ref;
-    std::unique_ptr<admission> limits;
-    std::unique_ptr<loan_book> book;
-    std::unique_ptr<token_home> home;
-    std::map<workspace_id, std::deque<waiting>> waits;
+    std::unique_ptr<rate_limiter> limiter;
+    std::map<wait_ticket, waiting> waits;
+    monotonic_time token_time = monotonic_time::max();  // Armed for it.
     std::uint64_t applied = 0;     // Sequence of the share in use.
     std::uint64_t applied_by = 0;  // Generation of control that granted it.
   };
@@ -395,6 +379,15 @@
     return monotonic_time(v.clock_offset + Scaled(now_, v.clock_rate));
   }
 
+  // When the VM's clock shows it, or now if it has.
+  duration At(int i, monotonic_time local) const {
+    const vm& v = *vms_[i];
+    const duration at =
+        Scaled(local.time_since_epoch() - v.clock_offset, 1 / v.clock_rate) +
+        std::chrono::nanoseconds(100);
+    return std::max(now_, at);
+  }
+
   // Heartbeats between control processes, as late as they are in the fleet.
   void Watch(int i) {
     PostControl(i, now_ + std::chrono::seconds(1), [=, this] {
@@ -446,33 +439,43 @@
   }
 
   void Drop(entry& e) {
-    for (auto& [id, queue] : e.waits) {
-      for (const waiting& w : queue) RecordRefused(id, w.is_in_rate);
+    for (const auto& [ticket, w] : e.waits) {
+      RecordRefused(w.workspace, w.is_in_rate);
     }
     e.waits.clear();
-    e.book.reset();
-    e.home.reset();
-    e.limits.reset();
-  }
-  void ServeWaiting(int i, int loop) {
+    e.limiter.reset();
+  }
+  static const workspace_limit* LimitOf(const entry& e,
+                                        const workspace_id& id) {
+    return e.limiter ? std::as_const(*e.limiter).Limits().Find(id) : nullptr;
+  }
+  rate_limiter_options LimiterOptions() const {
+    rate_limiter_options limiter;
+    limiter.loan = options_.loan;
+    limiter.home = options_.home;
+    limiter.wait.longest_wait = options_.longest_wait;
+    limiter.has_loans = options_.loans;
+    limiter.has_homes = options_.homes;
+    return limiter;
+  }
+  waiting TakeWaiting(int i, int loop, wait_ticket ticket) {
+    auto& waits = vms_[i]->entries[loop].waits;
+    const auto found = waits.find(ticket);
+    waiting taken = found->second;
+    waits.erase(found);
+    return taken;
+  }
+  void ArmTokenTime(int i, int loop) {
     entry& e = vms_[i]->entries[loop];
-    const monotonic_time now = Local(i);
-    for (auto& [id, queue] : e.waits) {
-      workspace_limit* limit = e.limits->Find(id);
-      while (!queue.empty()) {
-        const bool has_local =
-            limit != nullptr && limit->bucket.TokensAt(now) >= 1 &&
-            std::holds_alternative<admitted>(e.limits->Admit(id, now));
-        if (!has_local && !(e.home && e.home->TakeSpare(id, now))) break;
-        RecordAdmitted(id);
-        queue.pop_front();
-      }
-      while (!queue.empty() && queue.front().give_up_at <= now) {
-        RecordRefused(id, queue.front().is_in_rate);
-        queue.pop_front();
-      }
-    }
-    if (e.home) Carry(i, loop, e.home->ServeHeld(*e.limits, now));
+    const auto next = e.limiter->NextTokenAt(Local(i));
+    if (!next || *next >= e.token_time) return;
+    e.token_time = *next;
+    PostEntry(i, loop, At(i, *next), [=, this] {
+      entry& woken = vms_[i]->entries[loop];
+      woken.token_time = monotonic_time::max();
+      Carry(i, loop, woken.limiter->OnTokenTime(Local(i)));
+      ArmTokenTime(i, loop);
+    });
   }
 
   // --- Contracts and counts ---
@@ -480,8 +483,7 @@
   void ApplyContract(int i, int loop, const workspace_id& id) {
     entry& e = vms_[i]->entries[loop];
     const limit& c = contracts_.at(id);
-    e.limits->SetContract(id, c.rate, c.burst, Local(i));
-    if (e.home) e.home->OnContract(id);
+    e.limiter->SetContract(id, {c.rate, c.burst}, Local(i));
     RecountBound(id);
   }
 
@@ -492,7 +494,7 @@
     limit most = contracts_.at(id);
     for (const auto& v : vms_) {
       for (entry& e : v->entries) {
-        workspace_limit* w = e.limits ? e.limits->Find(id) : nullptr;
+        const workspace_limit* w = LimitOf(e, id);
         if (w == nullptr) continue;
         most.rate = std::max(most.rate, w->bucket.ContractRate());
         most.burst = std::max(most.burst, w->bucket.ContractBurst());
@@ -611,10 +613,7 @@
   void Do(int i, const arm_timer& timer) {
     vm& v = *vms_[i];
     const std::uint64_t number = ++v.timer;
-    const duration at =
-        Scaled(timer.at.time_since_epoch() - v.clock_offset, 1 / v.clock_rate) +
-        std::chrono::nanoseconds(100);
-    PostControl(i, std::max(now_, at), [=, this] {
+    PostControl(i, At(i, timer.at), [=, this] {
       if (vms_[i]->timer != number) return;
       Carry(i, vms_[i]->holder->OnTimer(Local(i)));
     });
@@ -626,7 +625,7 @@
       PostEntry(i, loop, now_ + kLocalWay,
                 [=, this, share = grant.share, by = v.control.generation] {
                   entry& e = vms_[i]->entries[loop];
-                  e.limits->SetShare(share, options_.loops, Local(i));
+                  e.limiter->SetShare(share, options_.loops, Local(i));
                   e.applied = share.sequence;
                   e.applied_by = by;
                   ReportApplied(i);
@@ -656,18 +655,17 @@
   void RefreshPeers() {
     for (int i = 0; i < Size(); ++i) {
       for (entry& e : vms_[i]->entries) {
-        if (!e.book) continue;
-        e.book->SetPeers(PeersOf(i, e.ref));
-        if (e.home) ShowLive(i, e.ref);
+        if (e.limiter) ShowEntries(i, e.ref);
       }
     }
   }
-  void ShowLive(int i, const entry_ref& self) {
+  void ShowEntries(int i, const entry_ref& self) {
     std::vector<entry_ref> live = PeersOf(i, self);
     live.push_back(self);
     const duration lag = Scaled(options_.view_lag, Uniform());
-    PostEntry(i, self.loop, now_ + lag,
-              [=, this] { vms_[i]->entries[self.loop].home->SetLive(live); });
+    PostEntry(i, self.loop, now_ + lag, [=, this] {
+      vms_[i]->entries[self.loop].limiter->SetEntries(PeersOf(i, self), live);
+    });
   }
   std::vector<entry_ref> PeersOf(int i, const entry_ref& self) const {
     std::vector<std::pair<int, entry_ref>> ranked;
@@ -689,23 +687,26 @@
   void Tick(int i, int loop) {
     PostEntry(i, loop, now_ + options_.loan.tick, [=, this] {
       entry& e = vms_[i]->entries[loop];
-      if (options_.loans) Carry(i, loop, e.book->OnTimer(Local(i)));
-      ServeWaiting(i, loop);
+      Carry(i, loop, e.limiter->OnTimer(Local(i)));
       Tick(i, loop);
     });
   }
-  void Carry(int i, int loop, const loan_actions& actions) {
-    const entry_ref from = vms_[i]->entries[loop].ref;
-    for (const loan_action& action : actions) {
-      std::visit([&](const auto& a) { Send(i, from, a.to, a.message); },
-                 action);
+  void Carry(int i, int loop, const limit_actions& actions) {
+    for (const limit_action& action : actions) {
+      std::visit([&](const auto& a) { Do(i, loop, a); }, action);
     }
   }
-  void Carry(int i, int loop, const token_grants& grants) {
-    const entry_ref from = vms_[i]->entries[loop].ref;
-    for (const send_token_grant& grant : grants) {
-      Send(i, from, grant.to, grant.message);
-    }
+  void Do(int i, int loop, const let_in& action) {
+    RecordAdmitted(TakeWaiting(i, loop, action.ticket).workspace);
+  }
+  void Do(int i, int loop, const turn_away& action) {
+    const waiting refused = TakeWaiting(i, loop, action.ticket);
+    RecordRefused(refused.workspace, refused.is_in_rate);
+  }
+  template <class Send>
+  void Do(int i, int loop, const Send& send) {
+    if constexpr (std::is_same_v<Send, send_token_ask>) ++token_asks_;
+    this->Send(i, vms_[i]->entries[loop].ref, send.to, send.message);
   }
   template <class Message>
   void Send(int i, const entry_ref& from, const entry_ref& to,
@@ -729,37 +730,10 @@
       });
     }
   }
-  void Receive(int k, int loop, const entry_ref& from, const loan_ask& ask) {
-    entry& e = vms_[k]->entries[loop];
-    Carry(k, loop, e.book->OnLoanAsk(from, ask, Local(k)));
-  }
-  void Receive(int k, int loop, const entry_ref& from,
-               const loan_grant& grant) {
-    vms_[k]->entries[loop].book->OnLoanGrant(from, grant, Local(k));
-    ServeWaiting(k, loop);
-  }
-  void Receive(int k, int loop, const entry_ref& from, const token_ask& ask) {
-    entry& e = vms_[k]->entries[loop];
-    const monotonic_time now = Local(k);
-    const bool may_borrow =
-        options_.loans && e.book->MayBorrow(ask.workspace, now);
-    Carry(k, loop, e.home->OnTokenAsk(*e.limits, from, ask, may_borrow, now));
-    if (options_.loans) Carry(k, loop, e.book->OnDemand(ask.workspace, now));
-  }
-  void Receive(int k, int loop, const entry_ref& from,
-               const token_grant& grant) {
+  template <class Message>
+  void Receive(int k, int loop, const entry_ref& from, const Message& message) {
     entry& e = vms_[k]->entries[loop];
-    const grant_result result = e.home->OnTokenGrant(from, grant, Local(k));
-    std::deque<waiting>& queue = e.waits[grant.workspace];
-    if (std::holds_alternative<over_rate>(result) && !queue.empty()) {
-      RecordRefused(grant.workspace, queue.front().is_in_rate);
-      queue.pop_front();
-    }
-    ServeWaiting(k, loop);
-  }
-  void Receive(int k, int loop, const entry_ref& from,
-               const loan_return& returned) {
-    vms_[k]->entries[loop].book->OnLoanReturn(from, returned, Local(k));
+    Carry(k, loop, e.limiter->OnMessage(from, message, Local(k)));
   }
 
   static constexpr duration kLocalWay = std::chrono::microseconds(200);
