A count of requests in flight that was never taken back left a new owner's slots idle

Seen: integration_ownership_takeover_test under the address sanitizer, 14 of 180 requests kept waiting until their deadline of 40 s, beside an upstream that their dispatch owned. Cause: a dispatch that hands an upstream over turns back requests that its scheduler had just sent there; the scheduler counted them, the count was told to the ownership, and nothing told it of their end, since such a request has no upstream to name. After two seconds the hand-over went ahead with the wrong count, and the new owner reserved those slots for good. Ruled out: a busy machine (the requests ended at their deadline to the millisecond, and the upstream was owned for 32 s); the hold of ten seconds on leaving upstreams alone, which ends by itself.

The scheduler itself now says each change of the count (in_flight_action), before a send and after each end, so that no path through the driver can miss one. And a dispatch whose lease has lapsed offers no upstream to its queue: it turned back each request one by one until it had read the table.

EachEndOfARequestIsToldInTheCount: without the action after an end 2 checks fail, with it all pass. policy_service_scheduler_test: 17 of 17.

--- a/include/citron/policy/service_scheduler.h
+++ b/include/citron/policy/service_scheduler.h
@@ -75,8 +75,18 @@
   monotonic_time until;
 };
 
-using scheduler_action =
-    std::variant<send_action, refuse_action, poison_action, suspect_action>;
+// So many requests of ours count as in flight at the upstream from now on; told
+// before each send, and whenever one ends, whatever became of it. Whoever gives
+// the upstream to another owner needs the count: if it stayed too high, the new
+// owner would leave slots alone that nobody fills, and one would notice by
+// requests that wait until their deadline beside an idle upstream.
+struct in_flight_action {
+  upstream_id upstream;
+  int count = 0;
+};
+
+using scheduler_action = std::variant<send_action, refuse_action, poison_action,
+                                      suspect_action, in_flight_action>;
 
 // What a zone's owner tells the entry VMs about its queue.
 struct scheduler_load {
--- a/src/dispatch/dispatch_task.cc
+++ b/src/dispatch/dispatch_task.cc
@@ -222,7 +222,13 @@
   const monotonic_time now = MonotonicNow();
   std::map<service_id, std::vector<upstream_capacity>> by_service;
   std::map<upstream_id, endpoint> targets;
-  for (const upstream_id& id : owner_->Owned()) {
+  // A process that was frozen finds its lease over before it reads the table
+  // that names another owner. Were its upstreams offered until then, each
+  // request would be turned back at its send, and the upstream be taken for one
+  // that is leaving when it comes back here.
+  const bool is_lapsed = now >= owner_->Until();
+  for (const upstream_id& id :
+       is_lapsed ? std::set<upstream_id>() : owner_->Owned()) {
     const auto found = config.upstreams.find(id);
     if (found == config.upstreams.end()) continue;
     const upstream_config& upstream = found->second;
@@ -357,6 +363,8 @@
       Tell(poison->fingerprint, poison->until, false);
     } else if (const auto* suspect = std::get_if<suspect_action>(&action)) {
       Tell(suspect->fingerprint, suspect->until, true);
+    } else if (const auto* count = std::get_if<in_flight_action>(&action)) {
+      owner_->OnInFlight(count->upstream, count->count);
     }
   }
   const std::optional<monotonic_time> next = service.scheduler.NextTimer();
@@ -390,15 +398,12 @@
     });
     return;
   }
-  // Counted before it is sent: a hand-over in between must not miss it.
-  const int in_flight = service.scheduler.InFlightAt(action.upstream);
-  owner_->OnInFlight(action.upstream, in_flight);
   request.Send(action.upstream, upstream->second.address);
-  LogDecision(kLogPart,
-              "{} of {} sent to {}: {} of {} slots in use, {:.1f} ms left",
-              action.id.Str(), request.Head().workspace.Str(),
-              action.upstream.Str(), in_flight, upstream->second.slots,
-              ToMilliseconds(request.Deadline() - MonotonicNow()));
+  LogDecision(
+      kLogPart, "{} of {} sent to {}: {} of {} slots in use, {:.1f} ms left",
+      action.id.Str(), request.Head().workspace.Str(), action.upstream.Str(),
+      service.scheduler.InFlightAt(action.upstream), upstream->second.slots,
+      ToMilliseconds(request.Deadline() - MonotonicNow()));
 }
 
 void dispatch_task::Refuse(const refuse_action& action) {
@@ -456,9 +461,6 @@
                 ToMilliseconds(now - request.ArrivedAt()));
     Retire(id);
   }
-  if (!upstream.IsEmpty()) {
-    owner_->OnInFlight(upstream, service->scheduler.InFlightAt(upstream));
-  }
   Perform(*service, actions);
 }
 
--- a/src/policy/service_scheduler.cc
+++ b/src/policy/service_scheduler.cc
@@ -153,6 +153,7 @@
   if (found == entries_.end() || found->second.upstream.IsEmpty()) return out;
   entry& e = found->second;
   TakeBack(e, outcome, now);
+  out.emplace_back(in_flight_action{e.tried, chooser_.InFlight(e.tried)});
   bool done = true;
   if (IsNotRun(outcome) && !e.cancelled) {
     OnNotRun(e, outcome, now, out);
@@ -390,6 +391,7 @@
   chooser_.OnSent(upstream, now);
   ++in_flight_;
   if (e.request.long_running) ++long_in_flight_;
+  out.emplace_back(in_flight_action{upstream, chooser_.InFlight(upstream)});
   out.emplace_back(send_action{e.request.id, upstream});
 }
 
--- a/tests/policy/service_scheduler_test.cc
+++ b/tests/policy/service_scheduler_test.cc
@@ -1,6 +1,7 @@
 #include "citron/policy/service_scheduler.h"
 
 #include <boost/test/unit_test.hpp>
+#include <map>
 
 #include "policy/zone_simulation.h"
 
@@ -133,6 +134,45 @@
   BOOST_TEST(result.sends < 1.1 * result.Good());
 }
 
+// A dispatch hands an upstream to its neighbour. The requests that it turns
+// back at that moment were counted as in flight there, and the count was never
+// taken back: the neighbour left slots alone that nobody filled, and its
+// callers waited until their deadline beside an idle upstream.
+BOOST_AUTO_TEST_CASE(EachEndOfARequestIsToldInTheCount) {
+  by_hand hand(Servers(1, 2));
+  const upstream_id upstream("u0");
+  std::map<upstream_id, int> told;
+  std::map<request_id, upstream_id> sent;
+  const auto note = [&](const service_scheduler::actions& actions) {
+    for (const scheduler_action& action : actions) {
+      if (const auto* count = std::get_if<in_flight_action>(&action)) {
+        told[count->upstream] = count->count;
+      } else if (const auto* send = std::get_if<send_action>(&action)) {
+        // Before the send, so that no hand-over in between misses it.
+        BOOST_TEST(told[send->upstream] ==
+                   hand.scheduler.InFlightAt(send->upstream));
+        sent[send->id] = send->upstream;
+      }
+    }
+  };
+  for (const char* id : {"a", "b", "c"}) {
+    note(hand.scheduler.OnRequest(hand.Request(id), hand.now));
+  }
+  BOOST_TEST(told[upstream] == 2);
+  note(hand.scheduler.OnOutcome(request_id("a"), upstream_outcome::kAnswered,
+                                hand.now));
+  BOOST_TEST(told[upstream] == 2);
+  BOOST_REQUIRE(sent.contains(request_id("c")));
+  // Given away: what was about to be sent is turned back.
+  note(hand.scheduler.OnOutcome(request_id("c"),
+                                upstream_outcome::kLeavingNotRun, hand.now));
+  BOOST_TEST(told[upstream] == 1);
+  note(hand.scheduler.OnCancel(request_id("b"), hand.now));
+  note(hand.scheduler.OnOutcome(request_id("b"), upstream_outcome::kCancelled,
+                                hand.now));
+  BOOST_TEST(told[upstream] == 0);
+}
+
 // Offered three times of what the servers carry. Without a refusal on arrival
 // each request waits until it is too late, and hardly one is answered in time.
 BOOST_AUTO_TEST_CASE(Saturation) {
