--- a/include/citron/link/control_link.h
+++ b/include/citron/link/control_link.h
@@ -8,6 +8,7 @@
 
 #include "citron/config/settings.h"
 #include "citron/net/event_loop.h"
+#include "citron/net/http_server.h"
 #include "citron/net/peer_socket.h"
 #include "citron/protocol/config_replica.h"
 #include "citron/wire/codec.h"
@@ -24,6 +25,22 @@
   int loops = 1;
 };
 
+// Of one loop of an entry or a dispatch.
+template <class Settings>
+control_link_options LinkOptions(const Settings& settings,
+                                 const std::string& secret, daemon_role role,
+                                 int loop) {
+  return {settings.common, settings.control, secret, role, loop,
+          settings.loops};
+}
+
+// Serves a loop's metrics. The settings name the first loop's port; the others
+// take any.
+result<std::unique_ptr<http_server>> ServePages(event_loop& loop,
+                                                const common_settings& common,
+                                                int loop_index,
+                                                http_handler handler);
+
 // What an entry's or a dispatch's loop knows through its VM's control: the
 // configuration and the other VMs. Also its mailbox for all other messages.
 class control_link {
--- a/include/citron/protocol/config_replica.h
+++ b/include/citron/protocol/config_replica.h
@@ -75,6 +75,13 @@
 
 }  // namespace config_replica_action
 
+// Brings a daemon's configuration to where the change says. Of an object that
+// can't be read the old one stays: operators' tools check before they write,
+// and whatever else writes there must not take a running daemon's last good
+// object away. Says which were kept, one line each.
+std::vector<std::string> ApplyChange(const config_replica_action::apply& change,
+                                     fleet_config& config);
+
 // The operators' configuration at one daemon, ordered by the store's revision:
 // it never goes back, neither as a whole nor for one object.
 class config_replica {
--- a/src/control/config_feed.cc
+++ b/src/control/config_feed.cc
@@ -140,16 +140,9 @@
 }
 
 void config_feed::Apply(const config_replica_action::apply& change) {
-  for (const config_item& item : change.changed) {
-    const status applied =
-        ApplyConfigObject(config_, item.key, item.removed ? "" : item.value);
-    // Operators' tools check before they write; whatever else writes there
-    // must not take a running daemon's last good object away.
-    if (!IsOk(applied)) {
-      Log(kLogPart, "kept the old {}: {}", item.key, ErrorOf(applied).message);
-    }
+  for (const std::string& kept : ApplyChange(change, config_)) {
+    Log(kLogPart, "{}", kept);
   }
-  config_.revision = change.revision;
   Log(kLogPart, "revision {} in force, {} objects changed", change.revision,
       change.changed.size());
   changed_(config_);
--- a/src/dispatch/dispatch_task.cc
+++ b/src/dispatch/dispatch_task.cc
@@ -103,26 +103,19 @@
   // Entries keep idle connections; they close them, not the dispatch.
   limits.request_deadline_after = std::chrono::seconds(60);
   endpoint listen = settings_.listen;
-  endpoint pages = settings_.common.metrics_listen;
-  if (loop_index_ > 0) listen.port = pages.port = 0;
+  if (loop_index_ > 0) listen.port = 0;
   auto server = http_server::Make(loop_, listen, limits,
                                   [this](http_exchange& e) { OnRequest(e); });
   if (!IsOk(server)) return ErrorOf(server);
   server_ = std::move(ValueOf(server));
-  auto page_server = http_server::Make(loop_, pages, {},
-                                       [this](http_exchange& e) { OnPage(e); });
+  auto page_server = ServePages(loop_, settings_.common, loop_index_,
+                                [this](http_exchange& e) { OnPage(e); });
   if (!IsOk(page_server)) return ErrorOf(page_server);
   pages_ = std::move(ValueOf(page_server));
 
-  control_link_options options;
-  options.common = settings_.common;
-  options.control = settings_.control;
-  options.secret = secret_;
-  options.role = daemon_role::kDispatch;
-  options.loop = loop_index_;
-  options.loops = settings_.loops;
   auto link = control_link::Make(
-      loop_, options,
+      loop_,
+      LinkOptions(settings_, secret_, daemon_role::kDispatch, loop_index_),
       {[this] { OnConfig(); }, [] {},
        [this](const envelope& message) { OnMessage(message); }});
   if (!IsOk(link)) return ErrorOf(link);
--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -121,8 +121,6 @@
 }
 
 status entry_task::Open() {
-  endpoint pages = settings_.common.metrics_listen;
-  if (loop_index_ > 0) pages.port = 0;
   const endpoint any_port{settings_.listen.address, 0};
   auto server = Listen(
       settings_.listen, [this](http_exchange& e) { OnCaller(e); },
@@ -133,20 +131,13 @@
       any_port, [this](http_exchange& e) { OnForwarded(e); }, false);
   if (!IsOk(forward)) return ErrorOf(forward);
   forward_ = std::move(ValueOf(forward));
-  auto page_server = http_server::Make(loop_, pages, {},
-                                       [this](http_exchange& e) { OnPage(e); });
+  auto page_server = ServePages(loop_, settings_.common, loop_index_,
+                                [this](http_exchange& e) { OnPage(e); });
   if (!IsOk(page_server)) return ErrorOf(page_server);
   pages_ = std::move(ValueOf(page_server));
 
-  control_link_options options;
-  options.common = settings_.common;
-  options.control = settings_.control;
-  options.secret = secret_;
-  options.role = daemon_role::kEntry;
-  options.loop = loop_index_;
-  options.loops = settings_.loops;
   auto link = control_link::Make(
-      loop_, options,
+      loop_, LinkOptions(settings_, secret_, daemon_role::kEntry, loop_index_),
       {[this] { OnConfig(); }, [this] { OnView(); },
        [this](const envelope& message) { OnMessage(message); }});
   if (!IsOk(link)) return ErrorOf(link);
--- a/src/link/control_link.cc
+++ b/src/link/control_link.cc
@@ -19,6 +19,15 @@
 
 }  // namespace
 
+result<std::unique_ptr<http_server>> ServePages(event_loop& loop,
+                                                const common_settings& common,
+                                                int loop_index,
+                                                http_handler handler) {
+  endpoint at = common.metrics_listen;
+  if (loop_index > 0) at.port = 0;
+  return http_server::Make(loop, at, {}, std::move(handler));
+}
+
 result<std::unique_ptr<control_link>> control_link::Make(
     event_loop& loop, control_link_options options, handlers callbacks) {
   peer_socket_options socket;
@@ -102,15 +111,9 @@
                                         pull->request, MonotonicNow()});
     } else if (const auto* change =
                    std::get_if<config_replica_action::apply>(&action)) {
-      for (const config_item& item : change->changed) {
-        const status applied = ApplyConfigObject(
-            config_, item.key, item.removed ? "" : item.value);
-        if (!IsOk(applied)) {
-          Log(kLogPart, "kept the old {}: {}", item.key,
-              ErrorOf(applied).message);
-        }
+      for (const std::string& kept : ApplyChange(*change, config_)) {
+        Log(kLogPart, "{}", kept);
       }
-      config_.revision = change->revision;
       callbacks_.on_config();
       SayHello();
     }
--- a/src/protocol/config_replica.cc
+++ b/src/protocol/config_replica.cc
@@ -1,5 +1,7 @@
 #include "citron/protocol/config_replica.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cassert>
 
@@ -297,4 +299,18 @@
   fresh_as_of_ = std::max(fresh_as_of_, at);
 }
 
+std::vector<std::string> ApplyChange(const config_replica_action::apply& change,
+                                     fleet_config& config) {
+  std::vector<std::string> kept;
+  for (const config_item& item : change.changed) {
+    const status applied =
+        ApplyConfigObject(config, item.key, item.removed ? "" : item.value);
+    if (IsOk(applied)) continue;
+    kept.push_back(
+        fmt::format("kept the old {}: {}", item.key, ErrorOf(applied).message));
+  }
+  config.revision = change.revision;
+  return kept;
+}
+
 }  // namespace citron
