Drain times are measured: of upstreams by the dispatch, of daemons by their stop

policy/drain_tracker (time handed in) counts from the first sign (operator's drain, health answer, refusal) until nothing of the dispatch is in flight there. The dispatch observes it after a change of configuration, a report and each outcome, logs "UPSTREAM drained after N ms" and counts citron_upstream_drain_seconds. The last log line of each daemon says how long its stop took since the signal; that holds the entries' notice of a second.

Ruled out: a lease that lapses here puts the upstream on hold in the scheduler as a refusal does; no drain begins from it while the dispatch may not send. Left: one whose lease comes back within the hold's 10 s can still be counted.

--- a/apps/citron_control.cc
+++ b/apps/citron_control.cc
@@ -15,10 +15,12 @@
   control_task& control = *ValueOf(task);
   Log(daemon.part, "listening peer={} metrics={}", control.PeerAddress().Str(),
       control.MetricsAddress().Str());
+  monotonic_time told_at;
   RunUntilSignal(*loop, [&](std::function<void()> done) {
+    told_at = MonotonicNow();
     control.Leave(std::move(done));
   });
-  Log(daemon.part, "stopped");
+  LogStopped(daemon, MonotonicNow() - told_at);
   return 0;
 }
 
--- a/apps/daemon_main.h
+++ b/apps/daemon_main.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "citron/base/log.h"
+#include "citron/base/time.h"
 #include "citron/config/command_line.h"
 #include "citron/net/task_threads.h"
 
@@ -53,6 +54,11 @@
                                 std::move(ValueOf(secret))};
 }
 
+// The last line: from the signal until the last request and message were out.
+inline void LogStopped(const daemon_description& daemon, duration took) {
+  Log(daemon.part, "stopped; drained after {:.0f} ms", ToMilliseconds(took));
+}
+
 // Runs a daemon whose loops are tasks of one kind, until it is told to stop.
 template <class Task, class Settings>
 int RunTasks(const daemon_description& daemon,
@@ -66,8 +72,7 @@
   Log(daemon.part, "listening http={} peer={} metrics={}",
       tasks.First().Address().Str(), tasks.First().PeerAddress().Str(),
       tasks.First().MetricsAddress().Str());
-  tasks.Run();
-  Log(daemon.part, "stopped");
+  LogStopped(daemon, tasks.Run());
   return 0;
 }
 
--- a/include/citron/dispatch/dispatch_task.h
+++ b/include/citron/dispatch/dispatch_task.h
@@ -16,6 +16,7 @@
 #include "citron/net/http_client.h"
 #include "citron/net/http_server.h"
 #include "citron/net/metrics.h"
+#include "citron/policy/drain_tracker.h"
 #include "citron/policy/service_scheduler.h"
 #include "citron/policy/shift_ramp.h"
 
@@ -69,6 +70,7 @@
   service_state* ServiceOf(const service_id& id);
   void RefreshUpstreams();
   void RefreshShiftCap(service_state& service);
+  void NoteDrain(const service_state& service, const upstream_id& upstream);
   void ReportLoad();
   void EndNotice();
   void ContinueLeaving();
@@ -84,6 +86,7 @@
   std::unique_ptr<http_server> pages_;
   std::unique_ptr<owner_driver> owner_;
   std::unique_ptr<upstream_probe> probe_;
+  drain_tracker drains_;
   http_client client_;
   forward_replay_window replays_;
   std::map<service_id, std::unique_ptr<service_state>> services_;
--- a/include/citron/net/task_threads.h
+++ b/include/citron/net/task_threads.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "citron/base/result.h"
+#include "citron/base/time.h"
 #include "citron/net/daemon_runner.h"
 #include "citron/net/event_loop.h"
 
@@ -35,8 +36,8 @@
 
   Task& First() { return *tasks_.front(); }
 
-  // Runs until a signal came and every task has left.
-  void Run() {
+  // Runs until a signal came and every task has left. How long leaving took.
+  duration Run() {
     std::vector<std::thread> threads;
     for (std::size_t i = 1; i < loops_.size(); ++i) {
       threads.emplace_back([loop = loops_[i].get()] { loop->Run(); });
@@ -48,10 +49,12 @@
       loops_[i]->Post([loop = loops_[i].get()] { loop->Stop(); });
     }
     for (std::thread& thread : threads) thread.join();
+    return MonotonicNow() - told_at_;
   }
 
  private:
   void Leave(std::function<void()> done) {
+    told_at_ = MonotonicNow();
     waiting_ = loops_.size();
     event_loop* first = loops_.front().get();
     const auto on_left = [this, first, done = std::move(done)] {
@@ -70,6 +73,7 @@
   std::vector<std::unique_ptr<event_loop>> loops_;
   std::vector<std::unique_ptr<Task>> tasks_;
   std::size_t waiting_ = 0;
+  monotonic_time told_at_;
 };
 
 }  // namespace citron
--- a/include/citron/policy/service_scheduler.h
+++ b/include/citron/policy/service_scheduler.h
@@ -128,6 +128,7 @@
   std::optional<monotonic_time> NextTimer() const;
   scheduler_load Load(monotonic_time now) const;
   int InFlightAt(const upstream_id& upstream) const;
+  bool IsLeaving(const upstream_id& upstream, monotonic_time now) const;
 
  private:
   struct entry {
--- a/include/citron/policy/upstream_chooser.h
+++ b/include/citron/policy/upstream_chooser.h
@@ -79,6 +79,9 @@
   int FreeSlots(monotonic_time now) const;
   int UsableUpstreams(monotonic_time now) const;
   int InFlight(const upstream_id& id) const;
+  // Whether an operator, its own health answer or its refusal says that it is
+  // leaving. A removed one keeps its signs while work is in flight there.
+  bool IsLeaving(const upstream_id& id, monotonic_time now) const;
   // When an upstream may next take more than now, without any event.
   std::optional<monotonic_time> NextChange(monotonic_time now) const;
 
--- a/src/dispatch/dispatch_task.cc
+++ b/src/dispatch/dispatch_task.cc
@@ -237,12 +237,32 @@
     for (const upstream_capacity& upstream : by_service[id]) {
       service->scheduler.SetDraining(
           upstream.id, config.drained_upstreams.contains(upstream.id));
+      NoteDrain(*service, upstream.id);
     }
     RefreshShiftCap(*service);
     Perform(*service, actions);
   }
 }
 
+// After each event that may begin or end a drain. Who drains an upstream takes
+// it away next: too early and its last requests are cut, and one can't tell
+// from the configuration when the last one ended.
+void dispatch_task::NoteDrain(const service_state& service,
+                              const upstream_id& upstream) {
+  const monotonic_time now = MonotonicNow();
+  // The scheduler holds an upstream whose lease lapsed here as it holds one
+  // that refused; that is no leaving of the upstream.
+  if (!drains_.IsLeaving(upstream) && !owner_->MaySend(upstream, now)) return;
+  const std::optional<duration> took =
+      drains_.Observe(upstream, service.scheduler.IsLeaving(upstream, now),
+                      service.scheduler.InFlightAt(upstream), now);
+  if (!took) return;
+  Log(kLogPart, "{} drained after {:.0f} ms", upstream.Str(),
+      ToMilliseconds(*took));
+  stats_.ObserveSeconds("citron_upstream_drain_seconds",
+                        {{"service", service.id.Str()}}, ToSeconds(*took));
+}
+
 // The region's cap is divided among its dispatches by the slots that each
 // owns, out of all slots that the configuration gives the region. Owned slots
 // never add up to more, so that all dispatches together stay under the cap
@@ -458,6 +478,7 @@
   }
   if (!upstream.IsEmpty()) {
     owner_->OnInFlight(upstream, service->scheduler.InFlightAt(upstream));
+    NoteDrain(*service, upstream);
   }
   Perform(*service, actions);
 }
@@ -522,7 +543,9 @@
   if (found == link_->Config().upstreams.end()) return;
   service_state* service = ServiceOf(found->second.service);
   if (service == nullptr) return;
-  Perform(*service, service->scheduler.OnReport(id, report, MonotonicNow()));
+  const auto actions = service->scheduler.OnReport(id, report, MonotonicNow());
+  NoteDrain(*service, id);
+  Perform(*service, actions);
 }
 
 void dispatch_task::ReportLoad() {
--- a/src/policy/service_scheduler.cc
+++ b/src/policy/service_scheduler.cc
@@ -442,4 +442,9 @@
   return chooser_.InFlight(upstream);
 }
 
+bool service_scheduler::IsLeaving(const upstream_id& upstream,
+                                  monotonic_time now) const {
+  return chooser_.IsLeaving(upstream, now);
+}
+
 }  // namespace citron
--- a/src/policy/upstream_chooser.cc
+++ b/src/policy/upstream_chooser.cc
@@ -386,6 +386,15 @@
   return found == upstreams_.end() ? 0 : found->second.in_flight;
 }
 
+bool upstream_chooser::IsLeaving(const upstream_id& id,
+                                 monotonic_time now) const {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end()) return false;
+  const state& s = found->second;
+  const bool says_so = s.reported_at && s.report.leaving;
+  return s.draining || says_so || now < s.leaving_until;
+}
+
 std::optional<monotonic_time> upstream_chooser::NextChange(
     monotonic_time now) const {
   std::optional<monotonic_time> next;
--- a/tests/integration/leaving_upstream_test.cc
+++ b/tests/integration/leaving_upstream_test.cc
@@ -56,6 +56,13 @@
     return count;
   }
 
+  // Whether the dispatches said that nothing of theirs runs there any more.
+  bool IsSaidToBeDrained() {
+    const std::string words = std::string(kLeaving) + " drained after ";
+    return fleet_.Daemon("z1vm1", "dispatch").HasWritten(words) ||
+           fleet_.Daemon("z1vm2", "dispatch").HasWritten(words);
+  }
+
   void RunPastNotice(double first_sign_ms) {
     const double watched = first_sign_ms + kNoticeMs + kWatchedMs;
     BOOST_REQUIRE(
@@ -99,10 +106,12 @@
   RunPastNotice(sign);
   BOOST_TEST(CountSince(kLeaving, sign + kNoticeMs) == 0);
   BOOST_TEST(Lost() == 0, FirstLost());
+  BOOST_TEST(IsSaidToBeDrained());
 }
 
 // An operator drains an upstream that itself knows nothing of it, and takes it
-// away some seconds later. What is sent to it after that is lost.
+// away some seconds later. What is sent to it after that is lost. Without a
+// word of when its last request ended the operator can only guess when.
 BOOST_AUTO_TEST_CASE(OperatorsDrainIsObeyed) {
   const double sign = NowMs();
   const caller_call put = Caller().Call(
@@ -115,6 +124,7 @@
   RunPastNotice(sign);
   BOOST_TEST(CountSince(kLeaving, sign + kNoticeMs) == 0);
   BOOST_TEST(Lost() == 0, FirstLost());
+  BOOST_TEST(IsSaidToBeDrained());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/policy/upstream_chooser_test.cc
+++ b/tests/policy/upstream_chooser_test.cc
@@ -147,6 +147,29 @@
   BOOST_TEST(Takes(a) == 1);
 }
 
+// Each of the three signs alone makes a server one that is leaving. One that
+// is just full, or not ready yet, isn't: its drain time would be the time for
+// which it was busy.
+BOOST_AUTO_TEST_CASE(ServerLeavesByEachOfThreeSigns) {
+  BOOST_TEST(!chooser.IsLeaving(a, now));
+  chooser.SetDraining(a, true);
+  BOOST_TEST(chooser.IsLeaving(a, now));
+  chooser.SetDraining(a, false);
+  BOOST_TEST(!chooser.IsLeaving(a, now));
+  chooser.OnReport(a, {.leaving = true}, now);
+  BOOST_TEST(chooser.IsLeaving(a, now));
+  chooser.OnReport(a, {.ready = false}, now);
+  BOOST_TEST(!chooser.IsLeaving(a, now));
+  chooser.OnSent(a, now);
+  chooser.OnDone(a, upstream_outcome::kShedNotRun, 0, now);
+  BOOST_TEST(!chooser.IsLeaving(a, now));
+  chooser.OnSent(a, now);
+  chooser.OnDone(a, upstream_outcome::kLeavingNotRun, 0, now);
+  BOOST_TEST(chooser.IsLeaving(a, now));
+  BOOST_TEST(!chooser.IsLeaving(a, now + std::chrono::seconds(10)));
+  BOOST_TEST(!chooser.IsLeaving(upstream_id("nobody"), now));
+}
+
 BOOST_AUTO_TEST_CASE(StartedServerGetsItsPartSlowly) {
   const upstream_id c("c");
   chooser.SetUpstreams({{a, 4}, {b, 4}, {.id = c, .slots = 4, .cold = true}},
