run_local.sh shows headroom and drain time

Cause: headroom was a value on pages that nothing recorded over a run, and no run drained anything.

It builds only the programs that it starts.

Tried first: the drained upstream from the service with most requests.

--- a/run_local.sh
+++ b/run_local.sh
@@ -29,7 +29,8 @@
 citron_install_packages
 build=${CITRON_BUILD_DIR:-build}
 cmake -S . -B "$build" -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >/dev/null
-cmake --build "$build" -j "${CITRON_JOBS:-$(nproc)}"
+cmake --build "$build" -j "${CITRON_JOBS:-$(nproc)}" --target control_daemon entry_daemon \
+  dispatch_daemon citronctl standin_platform standin_upstream citron_load
 
 base=${CITRON_ADDRESS_BASE:-127.20}
 export CITRON_PLATFORM="$base.200.1:7401"
@@ -66,7 +67,7 @@
   trap '' INT TERM
   set +e
   local program pid group
-  for program in citron_entry citron_dispatch citron_control standin_upstream standin_platform; do
+  for program in citron_load citron_entry citron_dispatch citron_control standin_upstream standin_platform; do
     group=()
     for pid in "${started[@]}"; do
       [ "${program_of[$pid]}" = "$program" ] && group+=("$pid")
@@ -158,7 +159,32 @@
 upstream_count=$(jq -s 'map(length) | add' "$work"/upstreams-*.json)
 echo "$deployment, small: $vm_count VMs, $upstream_count upstreams," \
   "${#workspaces[@]} workspaces; load for $seconds s"
-"$build/citron_load" --plan "$work/load.json" --keys "$work/keys" --seconds "$seconds"
+pages=$(jq -rs '[.[].metrics_listen] | join(",")' "$work"/*/entry.json)
+"$build/citron_load" --plan "$work/load.json" --keys "$work/keys" --seconds "$seconds" \
+  --metrics "$pages" >"$work/table" &
+load=$!
+started+=("$load")
+program_of[$load]=citron_load
+# In the middle of the run one upstream is drained: of the service with the longest work, as there a
+# drain takes longest, the one that says that it has most in flight.
+sleep "$((seconds / 2))"
+longest=$(jq -r '.[0].spec.services | to_entries | max_by([.value.classes[].expected_ms] | max).key' \
+  "$work/declarations.json")
+drained=$(jq -rs --arg service "$longest" '.[][] | select(.service == $service)
+  | "\(.id) \(.listen)"' "$work"/upstreams-*.json | while read -r id address; do
+    echo "$(curl -sf -m 1 "http://$address/health" | jq '.in_flight') $id"
+  done | sort -srn -k1,1 | head -1 | cut -d' ' -f2)
+"$build/citronctl" drain upstream "$drained" >"$work/drain.log"
+load_status=0
+wait "$load" || load_status=$?
+program_of[$load]=ended  # Its id may be another's by now.
+cat "$work/table"
+[ "$load_status" = 0 ] || exit "$load_status"
+has_drained() { grep -hq " $drained drained after" "$work"/*-dispatch.log; }
+wait_for "the drain of $drained" 30 has_drained
+echo "drained in the middle of the run:" \
+  "$(grep -ho "$drained drained after .*" "$work"/*-dispatch.log | head -1)"
+"$build/citronctl" undrain upstream "$drained" >>"$work/drain.log"
 
 if [ "$stay" = yes ]; then
   path=$(jq -r '.requests[0] | "/\(.service)\(.path_prefix)/7?bytes=64"' "$work/load.json")
--- a/tools/citron_load/main.cc
+++ b/tools/citron_load/main.cc
@@ -5,6 +5,7 @@
 #include <iterator>
 
 #include "citron/net/event_loop.h"
+#include "tools/citron_load/headroom_sampler.h"
 #include "tools/citron_load/load_run.h"
 #include "tools/citron_load/report.h"
 
@@ -48,6 +49,8 @@
        value<double>()->default_value("20000"))  //
       ("seed", "of arrivals and choices",
        value<double>()->default_value("1"))  //
+      ("metrics", "entries' pages of metrics to read headroom from, as A:P,A:P",
+       value<std::vector<std::string>>()->default_value(""))  //
       ("csv", "file for the ledger, a line for each request",
        value<std::string>()->default_value(""))  //
       ("json", "answer in JSON")("h,help", "print this");
@@ -109,11 +112,26 @@
   return limits;
 }
 
+result<std::vector<endpoint>> ReadPages(const cxxopts::ParseResult& parsed) {
+  std::vector<endpoint> pages;
+  for (const auto& text : parsed["metrics"].as<std::vector<std::string>>()) {
+    if (text.empty()) continue;
+    const std::optional<endpoint> page = ParseEndpoint(text);
+    if (!page || !IsLoopback(*page)) {
+      return MakeError(error_code::kInvalid, text + " is not on loopback");
+    }
+    pages.push_back(*page);
+  }
+  return pages;
+}
+
 int RunLoad(const cxxopts::ParseResult& parsed) {
   const auto plan = ReadPlan(parsed);
   if (!IsOk(plan)) return Fail(ErrorOf(plan).message);
   const auto limits = ReadLimits(parsed, ValueOf(plan));
   if (!IsOk(limits)) return Fail(ErrorOf(limits).message);
+  const auto pages = ReadPages(parsed);
+  if (!IsOk(pages)) return Fail(ErrorOf(pages).message);
   const std::unique_ptr<event_loop> loop = event_loop::Make();
   load_run run(*loop, ValueOf(plan), ValueOf(limits));
   for (const int signal_number : {SIGINT, SIGTERM}) {
@@ -123,10 +141,14 @@
   loop_timer last_end(*loop, [&] { loop->Stop(); });
   last_end.Arm(MonotonicNow() + ValueOf(limits).length +
                ValueOf(limits).request_limit + std::chrono::seconds(5));
+  headroom_sampler headroom(*loop, ValueOf(pages));
+  headroom.Start();
   run.Start([&] { loop->Stop(); });
   loop->Run();
+  headroom.Stop();
   run.StopSending();
-  const load_result result{run.Ledger(), run.Skipped(), run.Length()};
+  const load_result result{run.Ledger(), run.Skipped(), run.Length(),
+                           headroom.Series().ByService()};
   const std::string csv = parsed["csv"].as<std::string>();
   if (!csv.empty()) std::ofstream(csv) << run.Ledger().Csv();
   const std::string text = parsed.count("json") > 0
--- a/tools/citron_load/report.cc
+++ b/tools/citron_load/report.cc
@@ -52,6 +52,13 @@
         "ms\n",
         worst, summary.whole, summary.requests, PercentileMs(summary, 0.99));
   }
+  for (const auto& [name, summary] : result.headroom) {
+    text += fmt::format(
+        "headroom of {}: least {:.0f}, mean {:.1f} slots; least of a zone "
+        "{:.0f} ({})\n",
+        name, summary.least, summary.mean, summary.least_in_zone,
+        summary.least_zone);
+  }
   text += fmt::format("length {:.1f} s, not sent {}\n",
                       ToSeconds(result.length), result.skipped);
   return text;
@@ -66,7 +73,16 @@
   for (const auto& [name, summary] : result.ledger.ByWorkspace()) {
     workspaces[name] = SummaryJson(summary);
   }
-  return {{"total", SummaryJson(result.ledger.Total())},
+  nlohmann::json headroom = nlohmann::json::object();
+  for (const auto& [name, summary] : result.headroom) {
+    headroom[name] = {{"least", summary.least},
+                      {"mean", summary.mean},
+                      {"least_in_zone", summary.least_in_zone},
+                      {"least_zone", summary.least_zone},
+                      {"rounds", summary.rounds}};
+  }
+  return {{"headroom", headroom},
+          {"total", SummaryJson(result.ledger.Total())},
           {"services", services},
           {"workspaces", workspaces},
           {"worst_workspace", result.ledger.WorstWorkspace()},
--- a/tools/citron_load/report.h
+++ b/tools/citron_load/report.h
@@ -2,10 +2,12 @@
 #define TOOLS_CITRON_LOAD_REPORT_H_
 
 #include <cstdint>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <string>
 
 #include "citron/base/time.h"
+#include "citron/loadgen/headroom_series.h"
 #include "citron/loadgen/load_ledger.h"
 
 namespace citron {
@@ -14,6 +16,7 @@
   const load_ledger& ledger;
   std::uint64_t skipped = 0;
   duration length{};
+  std::map<std::string, headroom_summary> headroom;  // By service.
 };
 
 std::string LoadTable(const load_result& result);
