--- a/run_local.sh
+++ b/run_local.sh
@@ -67,7 +67,8 @@
   trap '' INT TERM
   set +e
   local program pid group
-  for program in citron_load citron_entry citron_dispatch citron_control standin_upstream standin_platform; do
+  for program in citron_load citron_entry citron_dispatch citron_control standin_upstream \
+    standin_platform; do
     group=()
     for pid in "${started[@]}"; do
       [ "${program_of[$pid]}" = "$program" ] && group+=("$pid")
