A zone whose last upstream is drained says that it has no slots

Cause: the entries' directory left out dispatches without usable slots, and with the only one of a zone the whole zone's report. Placement kept the last one, with free slots, and the zone's entry chose its own zone as long as the drain lasted; each request needed a second try, and those beyond the retry budget were refused as no_dispatch. citron_zone_headroom stood still with it.

Ruled out: the drain's time of some hundred milliseconds until the entries hear of it; the refusals were spread evenly over the five seconds from the drain to the end, all at that zone's entry.

ZoneWithoutSlotsSaysSo failed first.

--- a/src/entry/dispatch_directory.cc
+++ b/src/entry/dispatch_directory.cc
@@ -17,7 +17,7 @@
          seen.state != member_state::kSilent && !seen.view.dispatches.empty();
 }
 
-void Add(zone_report& sum, const vm_seen& seen, const scheduler_load& load) {
+void Add(zone_report& sum, const scheduler_load& load) {
   const bool is_first = sum.slots == 0;
   sum.slots += load.usable_slots;
   sum.in_flight += load.in_flight;
@@ -27,7 +27,6 @@
                           : std::min(sum.expected_wait, load.expected_wait);
   sum.mean_service_time =
       std::max(sum.mean_service_time, load.mean_service_time);
-  sum.received_at = std::max(sum.received_at, seen.received_at);
 }
 
 }  // namespace
@@ -40,18 +39,22 @@
   for (const auto& [vm, seen] : vms) {
     if (!TakesWork(seen)) continue;
     for (const service_load& load : seen.view.loads) {
-      if (load.load.usable_slots == 0) continue;
       const place where{seen.view.zone, load.service};
+      // A zone whose last upstream is drained must say that it has no slots.
+      // Without a word its last report stood: its entries chose their own zone
+      // as long as the drain lasted, and each request needed a second try.
+      zone_report& sum = sums[where];
+      sum.zone = seen.view.zone;
+      sum.region = seen.view.region;
+      sum.service = load.service;
+      sum.received_at = std::max(sum.received_at, seen.received_at);
+      if (load.load.usable_slots == 0) continue;
       for (const task_address& task : seen.view.dispatches) {
         if (task.loop != load.loop) continue;
         candidates_[where].push_back(
             {vm, seen.view.region, task.http, task.peer, load.load});
       }
-      zone_report& sum = sums[where];
-      sum.zone = seen.view.zone;
-      sum.region = seen.view.region;
-      sum.service = load.service;
-      Add(sum, seen, load.load);
+      Add(sum, load.load);
     }
   }
   reports_.clear();
--- a/tests/entry/dispatch_directory_test.cc
+++ b/tests/entry/dispatch_directory_test.cc
@@ -52,6 +52,33 @@
       !directory.Choose(kZone, kDesk, {{"127.0.0.1", 2}}, kStart).has_value());
 }
 
+// The only upstream of a zone is drained. If the zone's last report, with free
+// slots, stayed the word on it, its entries would choose their own zone for as
+// long as the drain lasts; each request would need a second try, and more than
+// half of them were refused as the budget for those ran out.
+BOOST_AUTO_TEST_CASE(ZoneWithoutSlotsSaysSo) {
+  dispatch_directory directory(1);
+  directory.Update({{vm_id("a"), Vm("a", 1, 4, 5)}});
+  BOOST_REQUIRE(directory.ZoneReports().size() == 1u);
+  directory.Update({{vm_id("a"), Vm("a", 1, 0, 0)}});
+  BOOST_REQUIRE(directory.ZoneReports().size() == 1u);
+  BOOST_TEST(directory.ZoneReports()[0].slots == 0);
+  BOOST_TEST(!directory.Choose(kZone, kDesk, {}, kStart).has_value());
+}
+
+// What a dispatch without slots says of its wait is no wait of the zone.
+BOOST_AUTO_TEST_CASE(WaitIsThatOfDispatchesWithSlots) {
+  for (const char* idle : {"a", "c"}) {
+    dispatch_directory directory(1);
+    directory.Update(
+        {{vm_id(idle), Vm(idle, 1, 0, 0)}, {vm_id("b"), Vm("b", 2, 4, 50)}});
+    BOOST_REQUIRE(directory.ZoneReports().size() == 1u);
+    BOOST_TEST(directory.ZoneReports()[0].slots == 4);
+    BOOST_TEST(
+        (directory.ZoneReports()[0].expected_wait == FromMilliseconds(50)));
+  }
+}
+
 // A dispatch runs two loops, and one of them owns no upstream of the service.
 // Were the slots of both taken for each of them, half of the callers would be
 // refused while upstreams are idle.
