--- a/tests/protocol/view_pacer_test.cc
+++ b/tests/protocol/view_pacer_test.cc
@@ -165,6 +165,19 @@
   }
 }
 
+// The last word of a burst of load is lost, and then nothing changes any more.
+// The own zone's entries would leave slots idle until the next repeat.
+BOOST_AUTO_TEST_CASE(LostLoadIsToldAgainAtThePaceOfChanges) {
+  teller fleet(1, 8);
+  fleet.Settle();
+  const vm_id near = fleet.peers[0].vm;
+  fleet.Load().in_flight = 20;
+  BOOST_TEST(fleet.TicksUntilHeard(near, 10) <= 2);  // This one is lost.
+  BOOST_TEST(fleet.TicksUntilHeard(near, 10) <= 2);
+  // And then seldom.
+  BOOST_TEST(fleet.TicksUntilHeard(near, 10) == 5);
+}
+
 // A receiver takes a zone for unknown when words stay out for three times what
 // was promised. A promise that the sender breaks by itself lets zones look
 // dead that are only quiet.
