Metrics counted with each request are looked up once

Cause: each request made its labels anew (three maps at the entry, two at the dispatch), found the family by name and had prometheus-cpp hash the labels, for one increment. `metrics_by_label` keeps a handle for each set of label values; the first use makes the metric as before, so that names, labels and pages are the same.

Ruled out: handles made at the start for all services and verdicts; they would put metrics on the page that were never counted.

--- a/include/citron/dispatch/dispatch_task.h
+++ b/include/citron/dispatch/dispatch_task.h
@@ -79,6 +79,12 @@
   std::string secret_;
   int loop_index_;
   metrics stats_;
+  counters_by_label<2> outcomes_{
+      stats_, "citron_dispatch_outcomes_total", {"service", "status"}};
+  histograms_by_label<1> outcome_seconds_{
+      stats_, "citron_dispatch_seconds", {"service"}};
+  counters_by_label<2> refusals_{
+      stats_, "citron_dispatch_refusals_total", {"reason", "service"}};
   std::unique_ptr<control_link> link_;
   std::unique_ptr<http_server> server_;
   std::unique_ptr<http_server> pages_;
--- a/include/citron/entry/entry_task.h
+++ b/include/citron/entry/entry_task.h
@@ -127,6 +127,16 @@
   std::string secret_;
   int loop_index_;
   metrics stats_;
+  counters_by_label<2> requests_{
+      stats_, "citron_requests_total", {"service", "verdict"}};
+  histograms_by_label<1> request_seconds_{
+      stats_, "citron_request_seconds", {"service"}};
+  counters_by_label<2> workspace_requests_{
+      stats_, "citron_workspace_requests_total", {"workspace", "answered"}};
+  counters_by_label<2> refusals_{
+      stats_, "citron_refusals_total", {"workspace", "reason"}};
+  counters_by_label<1> refused_inside_rate_{
+      stats_, "citron_refused_inside_rate_total", {"workspace"}};
   std::unique_ptr<control_link> link_;
   std::unique_ptr<http_server> server_;   // Callers.
   std::unique_ptr<http_server> forward_;  // Other entries of the fleet.
--- a/src/dispatch/dispatch_task.cc
+++ b/src/dispatch/dispatch_task.cc
@@ -407,9 +407,7 @@
   const std::string_view reason = RefusalName(action.reason);
   LogDecision(kLogPart, "{} of {} refused: {}", action.id.Str(),
               found->second->Head().workspace.Str(), reason);
-  stats_.Count("citron_dispatch_refusals_total",
-               {{"reason", std::string(reason)},
-                {"service", found->second->Head().service.Str()}});
+  refusals_.Of({reason, found->second->Head().service.Str()}).Add();
   found->second->ReplyRefused(reason, kServiceUnavailable, action.retry_at);
   Retire(action.id);
 }
@@ -445,12 +443,10 @@
     const bool timed_out = outcome == upstream_outcome::kTimedOut;
     request.ReplyFailed(timed_out ? "upstream_timeout" : "upstream_lost",
                         timed_out ? kGatewayTimeout : kBadGateway);
-    stats_.Count("citron_dispatch_outcomes_total",
-                 {{"service", service->id.Str()},
-                  {"status", std::to_string(request.Status())}});
-    stats_.ObserveSeconds("citron_dispatch_seconds",
-                          {{"service", service->id.Str()}},
-                          ToSeconds(now - request.ArrivedAt()));
+    const std::string status = std::to_string(request.Status());
+    outcomes_.Of({service->id.Str(), status}).Add();
+    outcome_seconds_.Of({service->id.Str()})
+        .Observe(ToSeconds(now - request.ArrivedAt()));
     LogDecision(kLogPart, "{} ended at {}: status {}, {:.1f} ms here", id.Str(),
                 upstream.Str(), request.Status(),
                 ToMilliseconds(now - request.ArrivedAt()));
--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -872,15 +872,12 @@
     limiter_->OnCancel(c.workspace, *c.ticket);
   }
   if (c.in_registry) registry_->OnOutcome(c.caller_id, ran, status);
-  const metric_labels labels{{"service", c.service.Str()},
-                             {"verdict", std::string(VerdictName(ran))}};
-  stats_.Count("citron_requests_total", labels);
-  stats_.ObserveSeconds("citron_request_seconds",
-                        {{"service", c.service.Str()}},
-                        ToSeconds(now - c.arrived_at));
-  stats_.Count("citron_workspace_requests_total",
-               {{"workspace", c.workspace.Str()},
-                {"answered", ran == verdict::kRan ? "yes" : "no"}});
+  const std::string& service = c.service.Str();
+  requests_.Of({service, VerdictName(ran)}).Add();
+  request_seconds_.Of({service}).Observe(ToSeconds(now - c.arrived_at));
+  workspace_requests_
+      .Of({c.workspace.Str(), ran == verdict::kRan ? "yes" : "no"})
+      .Add();
   quality_.OnEnded(c.workspace, ran == verdict::kRan, now);
   LogDecision(kLogPart, "{} of {} ended: status {}, {}, {:.1f} ms", c.id.Str(),
               c.workspace.Str(), status, VerdictName(ran),
@@ -906,12 +903,10 @@
 
 void entry_task::CountRefusal(const workspace_id& workspace,
                               const std::string& reason) {
-  stats_.Count("citron_refusals_total",
-               {{"workspace", workspace.Str()}, {"reason", reason}});
+  refusals_.Of({workspace.Str(), reason}).Add();
   // What was let in and refused later was inside the workspace's rate.
   if (reason != "over_rate") {
-    stats_.Count("citron_refused_inside_rate_total",
-                 {{"workspace", workspace.Str()}});
+    refused_inside_rate_.Of({workspace.Str()}).Add();
   }
 }
 
--- a/src/net/metrics.cc
+++ b/src/net/metrics.cc
@@ -35,9 +35,14 @@
 
 void metrics::Count(const std::string& name, const metric_labels& labels,
                     double amount) {
-  FamilyOf(counters_, help_, registry_, name, prometheus::BuildCounter())
-      .Add(labels)
-      .Increment(amount);
+  Counter(name, labels).Add(amount);
+}
+
+counter_handle metrics::Counter(const std::string& name,
+                                const metric_labels& labels) {
+  return counter_handle(
+      FamilyOf(counters_, help_, registry_, name, prometheus::BuildCounter())
+          .Add(labels));
 }
 
 void metrics::Set(const std::string& name, const metric_labels& labels,
@@ -49,11 +54,16 @@
 
 void metrics::ObserveSeconds(const std::string& name,
                              const metric_labels& labels, double seconds) {
+  Histogram(name, labels).Observe(seconds);
+}
+
+histogram_handle metrics::Histogram(const std::string& name,
+                                    const metric_labels& labels) {
   static const prometheus::Histogram::BucketBoundaries kBounds =
       LatencyBuckets();
-  FamilyOf(histograms_, help_, registry_, name, prometheus::BuildHistogram())
-      .Add(labels, kBounds)
-      .Observe(seconds);
+  return histogram_handle(FamilyOf(histograms_, help_, registry_, name,
+                                   prometheus::BuildHistogram())
+                              .Add(labels, kBounds));
 }
 
 void metrics::Describe(const std::string& name, const std::string& help) {
