A forwarded request and its answer are passed on without lists of our own

Cause: each hop copied the request's method, body and headers into the call, those that may pass into another request, and the answer's headers into another head, before the library copied all of them once more. The exchange's request is now shared with its call, and a filter is handed to where the library's list is filled. The lists that remain are allocated at their size, and the "Host" of a connection is made once.

Ruled out: taking the request out of the exchange by a move; the exchange is still asked for it afterwards.

--- a/include/citron/link/answer_relay.h
+++ b/include/citron/link/answer_relay.h
@@ -29,6 +29,7 @@
   std::uint64_t BodyBytes() const { return body_bytes_; }
 
   void Start(const http_response_head& head);
+  void StartPassed(const passed_head& head);
   void Body(std::string_view bytes);
   void Finish();
   // The asker sees a broken answer, never a short one that looks whole.
--- a/include/citron/net/http_client.h
+++ b/include/citron/net/http_client.h
@@ -69,6 +69,10 @@
   void Start(const http_request& request, monotonic_time deadline,
              http_call_handler& handler, send_check may_send = {});
 
+  // The same for a request that is passed on.
+  void StartPassed(const passed_request& request, monotonic_time deadline,
+                   http_call_handler& handler, send_check may_send = {});
+
   // Ends the call; OnFailed is not called.
   void Cancel();
 
@@ -94,6 +98,7 @@
 
   event_loop& loop_;
   endpoint server_;
+  std::string host_;  // The server as the header "Host" names it.
   evhttp_connection* connection_ = nullptr;
   evhttp_request* request_ = nullptr;
   http_call_handler* handler_ = nullptr;
--- a/include/citron/net/http_server.h
+++ b/include/citron/net/http_server.h
@@ -43,6 +43,8 @@
   virtual ~http_exchange() = default;
 
   virtual const http_request& Request() const = 0;
+  // The same, for who needs it longer than the exchange lasts.
+  virtual std::shared_ptr<const http_request> ShareRequest() const = 0;
   virtual std::string PeerAddress() const = 0;
 
   // Sends the whole answer; the exchange must not be used afterwards.
@@ -51,6 +53,7 @@
   // A streamed answer: head, any number of chunks, then FinishBody. With a
   // Content-Length header the body is sent as it is, else in HTTP chunks.
   virtual void StartReply(const http_response_head& head) = 0;
+  virtual void StartPassedReply(const passed_head& head) = 0;
   virtual void SendBody(std::string_view bytes) = 0;
   virtual void FinishBody() = 0;
 
--- a/include/citron/net/http_types.h
+++ b/include/citron/net/http_types.h
@@ -38,6 +38,25 @@
   http_headers headers;
 };
 
+using header_filter = bool (*)(std::string_view name);
+
+// A request made of one that came in: its method, its body, those of its
+// headers that `passes` lets through, then `added`. It copies nothing, so that
+// what it names must outlive it.
+struct passed_request {
+  const http_request& from;
+  const std::string& target;
+  header_filter passes;
+  const http_headers& added;
+};
+
+// The same for the head of an answer.
+struct passed_head {
+  const http_response_head& from;
+  header_filter passes;
+  const http_headers& added;
+};
+
 struct http_response {
   http_response_head head;
   std::string body;
--- a/src/dispatch/dispatch_call.cc
+++ b/src/dispatch/dispatch_call.cc
@@ -37,7 +37,7 @@
                           const forward_head& head, monotonic_time deadline)
     : task_(task),
       relay_(exchange, [this] { task_.OnEntryGone(head_.id); }),
-      request_(exchange.Request()),
+      request_(exchange.ShareRequest()),
       head_(head),
       arrived_at_(MonotonicNow()),
       deadline_(deadline) {}
@@ -50,44 +50,38 @@
   relay_.SetSource(connection_.get());
   // Asked again when the connection stands: while it was being opened this
   // process may have been frozen, and its lease may have ended.
-  connection_->Start(UpstreamRequest(), deadline_, *this, [this, upstream] {
-    return task_.owner_->MaySend(upstream, MonotonicNow());
-  });
+  connection_->StartPassed(
+      {*request_, request_->target, MayForwardHeader, UpstreamHeaders()},
+      deadline_, *this, [this, upstream] {
+        return task_.owner_->MaySend(upstream, MonotonicNow());
+      });
 }
 
-http_request dispatch_task::call::UpstreamRequest() const {
-  http_request request;
-  request.method = request_.method;
-  request.target = request_.target;
-  request.body = request_.body;
-  for (const http_header& header : request_.headers) {
-    if (MayForwardHeader(header.name)) request.headers.push_back(header);
-  }
+// What the dispatch itself tells the upstream.
+http_headers dispatch_task::call::UpstreamHeaders() const {
   const duration left = deadline_ - MonotonicNow();
   const std::string& id = head_.caller_request_id.empty()
                               ? head_.id.Str()
                               : head_.caller_request_id;
-  request.headers.push_back({"Citron-Workspace", head_.workspace.Str()});
-  request.headers.push_back({"Citron-Request-Id", id});
-  request.headers.push_back(
+  http_headers headers;
+  headers.reserve(3);
+  headers.push_back({"Citron-Workspace", head_.workspace.Str()});
+  headers.push_back({"Citron-Request-Id", id});
+  headers.push_back(
       {"Citron-Deadline-Ms",
        fmt::format("{:.0f}", std::max(0.0, ToMilliseconds(left)))});
-  return request;
+  return headers;
 }
 
 void dispatch_task::call::OnHead(const http_response_head& head) {
   status_ = head.status;
   not_run_ = NotRunOutcome(head);
   if (not_run_) return;
-  http_response_head answer;
-  answer.status = head.status;
-  for (const http_header& header : head.headers) {
-    if (MayReturnHeader(header.name)) answer.headers.push_back(header);
-  }
-  answer.headers.push_back(
-      {"Citron-Verdict", std::string(VerdictName(verdict::kRan))});
-  answer.headers.push_back({"Citron-Upstream", upstream_.Str()});
-  relay_.Start(answer);
+  http_headers added;
+  added.reserve(2);
+  added.push_back({"Citron-Verdict", std::string(VerdictName(verdict::kRan))});
+  added.push_back({"Citron-Upstream", upstream_.Str()});
+  relay_.StartPassed({head, MayReturnHeader, added});
 }
 
 void dispatch_task::call::OnBody(std::string_view bytes) { relay_.Body(bytes); }
--- a/src/dispatch/dispatch_call.h
+++ b/src/dispatch/dispatch_call.h
@@ -43,13 +43,13 @@
   void OnFailed(const call_failure& failure) override;
 
  private:
-  http_request UpstreamRequest() const;
+  http_headers UpstreamHeaders() const;
   void ReplyError(std::string_view code, int status, verdict ran,
                   std::optional<monotonic_time> retry_at);
 
   dispatch_task& task_;
   answer_relay relay_;
-  http_request request_;
+  std::shared_ptr<const http_request> request_;
   forward_head head_;
   monotonic_time arrived_at_;
   monotonic_time deadline_;
--- a/src/entry/entry_call.cc
+++ b/src/entry/entry_call.cc
@@ -8,7 +8,7 @@
 entry_task::call::call(entry_task& task, http_exchange& exchange)
     : arrived_at(MonotonicNow()),
       task_(task),
-      request_(exchange.Request()),
+      request_(exchange.ShareRequest()),
       relay_(exchange, [this] {
         CancelForward();
         // An id whose caller has gone may have run; whoever asks again with
@@ -27,22 +27,18 @@
   head.weight = weight;
   head.idempotent = idempotent;
   head.caller_request_id = caller_id.Str();
-  http_request forwarded;
-  forwarded.method = request_.method;
-  forwarded.target = target;
-  forwarded.body = request_.body;
-  for (const http_header& header : request_.headers) {
-    if (MayForwardHeader(header.name)) forwarded.headers.push_back(header);
-  }
-  AddForwardHeaders(head, {forwarded.method, forwarded.target, forwarded.body},
-                    task_.secret_, forwarded.headers);
+  http_headers added;
+  added.reserve(2);
+  AddForwardHeaders(head, {request_->method, target, request_->body},
+                    task_.secret_, added);
   ++sends;
   not_run_ = false;
   status_ = 0;
   refusal_.clear();
   connection_ = task_.client_.Take(to);
   relay_.SetSource(connection_.get());
-  connection_->Start(forwarded, deadline, *this);
+  connection_->StartPassed({*request_, target, MayForwardHeader, added},
+                           deadline, *this);
 }
 
 void entry_task::call::OnHead(const http_response_head& head) {
@@ -60,15 +56,11 @@
     }
     return;
   }
-  http_response_head answer;
-  answer.status = head.status;
-  for (const http_header& header : head.headers) {
-    if (MayReturnHeader(header.name)) answer.headers.push_back(header);
-  }
-  answer.headers.push_back(
-      {"Citron-Verdict", std::string(VerdictName(verdict_))});
-  answer.headers.push_back({"Citron-Request-Id", id.Str()});
-  relay_.Start(answer);
+  http_headers added;
+  added.reserve(2);
+  added.push_back({"Citron-Verdict", std::string(VerdictName(verdict_))});
+  added.push_back({"Citron-Request-Id", id.Str()});
+  relay_.StartPassed({head, MayReturnHeader, added});
 }
 
 void entry_task::call::OnBody(std::string_view bytes) { relay_.Body(bytes); }
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -61,14 +61,14 @@
   // try, the request as a whole can't be called "not run" any more.
   bool may_have_run = false;
 
-  const http_request& Request() const { return request_; }
+  const http_request& Request() const { return *request_; }
   answer_relay& Relay() { return relay_; }
 
  private:
   void ReleaseConnection();
 
   entry_task& task_;
-  http_request request_;
+  std::shared_ptr<const http_request> request_;
   answer_relay relay_;
   std::unique_ptr<http_connection> connection_;
   int status_ = 0;
--- a/src/link/answer_relay.cc
+++ b/src/link/answer_relay.cc
@@ -29,6 +29,12 @@
   exchange_->StartReply(head);
 }
 
+void answer_relay::StartPassed(const passed_head& head) {
+  if (exchange_ == nullptr) return;
+  started_ = true;
+  exchange_->StartPassedReply(head);
+}
+
 void answer_relay::Body(std::string_view bytes) {
   if (exchange_ == nullptr || !started_) return;
   body_bytes_ += bytes.size();
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -10,6 +10,8 @@
 #include <cassert>
 #include <utility>
 
+#include "net/copy_headers.h"
+
 namespace citron {
 
 namespace {
@@ -36,14 +38,12 @@
 http_response_head CopyHead(evhttp_request* request) {
   http_response_head head;
   head.status = evhttp_request_get_response_code(request);
-  const evkeyvalq* headers = evhttp_request_get_input_headers(request);
-  for (const evkeyval* h = headers->tqh_first; h != nullptr;
-       h = h->next.tqe_next) {
-    head.headers.push_back({h->key, h->value});
-  }
+  head.headers = CopyHeaders(evhttp_request_get_input_headers(request));
   return head;
 }
 
+bool EveryHeaderPasses(std::string_view) { return true; }
+
 // Whether the end of the body can be told from a lost connection.
 bool IsDelimited(const http_response_head& head) {
   return head.status == 204 || head.status == 304 ||
@@ -103,6 +103,7 @@
                                  const endpoint& dial)
     : loop_(loop),
       server_(server),
+      host_(server.Str()),
       deadline_timer_(loop, [this] { Fail(timer_problem_); }) {
   const endpoint& to = dial.IsEmpty() ? server_ : dial;
   connection_ = evhttp_connection_base_new(loop_.Base(), nullptr,
@@ -124,6 +125,15 @@
 void http_connection::Start(const http_request& request,
                             monotonic_time deadline, http_call_handler& handler,
                             send_check may_send) {
+  static const http_headers kNone;
+  StartPassed({request, request.target, EveryHeaderPasses, kNone}, deadline,
+              handler, std::move(may_send));
+}
+
+void http_connection::StartPassed(const passed_request& request,
+                                  monotonic_time deadline,
+                                  http_call_handler& handler,
+                                  send_check may_send) {
   assert(IsReusable());
   ResumeReading();
   handler_ = &handler;
@@ -137,14 +147,19 @@
   evhttp_request_set_header_cb(request_, callbacks::Head);
   evhttp_request_set_chunked_cb(request_, callbacks::Body);
   evkeyvalq* headers = evhttp_request_get_output_headers(request_);
-  evhttp_add_header(headers, "Host", server_.Str().c_str());
-  for (const http_header& header : request.headers) {
+  evhttp_add_header(headers, "Host", host_.c_str());
+  for (const http_header& header : request.from.headers) {
+    if (!request.passes(header.name)) continue;
+    evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+  }
+  for (const http_header& header : request.added) {
     evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
   }
-  evbuffer_add(evhttp_request_get_output_buffer(request_), request.body.data(),
-               request.body.size());
+  const std::string& body = request.from.body;
+  evbuffer_add(evhttp_request_get_output_buffer(request_), body.data(),
+               body.size());
   deadline_timer_.Arm(deadline);
-  if (evhttp_make_request(connection_, request_, Command(request.method),
+  if (evhttp_make_request(connection_, request_, Command(request.from.method),
                           request.target.c_str()) != 0) {
     // The library has freed the request.
     request_ = nullptr;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -19,6 +19,7 @@
 #include <iterator>
 #include <utility>
 
+#include "net/copy_headers.h"
 #include "net/lingering_close.h"
 
 namespace citron {
@@ -52,15 +53,6 @@
   }
 }
 
-http_headers CopyHeaders(const evkeyvalq* headers) {
-  http_headers copied;
-  for (const evkeyval* h = headers->tqh_first; h != nullptr;
-       h = h->next.tqe_next) {
-    copied.push_back({h->key, h->value});
-  }
-  return copied;
-}
-
 http_request CopyRequest(evhttp_request* request) {
   http_request copied;
   copied.method = MethodName(evhttp_request_get_command(request));
@@ -132,7 +124,7 @@
         alive_(server.alive_),
         evhttp_request_(request),
         connection_(evhttp_request_get_connection(request)),
-        request_(CopyRequest(request)) {
+        request_(std::make_shared<const http_request>(CopyRequest(request))) {
     ++server_.open_exchanges_;
     server_.StopWaiting(Bufferevent());
     WatchForHangUp();
@@ -144,7 +136,11 @@
         this);
   }
 
-  const http_request& Request() const override { return request_; }
+  const http_request& Request() const override { return *request_; }
+
+  std::shared_ptr<const http_request> ShareRequest() const override {
+    return request_;
+  }
 
   std::string PeerAddress() const override {
     char* address = nullptr;
@@ -168,6 +164,11 @@
     evhttp_send_reply_start(evhttp_request_, head.status, nullptr);
   }
 
+  void StartPassedReply(const passed_head& head) override {
+    SetPassedHeaders(head);
+    evhttp_send_reply_start(evhttp_request_, head.from.status, nullptr);
+  }
+
   void SendBody(std::string_view bytes) override {
     evbuffer* chunk = evbuffer_new();
     evbuffer_add(chunk, bytes.data(), bytes.size());
@@ -234,8 +235,17 @@
   }
 
   void SetHeaders(const http_response_head& head) {
+    static const http_headers kNone;
+    SetPassedHeaders({head, [](std::string_view) { return true; }, kNone});
+  }
+
+  void SetPassedHeaders(const passed_head& head) {
     evkeyvalq* headers = evhttp_request_get_output_headers(evhttp_request_);
-    for (const http_header& header : head.headers) {
+    for (const http_header& header : head.from.headers) {
+      if (!head.passes(header.name)) continue;
+      evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+    }
+    for (const http_header& header : head.added) {
       evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
     }
     if (server_.stopping_) {
@@ -271,7 +281,7 @@
   std::shared_ptr<bool> alive_;
   evhttp_request* evhttp_request_;
   evhttp_connection* connection_;
-  http_request request_;
+  std::shared_ptr<const http_request> request_;
   std::function<void()> on_drained_;
   std::function<void()> on_gone_;
 };
--- a/src/net/http_types.cc
+++ b/src/net/http_types.cc
@@ -4,6 +4,8 @@
 #include <event2/keyvalq_struct.h>
 #include <strings.h>
 
+#include "net/copy_headers.h"
+
 namespace citron {
 
 bool HeaderNameIs(std::string_view name, std::string_view wanted) {
@@ -19,6 +21,21 @@
   return std::nullopt;
 }
 
+http_headers CopyHeaders(const evkeyvalq* headers) {
+  std::size_t count = 0;
+  for (const evkeyval* h = headers->tqh_first; h != nullptr;
+       h = h->next.tqe_next) {
+    ++count;
+  }
+  http_headers copied;
+  copied.reserve(count);
+  for (const evkeyval* h = headers->tqh_first; h != nullptr;
+       h = h->next.tqe_next) {
+    copied.push_back({h->key, h->value});
+  }
+  return copied;
+}
+
 std::string_view http_request::Path() const {
   const std::string_view whole = target;
   return whole.substr(0, whole.find('?'));
--- a/tests/link/answer_relay_test.cc
+++ b/tests/link/answer_relay_test.cc
@@ -11,9 +11,11 @@
 class mock_exchange : public trompeloeil::mock_interface<http_exchange> {
  public:
   IMPLEMENT_CONST_MOCK0(Request);
+  IMPLEMENT_CONST_MOCK0(ShareRequest);
   IMPLEMENT_CONST_MOCK0(PeerAddress);
   IMPLEMENT_MOCK1(Reply);
   IMPLEMENT_MOCK1(StartReply);
+  IMPLEMENT_MOCK1(StartPassedReply);
   IMPLEMENT_MOCK1(SendBody);
   IMPLEMENT_MOCK0(FinishBody);
   IMPLEMENT_MOCK0(Abort);
@@ -52,6 +54,29 @@
   BOOST_TEST(!relay_->IsOpen());
 }
 
+// A head that is passed on counts as the beginning of the answer: no other
+// answer may follow it, and its body is let through.
+BOOST_AUTO_TEST_CASE(PassedHeadBeginsTheAnswer) {
+  const http_response_head head{201, {{"A", "1"}}};
+  const http_headers added = {{"B", "2"}};
+  REQUIRE_CALL(asker_, StartPassedReply(_))
+      .LR_WITH(&_1.from == &head && &_1.added == &added);
+  REQUIRE_CALL(asker_, SendBody("ab"));
+  REQUIRE_CALL(asker_, FinishBody());
+  relay_->StartPassed({head, [](std::string_view) { return true; }, added});
+  BOOST_TEST(relay_->IsStarted());
+  relay_->Body("ab");
+  relay_->Finish();
+}
+
+// The asker hung up while the head was on its way.
+BOOST_AUTO_TEST_CASE(PassedHeadIsDroppedAfterAHangUp) {
+  const http_response_head head{200, {}};
+  hang_up_();
+  relay_->StartPassed({head, [](std::string_view) { return true; }, {}});
+  BOOST_TEST(!relay_->IsStarted());
+}
+
 // The source is lost in the middle of the body. The asker sees a broken
 // answer, and nothing is sent after it.
 BOOST_AUTO_TEST_CASE(BrokenAnswerIsNeverFinished) {
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -31,8 +31,9 @@
 // Keeps what a call reported.
 class recorded_call : public http_call_handler {
  public:
-  void OnHead(const http_response_head& head) override {
-    status = head.status;
+  void OnHead(const http_response_head& came) override {
+    head = came;
+    status = came.status;
     if (on_head) on_head();
   }
   void OnBody(std::string_view bytes) override {
@@ -45,6 +46,7 @@
     failure = reported;
   }
 
+  http_response_head head;
   int status = 0;
   std::string body;
   bool done = false;
@@ -77,6 +79,68 @@
   BOOST_TEST((FindHeader(got.head.headers, "x-method") == "POST"));
 }
 
+bool IsNotSecret(std::string_view name) {
+  return !HeaderNameIs(name, "secret");
+}
+
+// A proxy in the middle passes a request and its answer on. Whatever it may not
+// tell the far side or the caller must be gone, and the rest arrive whole.
+BOOST_AUTO_TEST_CASE(PassedRequestAndAnswerLoseWhatMayNotPass) {
+  http_request seen;
+  auto server = Serve([&](http_exchange& exchange) {
+    seen = exchange.Request();
+    const http_response_head head{
+        203, {{"Secret", "1"}, {"Kept", "2"}, {"Content-Length", "4"}}};
+    exchange.StartPassedReply({head, IsNotSecret, {{"Added", "3"}}});
+    exchange.SendBody("body");
+    exchange.FinishBody();
+  });
+  http_connection connection(Loop(), server->Address());
+  recorded_call call;
+  const http_request came{
+      "PUT", "/as/it/came", {{"sEcret", "a"}, {"Kept", "b"}}, "hello"};
+  const std::string target = "/for/the/far/side?x=1";
+  connection.StartPassed({came, target, IsNotSecret, {{"Added", "c"}}}, Soon(),
+                         call);
+  BOOST_REQUIRE(RunUntil([&] { return call.done; }));
+  BOOST_TEST(seen.method == "PUT");
+  BOOST_TEST(seen.target == target);
+  BOOST_TEST(seen.body == "hello");
+  BOOST_TEST((FindHeader(seen.headers, "Kept") == "b"));
+  BOOST_TEST((FindHeader(seen.headers, "Added") == "c"));
+  BOOST_TEST((FindHeader(seen.headers, "Host") == server->Address().Str()));
+  BOOST_TEST(!FindHeader(seen.headers, "Secret").has_value());
+  const http_response_head& got = call.head;
+  BOOST_TEST(got.status == 203);
+  BOOST_TEST(call.body == "body");
+  BOOST_TEST((FindHeader(got.headers, "Kept") == "2"));
+  BOOST_TEST((FindHeader(got.headers, "Added") == "3"));
+  BOOST_TEST(!FindHeader(got.headers, "Secret").has_value());
+}
+
+// A caller hangs up while its request runs. The request may still have to be
+// sent elsewhere or be looked at afterwards, when its exchange is gone.
+BOOST_AUTO_TEST_CASE(SharedRequestOutlivesItsExchange) {
+  std::shared_ptr<const http_request> kept;
+  bool gone = false;
+  auto server = Serve([&](http_exchange& exchange) {
+    kept = exchange.ShareRequest();
+    BOOST_TEST(kept.get() == &exchange.Request());
+    exchange.OnGone([&gone] { gone = true; });
+  });
+  auto connection =
+      std::make_unique<http_connection>(Loop(), server->Address());
+  recorded_call call;
+  connection->Start({"POST", "/a", {{"Kept", "b"}}, "hello"}, Soon(), call);
+  BOOST_REQUIRE(RunUntil([&] { return kept != nullptr; }));
+  connection.reset();
+  BOOST_REQUIRE(RunUntil([&] { return gone; }));
+  BOOST_REQUIRE(RunUntil([&] { return server->OpenExchanges() == 0; }));
+  BOOST_TEST(kept->target == "/a");
+  BOOST_TEST(kept->body == "hello");
+  BOOST_TEST((FindHeader(kept->headers, "Kept") == "b"));
+}
+
 BOOST_AUTO_TEST_CASE(ConnectionIsReused) {
   int requests = 0;
   auto server = Serve([&](http_exchange& exchange) {
