The head of a forward is joined without copies and formatting

Cause: the fields of a head were copied, each length was formatted, and the text to seal was grown by and by around a copy of the body. Fields are now joined from where they stand into a text of one allocation, lengths are written by std::to_chars, and the body is digested where it stands. The text on the wire and its seal are the same: a test holds them to values that were computed by another implementation.

bench/run_forward.sh has CITRON_INSTRUCTIONS, which counts the instructions of both chains: they hardly move with what else the machine does, as times do.

Tests: base_digest_test (7 cases, one new), link_forward_head_test (6, one new).

--- a/bench/run_forward.sh
+++ b/bench/run_forward.sh
@@ -133,6 +133,24 @@
   wait "$profiler" || true
   exit 0
 fi
+if [ -n "${CITRON_INSTRUCTIONS:-}" ]; then
+  # Hardly moved by what else the machine does, unlike time; without the kernel's.
+  for part in bare citron; do
+    pids="$entry_pid,$dispatch_pid" address=$entry path=/bench/lots/1
+    if [ "$part" = bare ]; then
+      pids="${started[1]},${started[2]}" address=$base.150.1:8001 path=/lots/1
+    fi
+    perf stat -x, -e instructions:u -p "$pids" -o "$work/$part" &
+    counter=$!
+    sleep 0.5
+    measure "$part-counted" "$address" "$path" 32 2 "$calls" ${pids/,/ }
+    kill -INT "$counter"
+    wait "$counter" || true
+    awk -F, -v part="$part" -v calls="$calls" '/instructions/ {
+      printf "{\"name\":\"%s-instructions\",\"per_call\":%.0f}\n", part, $1 / calls }' "$work/$part"
+  done
+  exit 0
+fi
 if [ -n "${CITRON_TRACE:-}" ]; then
   strace -f -c -p "$entry_pid" -o "$CITRON_TRACE.entry" & tracers=($!)
   strace -f -c -p "$dispatch_pid" -o "$CITRON_TRACE.dispatch" & tracers+=($!)
--- a/include/citron/base/digest.h
+++ b/include/citron/base/digest.h
@@ -14,6 +14,9 @@
 // Lower-case hexadecimal HMAC-SHA-256; how daemons prove themselves to each
 // other.
 std::string HmacSha256Hex(std::string_view secret, std::string_view bytes);
+// The same of two parts, one after the other, without joining them.
+std::string HmacSha256Hex(std::string_view secret, std::string_view first_part,
+                          std::string_view second_part);
 
 // Compares in a time that does not depend on where the strings differ.
 bool EqualInConstantTime(std::string_view a, std::string_view b);
--- a/src/base/digest.cc
+++ b/src/base/digest.cc
@@ -19,11 +19,10 @@
 
 std::string ToHex(const unsigned char* bytes, std::size_t count) {
   static constexpr char kDigits[] = "0123456789abcdef";
-  std::string hex;
-  hex.reserve(count * 2);
+  std::string hex(count * 2, '0');
   for (std::size_t i = 0; i < count; ++i) {
-    hex.push_back(kDigits[bytes[i] >> 4]);
-    hex.push_back(kDigits[bytes[i] & 0x0f]);
+    hex[i * 2] = kDigits[bytes[i] >> 4];
+    hex[i * 2 + 1] = kDigits[bytes[i] & 0x0f];
   }
   return hex;
 }
@@ -58,9 +57,14 @@
   return ToHex(digest.data(), digest.size());
 }
 
+std::string HmacSha256Hex(std::string_view secret, std::string_view bytes) {
+  return HmacSha256Hex(secret, bytes, {});
+}
+
 // RFC 2104 over one digest that is looked up once: the library's HMAC looks
 // its digest up by name, under a lock, with every call.
-std::string HmacSha256Hex(std::string_view secret, std::string_view bytes) {
+std::string HmacSha256Hex(std::string_view secret, std::string_view first_part,
+                          std::string_view second_part) {
   constexpr unsigned char kInner = 0x36;
   constexpr unsigned char kOuter = 0x5c;
   std::array<unsigned char, SHA256_CBLOCK> key{};
@@ -81,7 +85,7 @@
   };
   const auto inner = padded(kInner);
   const auto outer = padded(kOuter);
-  const sha256_digest first = Sha256({text(inner), bytes});
+  const sha256_digest first = Sha256({text(inner), first_part, second_part});
   const sha256_digest mac = Sha256({text(outer), text(first)});
   return ToHex(mac.data(), mac.size());
 }
--- a/src/link/forward_head.cc
+++ b/src/link/forward_head.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 #include <optional>
 
 #include "citron/base/digest.h"
@@ -34,19 +35,31 @@
 
 constexpr std::size_t kFieldCount = 8;
 
+// Digits of any length, and the colon.
+constexpr std::size_t kMaxLengthChars =
+    std::numeric_limits<std::size_t>::digits10 + 2;
+
 // Lengths keep fields apart: no two different heads make the same text.
+void AppendLength(std::string& text, std::size_t size) {
+  std::array<char, kMaxLengthChars> digits;
+  const auto [end, problem] =
+      std::to_chars(digits.data(), digits.data() + digits.size(), size);
+  text.append(digits.data(), end);
+  text.push_back(':');
+}
+
 void AppendField(std::string& text, std::string_view field) {
-  fmt::format_to(std::back_inserter(text), "{}:", field.size());
+  AppendLength(text, field.size());
   text.append(field);
 }
 
-std::string JoinFields(const head_text& t) {
+std::string JoinFields(
+    const std::array<std::string_view, kFieldCount>& fields) {
+  std::size_t size = 0;
+  for (std::string_view field : fields) size += kMaxLengthChars + field.size();
   std::string text;
-  for (const std::string* field :
-       {&t.id, &t.workspace, &t.service, &t.key_digest, &t.deadline_ms,
-        &t.weight, &t.idempotent, &t.caller_request_id}) {
-    AppendField(text, *field);
-  }
+  text.reserve(size);
+  for (std::string_view field : fields) AppendField(text, field);
   return text;
 }
 
@@ -84,12 +97,14 @@
 std::string Seal(std::string_view joined, const forward_subject& subject,
                  std::string_view secret) {
   std::string text;
-  for (std::string_view field :
-       {joined, std::string_view(subject.method),
-        std::string_view(subject.target), std::string_view(subject.body)}) {
-    AppendField(text, field);
-  }
-  return HmacSha256Hex(secret, text);
+  text.reserve(joined.size() + subject.method.size() + subject.target.size() +
+               4 * kMaxLengthChars);
+  AppendField(text, joined);
+  AppendField(text, subject.method);
+  AppendField(text, subject.target);
+  AppendLength(text, subject.body.size());
+  // A body may be long, and is not copied to be sealed.
+  return HmacSha256Hex(secret, text, subject.body);
 }
 
 std::optional<double> ParseNumber(const std::string& text) {
@@ -147,16 +162,14 @@
 
 void AddForwardHeaders(const forward_head& head, const forward_subject& subject,
                        std::string_view secret, http_headers& headers) {
-  head_text t;
-  t.id = head.id.Str();
-  t.workspace = head.workspace.Str();
-  t.service = head.service.Str();
-  t.key_digest = head.key_digest;
-  t.deadline_ms = fmt::format("{:.3f}", ToMilliseconds(head.time_left));
-  t.weight = fmt::format("{}", head.weight);
-  t.idempotent = head.idempotent ? "1" : "0";
-  t.caller_request_id = head.caller_request_id;
-  std::string joined = JoinFields(t);
+  const std::string deadline_ms =
+      fmt::format("{:.3f}", ToMilliseconds(head.time_left));
+  const std::string weight = fmt::format("{}", head.weight);
+  // In the order of head_text.
+  std::string joined =
+      JoinFields({head.id.Str(), head.workspace.Str(), head.service.Str(),
+                  head.key_digest, deadline_ms, weight,
+                  head.idempotent ? "1" : "0", head.caller_request_id});
   headers.push_back({kSealHeader, Seal(joined, subject, secret)});
   headers.push_back({kHeadHeader, std::move(joined)});
 }
--- a/tests/base/digest_test.cc
+++ b/tests/base/digest_test.cc
@@ -22,6 +22,19 @@
       "60e431591ee0b67f0d8a26aacbf5b77f8e0bc6213728c5140546040f0ee37f54");
 }
 
+// Wherever the bytes are parted, at the ends of a block too, it is the same.
+BOOST_AUTO_TEST_CASE(HmacOfTwoPartsIsThatOfTheWhole) {
+  std::string whole;
+  for (int i = 0; i < 200; ++i)
+    whole.push_back(static_cast<char>('a' + i % 23));
+  const std::string mac = citron::HmacSha256Hex("key", whole);
+  const std::string_view text = whole;
+  for (std::size_t i = 0; i <= text.size(); ++i) {
+    BOOST_TEST(
+        citron::HmacSha256Hex("key", text.substr(0, i), text.substr(i)) == mac);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(HmacDependsOnSecretAndBytes) {
   const std::string mac = citron::HmacSha256Hex("key", "message");
   BOOST_TEST(mac.size() == 64u);
--- a/tests/link/forward_head_test.cc
+++ b/tests/link/forward_head_test.cc
@@ -36,6 +36,20 @@
   BOOST_TEST(!head.idempotent);
 }
 
+// While a fleet is brought to a new version, entries of the old one send to
+// dispatches of the new one. If the text or what its seal covers were another,
+// all requests between them would be refused. The seal was computed with
+// another implementation of HMAC.
+BOOST_AUTO_TEST_CASE(TextOnTheWireStaysTheSame) {
+  const http_headers headers = Sealed(Sample());
+  BOOST_TEST((FindHeader(headers, "Citron-Forward") ==
+              "14:scl-a-1.0.77.55:lampa6:ledger64:" + std::string(64, 'a') +
+                  "7:250.0001:21:015:scl-a-1.77.9.00"));
+  BOOST_TEST(
+      (FindHeader(headers, "Citron-Seal") ==
+       "82690956a316ee9794a78d8c66a97427db41e720f6862f7bb5037edd257cceba"));
+}
+
 // A caller who reaches a dispatch's port writes the headers itself, or takes
 // those of a request that it has seen and changes the workspace, the body or
 // the path.
