A started entry lets requests wait until it has heard of lenders

The entry had no share yet and knew no other entry, so that nothing could be borrowed, and each refusal took 0.2 ms, so that a caller who asks again without a pause collected a hundred. Ruled out: an entry that doesn't listen before it has a share; after a start of the whole fleet nobody would.

StartedEntryWaitsToHearOfLenders: without it the first check fails (over_rate).

--- a/include/citron/protocol/rate_limiter.h
+++ b/include/citron/protocol/rate_limiter.h
@@ -124,6 +124,8 @@
   loan_book loans_;
   admission_wait waiting_;
   std::uint64_t last_ticket_ = 0;
+  monotonic_time own_share_at_;
+  bool knows_lenders_ = false;
 };
 
 }  // namespace citron
--- a/src/protocol/rate_limiter.cc
+++ b/src/protocol/rate_limiter.cc
@@ -27,7 +27,8 @@
       limits_(now + options.loan.SettleTime()),
       homes_(self, limits_, options.home),
       loans_(std::move(self), limits_, options.loan, seed),
-      waiting_(options.wait) {
+      waiting_(options.wait),
+      own_share_at_(now + options.loan.SettleTime()) {
   if (options_.has_homes) loans_.SetHomes(&homes_);
 }
 
@@ -66,6 +67,7 @@
 
 void rate_limiter::SetEntries(std::vector<entry_ref> lenders,
                               std::vector<entry_ref> live) {
+  knows_lenders_ = knows_lenders_ || !lenders.empty();
   loans_.SetPeers(std::move(lenders));
   homes_.SetLive(std::move(live));
 }
@@ -215,9 +217,14 @@
   }
 }
 
+// An entry that has just started has heard of no other yet. Refused at once, a
+// caller who stays with it would be turned away a thousand times in the second
+// until its first loan; one notices by 429 inside the rate after each restart.
 bool rate_limiter::MayBorrow(const workspace_id& workspace,
                              monotonic_time now) const {
-  return options_.has_loans && loans_.MayBorrow(workspace, now);
+  if (!options_.has_loans) return false;
+  const bool has_just_started = !knows_lenders_ && now < own_share_at_;
+  return has_just_started || loans_.MayBorrow(workspace, now);
 }
 
 }  // namespace citron
--- a/tests/protocol/rate_limiter_test.cc
+++ b/tests/protocol/rate_limiter_test.cc
@@ -139,6 +139,35 @@
   BOOST_TEST(Only<turn_away>(actions).size() == 1u);
 }
 
+// A restarted entry hears of the others a moment after its first callers come.
+// It refused them all at once meanwhile, and one who asked again without a
+// pause was refused a hundred times before the first loan.
+BOOST_AUTO_TEST_CASE(StartedEntryWaitsToHearOfLenders) {
+  rate_limiter started(kSelf, Options(), 1, kStart);
+  started.SetContract(kDepot, {100, 50}, kStart);
+  const auto ask = [&](monotonic_time now) {
+    limit_actions ignored;
+    return started.OnRequest(kDepot, now + FromSeconds(1), now, ignored);
+  };
+  monotonic_time now = kStart + FromMilliseconds(20);
+  for (int i = 0; i < 3; ++i, now += FromMilliseconds(15)) {
+    BOOST_TEST(std::holds_alternative<token_awaited>(ask(now)));
+  }
+  started.SetEntries({kOther}, {kSelf, kOther});
+  const auto asks = Only<send_loan_ask>(started.OnTimer(now));
+  BOOST_REQUIRE(!asks.empty());
+  const loan_grant grant{kDepot, asks[0].message.number, asks[0].message.ppb, 2,
+                         asks[0].message.duration_ms};
+  BOOST_TEST(Only<let_in>(started.OnMessage(kOther, grant, now)).size() == 2u);
+  // Without lenders, and once the own share should have come, it is final.
+  rate_limiter alone(kSelf, Options(), 1, kStart);
+  alone.SetContract(kDepot, {100, 50}, kStart);
+  limit_actions ignored;
+  const monotonic_time late = kStart + Options().loan.SettleTime();
+  BOOST_TEST(std::holds_alternative<over_rate>(
+      alone.OnRequest(kDepot, late + FromSeconds(1), late, ignored)));
+}
+
 // Another entry asks for a part of the contract; without demand here it gets
 // nearly all of it.
 BOOST_AUTO_TEST_CASE(LendsWhatIsNotNeededHere) {
