Equal requests of many callers are not convicted with a poison request

Now a crash counts against a suspect only if it was sent as one, and so kept apart from the others, or if it is the only suspect that was in flight there.

--- a/include/citron/policy/service_scheduler.h
+++ b/include/citron/policy/service_scheduler.h
@@ -179,6 +179,10 @@
   void TakeBack(entry& e, upstream_outcome outcome, monotonic_time now);
   void OnNotRun(entry& e, upstream_outcome outcome, monotonic_time now,
                 actions& out);
+  // The suspects that were in flight at the upstream when it crashed.
+  const std::set<std::uint64_t>& SuspectsAtCrash(const upstream_id& upstream,
+                                                 monotonic_time now);
+  poison_registry::standing OnCrash(const entry& e, monotonic_time now);
   // True if it was sent again.
   bool OnLost(entry& e, monotonic_time now, actions& out);
 
@@ -192,6 +196,13 @@
   class_estimator estimator_;
   slot_guard guard_;
   upstream_chooser chooser_;
+  // The last crash: its connections are lost one after the other.
+  struct crash_seen {
+    upstream_id upstream;
+    monotonic_time at;
+    std::set<std::uint64_t> suspects;
+  };
+  crash_seen last_crash_;
   poison_registry poison_;
   retry_budget retries_;
   fair_queue queue_;
--- a/src/policy/service_scheduler.cc
+++ b/src/policy/service_scheduler.cc
@@ -32,6 +32,9 @@
 // Without any upstream nothing changes sooner than a server restarts.
 constexpr duration kNoUpstreamRetry = std::chrono::seconds(1);
 
+// Connections of one crash are lost within this.
+constexpr duration kOneCrash = std::chrono::milliseconds(20);
+
 // A first try and one more.
 constexpr int kMaxSends = 2;
 
@@ -219,12 +222,49 @@
   held_.emplace(e.place.latest_start, id);
 }
 
+const std::set<std::uint64_t>& service_scheduler::SuspectsAtCrash(
+    const upstream_id& upstream, monotonic_time now) {
+  using standing = poison_registry::standing;
+  const bool is_same =
+      last_crash_.upstream == upstream && now - last_crash_.at <= kOneCrash;
+  if (is_same) return last_crash_.suspects;
+  last_crash_ = {upstream, now, {}};
+  for (const auto& [id, e] : entries_) {
+    const bool was_there = e.upstream == upstream || e.tried == upstream;
+    const std::uint64_t fingerprint = e.request.fingerprint;
+    if (was_there && poison_.Of(fingerprint, now) == standing::kSuspect) {
+      last_crash_.suspects.insert(fingerprint);
+    }
+  }
+  return last_crash_.suspects;
+}
+
+// One that was sent as a suspect was kept apart from the others, so that its
+// crash says something. A copy that was sent before the suspicion may have had
+// the killer sent to it. If it counted, equal requests of many callers would be
+// convicted together with the killer; one notices by callers that are refused
+// as poison though their requests were served before. It counts only where it
+// is the only suspect: a second copy of the killer that was on its way when the
+// first one crashed its upstream need not crash a third.
+poison_registry::standing service_scheduler::OnCrash(const entry& e,
+                                                     monotonic_time now) {
+  using standing = poison_registry::standing;
+  const std::uint64_t fingerprint = e.request.fingerprint;
+  const std::set<std::uint64_t>& suspects = SuspectsAtCrash(e.tried, now);
+  const bool counts = e.suspect || suspects.size() <= 1;
+  if (counts || poison_.Of(fingerprint, now) != standing::kSuspect) {
+    return poison_.OnCrash(fingerprint, e.tried, e.sent_at, now);
+  }
+  poison_.OnSuspect(fingerprint, now + options_.poison_time);
+  return standing::kSuspect;
+}
+
 // The request may have run, so it can't wait in the queue: if it expired there
 // it couldn't be refused as not run. It is sent again at once or not at all.
 bool service_scheduler::OnLost(entry& e, monotonic_time now, actions& out) {
   using standing = poison_registry::standing;
   const std::uint64_t fingerprint = e.request.fingerprint;
-  const standing after = poison_.OnCrash(fingerprint, e.tried, e.sent_at, now);
+  const standing after = OnCrash(e, now);
   if (after == standing::kPoison) {
     out.emplace_back(poison_action{fingerprint, poison_.Until(fingerprint)});
     RefusePoisoned(fingerprint, now, out);
--- a/tests/policy/service_scheduler_test.cc
+++ b/tests/policy/service_scheduler_test.cc
@@ -325,6 +325,28 @@
   }
 }
 
+// Two copies of the killer are on their way to two zones when the first one
+// crashes its upstream. The word of it comes before the second crash. Were that
+// one not counted, a third upstream would die of the next copy.
+BOOST_AUTO_TEST_CASE(SecondCopyOnItsWayCountsWhereItIsTheOnlySuspect) {
+  by_hand h(Servers(1, 4));
+  const scheduler_request killer = h.Request("killer");
+  const scheduler_request other = h.Request("other");
+  h.scheduler.OnRequest(killer, h.now);
+  h.scheduler.OnRequest(other, h.now);
+  h.scheduler.OnSuspect(killer.fingerprint, h.now + seconds(60), h.now);
+  h.now += milliseconds(1);
+  std::vector<poison_action> convicted;
+  for (const request_id& id : {other.id, killer.id}) {
+    for (const auto& c : Only<poison_action>(h.scheduler.OnOutcome(
+             id, upstream_outcome::kConnectionLost, h.now))) {
+      convicted.push_back(c);
+    }
+  }
+  BOOST_TEST_REQUIRE(convicted.size() == 1u);
+  BOOST_TEST(convicted[0].fingerprint == killer.fingerprint);
+}
+
 BOOST_AUTO_TEST_CASE(RefusesOnArrivalWhatCantEndInTime) {
   by_hand h(Servers(1, 1));
   scheduler_request first = h.Request("first");
