--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -136,8 +136,8 @@
 }
 
 bool fleet::HasOwnShare(const std::string& vm) {
-  const caller_call call = harness_.Caller().Call(
-      PortOf(vm, kEntryPage), {"GET", "/metrics", {}, ""});
+  const caller_call call = harness_.Caller().Call(PortOf(vm, kEntryPage),
+                                                  {"GET", "/metrics", {}, ""});
   constexpr std::string_view kGauge = "\ncitron_entry_share_ppm ";
   const std::string& page = call.response.body;
   const std::size_t at = page.find(kGauge);
--- a/tests/integration/key_withdrawal_test.cc
+++ b/tests/integration/key_withdrawal_test.cc
@@ -124,8 +124,7 @@
 BOOST_AUTO_TEST_CASE(CutOffVmObeysTheContract) {
   // A VM that has just started has no share of the workspace's rate yet, and
   // serves by what others lend it until they are cut off.
-  BOOST_REQUIRE(
-      Caller().WaitFor([&] { return Fleet().HasOwnShare("z2vm1"); }));
+  BOOST_REQUIRE(Caller().WaitFor([&] { return Fleet().HasOwnShare("z2vm1"); }));
   BOOST_REQUIRE(Caller().WaitFor([&] { return StatusAt("z2vm1") == 200; }));
   CutOffZ2(true);
   const monotonic_time cut = MonotonicNow();
