--- a/include/citron/net/http_server.h
+++ b/include/citron/net/http_server.h
@@ -88,11 +88,13 @@
   const endpoint& Address() const { return address_; }
 
   // Accepts no connection any more; open ones get "Connection: close" with
-  // their next answer. Those that were on their way in get the last word.
-  void StopAccepting(const http_response& last_word);
+  // their next answer. Those that were on their way in get the closing
+  // response.
+  void StopAccepting(const http_response& closing_response);
   // Ends the connections that wait for a request; a request that crosses the
-  // end gets the last word as its answer. To be called again until HasEnded.
-  void EndIdle(const http_response& last_word);
+  // end gets the closing response as its answer. To be called again until
+  // HasEnded.
+  void EndIdle(const http_response& closing_response);
   // No connection waits for a request or for the caller to close it.
   bool HasEnded() const;
   // Exchanges that were not answered yet.
--- a/src/dispatch/dispatch_task.cc
+++ b/src/dispatch/dispatch_task.cc
@@ -23,7 +23,7 @@
 // last as long as its outage; the lease then ends by itself, as after a crash.
 constexpr duration kGiveBackLimit = std::chrono::milliseconds(2000);
 // How long a leaving dispatch waits for entries to close their connections
-// after its last word.
+// after its closing response.
 constexpr duration kLinger = std::chrono::milliseconds(500);
 // Without a planned shift, other regions may send in this part of what the
 // owned slots can carry.
--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -24,7 +24,7 @@
 constexpr duration kQuietBeforeExit = std::chrono::milliseconds(500);
 constexpr duration kLeaveNotice = std::chrono::milliseconds(1000);
 // How long a leaving entry waits for callers to close their connections after
-// its last word.
+// its closing response.
 constexpr duration kLinger = std::chrono::milliseconds(1000);
 constexpr duration kFreshnessRetry = std::chrono::seconds(2);
 constexpr duration kQualityWindow = std::chrono::seconds(30);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -100,9 +100,9 @@
   return ntohs(address.sin_port);
 }
 
-// As it stands on the wire. The head names the length, so that a last word that
-// is cut is none.
-std::string LastWord(const http_response& response) {
+// As it stands on the wire. The head names the length, so that a closing
+// response that is cut is none.
+std::string ClosingResponseText(const http_response& response) {
   std::string text =
       fmt::format("HTTP/1.1 {} Closing\r\n", response.head.status);
   for (const http_header& header : response.head.headers) {
@@ -345,11 +345,11 @@
 
 // What the kernel has accepted already would be reset with the socket, its
 // requests unanswered.
-void http_server::StopAccepting(const http_response& last_word) {
+void http_server::StopAccepting(const http_response& closing_response) {
   stopping_ = true;
   if (socket_ == nullptr) return;
   const int listening = evhttp_bound_socket_get_fd(socket_);
-  const std::string text = LastWord(last_word);
+  const std::string text = ClosingResponseText(closing_response);
   for (;;) {
     const int fd =
         accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -360,8 +360,8 @@
 }
 
 // One whose request has begun to come in is left to end by its answer.
-void http_server::EndIdle(const http_response& last_word) {
-  const std::string text = LastWord(last_word);
+void http_server::EndIdle(const http_response& closing_response) {
+  const std::string text = ClosingResponseText(closing_response);
   for (auto it = waiting_.begin(); it != waiting_.end();) {
     bufferevent* stream = it->first;
     if (evbuffer_get_length(bufferevent_get_input(stream)) != 0) {
--- a/src/net/lingering_close.cc
+++ b/src/net/lingering_close.cc
@@ -13,15 +13,16 @@
   }
 }
 
-void lingering_close::TakeSocket(int fd, const std::string& last_word) {
+void lingering_close::TakeSocket(int fd, const std::string& closing_response) {
   bufferevent* stream =
       bufferevent_socket_new(loop_.Base(), fd, BEV_OPT_CLOSE_ON_FREE);
-  Take(stream, last_word);
+  Take(stream, closing_response);
   // Take's reference is the only one from here on.
   bufferevent_decref(stream);
 }
 
-void lingering_close::Take(bufferevent* stream, const std::string& last_word) {
+void lingering_close::Take(bufferevent* stream,
+                           const std::string& closing_response) {
   if (!streams_.insert(stream).second) return;
   bufferevent_incref(stream);
   bufferevent_setcb(
@@ -38,7 +39,7 @@
   bufferevent_set_timeouts(stream, nullptr, nullptr);
   bufferevent_setwatermark(stream, EV_READ | EV_WRITE, 0, 0);
   bufferevent_enable(stream, EV_READ | EV_WRITE);
-  bufferevent_write(stream, last_word.data(), last_word.size());
+  bufferevent_write(stream, closing_response.data(), closing_response.size());
 }
 
 void lingering_close::Drop(bufferevent* stream) {
--- a/tests/net/http_server_end_test.cc
+++ b/tests/net/http_server_end_test.cc
@@ -10,7 +10,7 @@
 namespace citron {
 namespace {
 
-const http_response kLastWord{{503, {{"Retry-After", "2"}}}, "leaving"};
+const http_response kClosingResponse{{503, {{"Retry-After", "2"}}}, "leaving"};
 constexpr char kRequest[] =
     "POST /book HTTP/1.1\r\nHost: a\r\n"
     "Content-Length: 4\r\n\r\nroom";
@@ -39,7 +39,7 @@
     return caller;
   }
 
-  void CheckLastWord(raw_caller& caller) {
+  void CheckClosingResponse(raw_caller& caller) {
     BOOST_REQUIRE(
         RunUntil([&] { return caller.Received().ends_with("leaving"); }));
     const std::string& got = caller.Received();
@@ -65,21 +65,21 @@
 BOOST_AUTO_TEST_CASE(RequestThatCrossesTheEndIsAnswered) {
   const auto caller = IdleCaller();
   const int before = Requests();
-  Server().EndIdle(kLastWord);
+  Server().EndIdle(kClosingResponse);
   caller->Send(kRequest);
-  CheckLastWord(*caller);
+  CheckClosingResponse(*caller);
   BOOST_TEST(Requests() == before);
 }
 
 // Answered, and the server waits for the caller to close; a reset on the heels
-// of the last word would take it out of the caller's hands.
+// of the closing response would take it out of the caller's hands.
 BOOST_AUTO_TEST_CASE(ServerHasEndedWhenItsCallersHave) {
   auto caller = IdleCaller();
-  Server().StopAccepting(kLastWord);
-  Server().EndIdle(kLastWord);
+  Server().StopAccepting(kClosingResponse);
+  Server().EndIdle(kClosingResponse);
   BOOST_TEST(!Server().HasEnded());
   caller->Send(kRequest);
-  CheckLastWord(*caller);
+  CheckClosingResponse(*caller);
   caller.reset();
   BOOST_TEST(RunUntil([&] { return Server().HasEnded(); }));
 }
@@ -89,23 +89,23 @@
 BOOST_AUTO_TEST_CASE(CallerInTheAcceptQueueIsAnswered) {
   raw_caller caller(Server().Address());
   caller.Send(kRequest);
-  Server().StopAccepting(kLastWord);
-  CheckLastWord(caller);
+  Server().StopAccepting(kClosingResponse);
+  CheckClosingResponse(caller);
   BOOST_TEST(Requests() == 0);
 }
 
 // A request that has come in is answered as ever, and its connection ends.
 BOOST_AUTO_TEST_CASE(RequestThatIsThereIsServed) {
   const auto caller = IdleCaller();
-  Server().StopAccepting(kLastWord);
+  Server().StopAccepting(kClosingResponse);
   caller->Send(kRequest);
   BOOST_TEST(RunUntil([&] { return caller->IsClosed(); }));
   BOOST_TEST(Requests() == 2);
   BOOST_TEST(caller->Received().find("Connection: close") != std::string::npos);
 }
 
-// A client of ours with an idle connection takes the last word for no answer,
-// and its next call finds that nobody is there.
+// A client of ours with an idle connection takes the closing response for no
+// answer, and its next call finds that nobody is there.
 BOOST_AUTO_TEST_CASE(IdleClientIsNotConfused) {
   http_client client(Loop());
   int answers = 0;
@@ -120,8 +120,8 @@
   };
   call();
   BOOST_REQUIRE(RunUntil([&] { return answers == 1; }));
-  Server().StopAccepting(kLastWord);
-  Server().EndIdle(kLastWord);
+  Server().StopAccepting(kClosingResponse);
+  Server().EndIdle(kClosingResponse);
   BOOST_REQUIRE(RunUntil([&] { return Server().HasEnded(); }));
   call();
   BOOST_REQUIRE(RunUntil([&] { return answers == 2; }));
