A lapsed lease grants no permits

A dispatch that was frozen and whose lease is over went on granting permits for its part of the region's cap until it had read the table, beside the new owner. Found by reading; no run showed it. What it may send to now (OwnedNow) serves the queue and the cap alike. Not covered by a test of its own: the driver's part of a freeze is played by integration_ownership_takeover_test, which has no shift.

--- a/include/citron/dispatch/dispatch_task.h
+++ b/include/citron/dispatch/dispatch_task.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -68,6 +69,8 @@
   void OnUpstreamReport(const upstream_id& id, const upstream_report& report);
 
   service_state* ServiceOf(const service_id& id);
+  // What it may send to at this moment, by its lease.
+  std::set<upstream_id> OwnedNow() const;
   void RefreshUpstreams();
   void RefreshShiftCap(service_state& service);
   void NoteDrain(const service_state& service, const upstream_id& upstream);
--- a/src/dispatch/dispatch_task.cc
+++ b/src/dispatch/dispatch_task.cc
@@ -210,18 +210,22 @@
   return found == services_.end() ? nullptr : found->second.get();
 }
 
+// A process that was frozen finds its lease over before it reads the table that
+// names another owner. Were its upstreams offered until then, each request
+// would be turned back at its send, and the upstream be taken for one that is
+// leaving when it comes back here; and its permits would let other regions send
+// beside those of the new owner, beyond the cap.
+std::set<upstream_id> dispatch_task::OwnedNow() const {
+  if (MonotonicNow() >= owner_->Until()) return {};
+  return owner_->Owned();
+}
+
 void dispatch_task::RefreshUpstreams() {
   const fleet_config& config = link_->Config();
   const monotonic_time now = MonotonicNow();
   std::map<service_id, std::vector<upstream_capacity>> by_service;
   std::map<upstream_id, endpoint> targets;
-  // A process that was frozen finds its lease over before it reads the table
-  // that names another owner. Were its upstreams offered until then, each
-  // request would be turned back at its send, and the upstream be taken for one
-  // that is leaving when it comes back here.
-  const bool is_lapsed = now >= owner_->Until();
-  for (const upstream_id& id :
-       is_lapsed ? std::set<upstream_id>() : owner_->Owned()) {
+  for (const upstream_id& id : OwnedNow()) {
     const auto found = config.upstreams.find(id);
     if (found == config.upstreams.end()) continue;
     const upstream_config& upstream = found->second;
@@ -271,7 +275,7 @@
   const region_id& region = settings_.common.region;
   int region_slots = 0;
   int owned_slots = 0;
-  const std::set<upstream_id> owned = owner_->Owned();
+  const std::set<upstream_id> owned = OwnedNow();
   for (const auto& [id, upstream] : config.upstreams) {
     if (upstream.service != service.id) continue;
     if (config.RegionOf(upstream.zone) != region) continue;
