A leaving dispatch is shown while it still owns upstreams

Cause: integration_planned_stop_test had 376 of 3,824 requests refused (plain build, beside other tests), 101 of the refusals in the logs no_capacity. A leaving dispatch was left out of its VM's view at once, but its upstreams are its own until the zone's table names others, a second and more; when it owned all of a zone's, the zone's callers were refused for that time. Ruled out: the overload of the upstreams (they had free slots), the start of VMs. Now it is shown as long as it has usable slots.

LeavingDispatchIsShownWhileItHasSlots was written with the change, not shown failing; LeavingDispatchIsNotOffered (without slots) holds as before.

--- a/src/control/local_daemons.cc
+++ b/src/control/local_daemons.cc
@@ -11,6 +11,12 @@
 // task is not told of to others.
 constexpr duration kSilentAfter = std::chrono::milliseconds(1500);
 
+bool HasUsableSlots(const std::vector<service_load>& loads) {
+  return std::any_of(loads.begin(), loads.end(), [](const service_load& load) {
+    return load.load.usable_slots > 0;
+  });
+}
+
 }  // namespace
 
 bool local_daemons::OnHello(const hello& message, monotonic_time now) {
@@ -80,7 +86,11 @@
       view.entries.push_back(known.address);
       continue;
     }
-    if (known.leaving) continue;
+    // One that leaves still owns its upstreams until the zone's table names
+    // others, and nobody else may send to them. Left out of the view at once,
+    // a dispatch that owns all of a zone's upstreams took the zone's callers
+    // with it: they were refused for want of capacity for a second and more.
+    if (known.leaving && !HasUsableSlots(known.loads)) continue;
     view.dispatches.push_back(known.address);
     // Each loop for itself: one that owns no upstream of a service refuses
     // what is sent to it, whatever the others have room for.
--- a/tests/control/local_daemons_test.cc
+++ b/tests/control/local_daemons_test.cc
@@ -120,5 +120,26 @@
   BOOST_TEST(daemons.EntryPeers().empty());
 }
 
+// A VM is stopped whose dispatch owns all of its zone's upstreams. Until it has
+// given them away nobody else may send to them; if the others no longer heard
+// of it, every caller of the zone would be refused for that time.
+BOOST_AUTO_TEST_CASE(LeavingDispatchIsShownWhileItHasSlots) {
+  local_daemons daemons;
+  hello said = HelloOf(daemon_role::kDispatch, 0, 1);
+  daemons.OnHello(said, kNow);
+  service_load load;
+  load.service = service_id("desk");
+  load.load.usable_slots = 8;
+  daemons.OnReport({0, {load}});
+  said.leaving = true;
+  daemons.OnHello(said, kNow);
+  BOOST_TEST(Described(daemons, kNow).dispatches.size() == 1u);
+  BOOST_TEST(Described(daemons, kNow).loads.size() == 1u);
+  load.load.usable_slots = 0;
+  daemons.OnReport({0, {load}});
+  BOOST_TEST(Described(daemons, kNow).dispatches.empty());
+  BOOST_TEST(Described(daemons, kNow).loads.empty());
+}
+
 }  // namespace
 }  // namespace citron
