Headers that are passed on are added by one piece of code

The loop that filters headers and adds our own stood in the client and in the server, with two functions that let every header pass.

--- a/src/net/copy_headers.h
+++ b/src/net/copy_headers.h
@@ -9,6 +9,10 @@
 
 // The library's list of headers as our own.
 http_headers CopyHeaders(const evkeyvalq* headers);
+// Adds to the library's list those that `passes` lets through, then `added`.
+void AddHeaders(const http_headers& from, header_filter passes,
+                const http_headers& added, evkeyvalq* headers);
+bool EveryHeaderPasses(std::string_view name);
 
 }  // namespace citron
 
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -42,8 +42,6 @@
   return head;
 }
 
-bool EveryHeaderPasses(std::string_view) { return true; }
-
 // Whether the end of the body can be told from a lost connection.
 bool IsDelimited(const http_response_head& head) {
   return head.status == 204 || head.status == 304 ||
@@ -148,13 +146,7 @@
   evhttp_request_set_chunked_cb(request_, callbacks::Body);
   evkeyvalq* headers = evhttp_request_get_output_headers(request_);
   evhttp_add_header(headers, "Host", host_.c_str());
-  for (const http_header& header : request.from.headers) {
-    if (!request.passes(header.name)) continue;
-    evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
-  }
-  for (const http_header& header : request.added) {
-    evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
-  }
+  AddHeaders(request.from.headers, request.passes, request.added, headers);
   const std::string& body = request.from.body;
   evbuffer_add(evhttp_request_get_output_buffer(request_), body.data(),
                body.size());
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -248,18 +248,12 @@
 
   void SetHeaders(const http_response_head& head) {
     static const http_headers kNone;
-    SetPassedHeaders({head, [](std::string_view) { return true; }, kNone});
+    SetPassedHeaders({head, EveryHeaderPasses, kNone});
   }
 
   void SetPassedHeaders(const passed_head& head) {
     evkeyvalq* headers = evhttp_request_get_output_headers(evhttp_request_);
-    for (const http_header& header : head.from.headers) {
-      if (!head.passes(header.name)) continue;
-      evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
-    }
-    for (const http_header& header : head.added) {
-      evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
-    }
+    AddHeaders(head.from.headers, head.passes, head.added, headers);
     if (server_.stopping_) {
       evhttp_remove_header(headers, "Connection");
       evhttp_add_header(headers, "Connection", "close");
--- a/src/net/http_types.cc
+++ b/src/net/http_types.cc
@@ -36,6 +36,19 @@
   return copied;
 }
 
+void AddHeaders(const http_headers& from, header_filter passes,
+                const http_headers& added, evkeyvalq* headers) {
+  for (const http_header& header : from) {
+    if (!passes(header.name)) continue;
+    evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+  }
+  for (const http_header& header : added) {
+    evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+  }
+}
+
+bool EveryHeaderPasses(std::string_view) { return true; }
+
 std::string_view http_request::Path() const {
   const std::string_view whole = target;
   return whole.substr(0, whole.find('?'));
