--- a/.ci/packages.sh
+++ b/.ci/packages.sh
@@ -2,7 +2,7 @@
 CITRON_PACKAGES="g++ cmake ninja-build pkg-config clang-format clang-tidy clang libclang-rt-14-dev ccache curl jq \
 libevent-dev libnng-dev libmsgpack-cxx-dev prometheus-cpp-dev nlohmann-json3-dev \
 libcxxopts-dev libfmt-dev libboost-test-dev libtrompeloeil-cpp-dev libssl-dev libxxhash-dev \
-libpcg-cpp-dev libbenchmark-dev libcctz-dev tzdata"
+libpcg-cpp-dev libbenchmark-dev libcctz-dev tzdata libtomlplusplus-dev libhttp-parser-dev"
 
 citron_install_packages() {
   local missing="" package
--- a/include/citron/config/command_line.h
+++ b/include/citron/config/command_line.h
@@ -22,11 +22,13 @@
 };
 
 // Parses what every daemon takes: --help, --version, --config FILE, --check
-// and --settings, which prints the table of settings.
+// and --settings, which prints the table of settings. Without --config the
+// default file is taken, if there is one.
 daemon_command ParseDaemonCommandLine(
     int argc, const char* const* argv, const std::string& program,
     const std::string& purpose, const std::string& version,
-    const std::vector<setting_description>& settings);
+    const std::vector<setting_description>& settings,
+    const std::string& default_file = "");
 
 // One line to standard error: "program: problem".
 void PrintStartProblem(const std::string& program, const std::string& problem);
--- /dev/null
+++ b/include/citron/config/node_settings.h
@@ -0,0 +1,57 @@
+#ifndef CITRON_CONFIG_NODE_SETTINGS_H_
+#define CITRON_CONFIG_NODE_SETTINGS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+
+#include "citron/base/endpoint.h"
+#include "citron/base/strong_id.h"
+#include "citron/base/time.h"
+
+namespace citron {
+
+// What the whole fleet has promised; the defaults are those of deployments
+// that say nothing.
+struct fleet_bounds {
+  duration stable_window = FromSeconds(4);
+  duration drain_limit = FromSeconds(2.5);
+  duration grace_period = FromSeconds(6);
+  duration config_apply = FromSeconds(2.5);
+  duration closed_zone_limit = FromSeconds(5);
+  // Keys that were withdrawn stop working within this, also on a VM that has
+  // lost the store, if revocation is strict.
+  bool strict_revocation = true;
+  duration revocation = FromSeconds(5);
+  // Sends beyond the first of each request, against the requests.
+  double retry_ratio = 0.2;
+  duration retry_window = FromSeconds(10);
+  double retry_slack = 60;
+  duration quota_window = FromSeconds(5);
+  double quota_overshoot = 0.1;
+  double quota_slack = 20;
+  double cold_overshoot = 1.5;
+  double cold_slack = 5;
+  duration lookup_lifetime = FromSeconds(5);  // The longest.
+};
+
+// One VM's own settings.
+struct node_settings {
+  vm_id vm;
+  zone_id zone;
+  region_id region;
+  std::map<zone_id, region_id> zones;
+  endpoint callers;    // Where requests come in.
+  endpoint readiness;  // Where the platform asks whether it takes them.
+  endpoint lookup;     // Where callers ask which VM to use.
+  endpoint peer;       // Datagrams of other VMs.
+  endpoint metrics;
+  endpoint store;
+  std::size_t memory_bytes = std::size_t{256} << 20;
+  int max_descriptors = 4096;
+  fleet_bounds bounds;
+};
+
+}  // namespace citron
+
+#endif  // CITRON_CONFIG_NODE_SETTINGS_H_
--- /dev/null
+++ b/include/citron/node/fleet_state.h
@@ -0,0 +1,90 @@
+#ifndef CITRON_NODE_FLEET_STATE_H_
+#define CITRON_NODE_FLEET_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "citron/base/event_log.h"
+#include "citron/config/node_settings.h"
+#include "citron/config/routing_config.h"
+#include "citron/node/fleet_codec.h"
+#include "citron/node/vm_listing.h"
+#include "citron/platform/platform_store.h"
+#include "citron/policy/affinity_selector.h"
+#include "citron/policy/retry_budget.h"
+#include "citron/policy/service_split.h"
+#include "citron/protocol/workspace_quota.h"
+
+namespace citron {
+
+// What this VM knows of the fleet, as the store and the other VMs told it, and
+// the decisions that keep state by service, route or workspace.
+class fleet_state {
+ public:
+  fleet_state(const node_settings& settings, const fleet_codec& codec,
+              event_log& log);
+
+  // Null until the operator's declaration was read.
+  std::shared_ptr<const routing_config> Routing() const { return routing_; }
+
+  // Everything that the store holds. What is missing and was known before is
+  // removed, at `keep_missing_until` at the soonest.
+  void ApplyRange(const std::vector<store_item>& items,
+                  monotonic_time keep_missing_until, monotonic_time now);
+  void ApplyEvent(const store_event& event, monotonic_time keep_missing_until,
+                  monotonic_time now);
+  // Removes what is still missing.
+  void RemoveMissing(monotonic_time now);
+
+  // Null if nothing is known of it.
+  affinity_selector* SelectorOf(const service_id& service);
+  upstream_standing* FindUpstream(const upstream_id& id);
+  service_split& SplitOf(const route_config& route);
+  retry_budget& RetriesOf(const service_id& service);
+  // Null where the workspace isn't declared.
+  workspace_quota* QuotaOf(const workspace_id& workspace);
+  std::map<workspace_id, workspace_quota>& Quotas() { return quotas_; }
+
+  const std::map<vm_id, vm_listing>& Vms() const { return vms_; }
+  // VMs that take requests, this one included.
+  int FleetSize() const;
+  int UpstreamCount() const;
+
+ private:
+  void ApplyItem(const store_item& item, monotonic_time now);
+  void ApplyRouting(const store_item& item, monotonic_time now);
+  void ApplyUpstream(const store_item& item, const upstream_id& id,
+                     monotonic_time now);
+  void ApplyVm(const store_item& item, const vm_id& id, monotonic_time now);
+  void Remove(const std::string& key, monotonic_time now);
+  void RemoveUpstream(const upstream_id& id);
+  void SetClosedZones(monotonic_time now);
+  void SetFleetSize();
+  void SetColdAllowances();
+  cold_allowance AllowanceFor(const upstream_standing& upstream) const;
+  affinity_selector& MakeSelector(const service_id& service);
+
+  const node_settings& settings_;
+  const fleet_codec& codec_;
+  event_log& log_;
+  std::shared_ptr<const routing_config> routing_;
+  store_revision routing_revision_ = 0;
+  std::map<service_id, affinity_selector> selectors_;
+  std::map<upstream_id, service_id> service_of_;
+  std::map<route_id, service_split> splits_;
+  std::map<service_id, retry_budget> retries_;
+  std::map<workspace_id, workspace_quota> quotas_;
+  std::set<zone_id> closed_zones_;
+  std::map<vm_id, vm_listing> vms_;
+  std::set<std::string> keys_;                        // All that is known.
+  std::map<std::string, monotonic_time> missing_;     // Key, removed then.
+  std::map<std::string, store_revision> unreadable_;  // Logged once each.
+};
+
+}  // namespace citron
+
+#endif  // CITRON_NODE_FLEET_STATE_H_
--- /dev/null
+++ b/include/citron/node/node_context.h
@@ -0,0 +1,29 @@
+#ifndef CITRON_NODE_NODE_CONTEXT_H_
+#define CITRON_NODE_NODE_CONTEXT_H_
+
+#include "citron/base/event_log.h"
+#include "citron/config/node_settings.h"
+#include "citron/net/event_loop.h"
+#include "citron/net/metrics.h"
+#include "citron/node/fleet_state.h"
+#include "citron/node/header_names.h"
+#include "citron/node/upstream_pool.h"
+#include "citron/protocol/fleet_feed.h"
+
+namespace citron {
+
+// What the parts of one daemon share; all of it outlives every request.
+struct node_context {
+  event_loop& loop;
+  const node_settings& settings;
+  const header_names& names;
+  event_log& log;
+  metrics& stats;
+  fleet_state& fleet;
+  fleet_feed& feed;
+  upstream_pool& pool;
+};
+
+}  // namespace citron
+
+#endif  // CITRON_NODE_NODE_CONTEXT_H_
--- /dev/null
+++ b/include/citron/node/node_pages.h
@@ -0,0 +1,51 @@
+#ifndef CITRON_NODE_NODE_PAGES_H_
+#define CITRON_NODE_NODE_PAGES_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "citron/base/result.h"
+#include "citron/net/http_server.h"
+#include "citron/node/node_context.h"
+#include "citron/node/peer_exchange.h"
+
+namespace citron {
+
+// Where the small pages stand, and how the answer to a look-up is written.
+struct page_paths {
+  std::string ready;
+  std::string lookup;
+  std::string lookup_zone;    // Parameters of the query.
+  std::string lookup_region;
+  std::string lookup_addresses;  // Members of the answer.
+  std::string lookup_lifetime;
+};
+
+// Whether this VM takes requests, which VMs callers should use, metrics.
+class node_pages {
+ public:
+  static result<std::unique_ptr<node_pages>> Make(
+      node_context& context, const page_paths& paths,
+      const peer_exchange& peers, std::function<bool()> is_ready);
+
+ private:
+  node_pages(node_context& context, const page_paths& paths,
+             const peer_exchange& peers, std::function<bool()> is_ready);
+
+  void OnReadiness(http_exchange& exchange);
+  void OnLookup(http_exchange& exchange);
+  void OnMetrics(http_exchange& exchange);
+
+  node_context& context_;
+  page_paths paths_;
+  const peer_exchange& peers_;
+  std::function<bool()> is_ready_;
+  std::unique_ptr<http_server> readiness_;
+  std::unique_ptr<http_server> lookup_;
+  std::unique_ptr<http_server> metrics_;
+};
+
+}  // namespace citron
+
+#endif  // CITRON_NODE_NODE_PAGES_H_
--- /dev/null
+++ b/include/citron/node/node_task.h
@@ -0,0 +1,92 @@
+#ifndef CITRON_NODE_NODE_TASK_H_
+#define CITRON_NODE_NODE_TASK_H_
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "citron/base/event_log.h"
+#include "citron/base/result.h"
+#include "citron/config/node_settings.h"
+#include "citron/net/event_loop.h"
+#include "citron/net/http_server.h"
+#include "citron/net/metrics.h"
+#include "citron/node/caller_connection.h"
+#include "citron/node/caller_exchange.h"
+#include "citron/node/fleet_state.h"
+#include "citron/node/node_context.h"
+#include "citron/node/node_pages.h"
+#include "citron/node/peer_exchange.h"
+#include "citron/node/store_sync.h"
+#include "citron/node/upstream_pool.h"
+#include "citron/platform/platform_store.h"
+
+struct evconnlistener;
+
+namespace citron {
+
+// What the adapter of a platform gives.
+struct node_platform {
+  header_names names;
+  page_paths pages;
+  const fleet_codec* codec = nullptr;
+  platform_store* store = nullptr;
+};
+
+// A whole VM in one task: callers, placement, limits and the copy of the store.
+class node_task : private request_handler_factory {
+ public:
+  static result<std::unique_ptr<node_task>> Make(event_loop& loop,
+                                                 const node_settings& settings,
+                                                 const node_platform& platform,
+                                                 event_log& log);
+  ~node_task() override;
+
+  // Stops in the order that cuts off no request; `stopped` is called at its
+  // end, within the grace period.
+  void Stop(std::function<void()> stopped);
+  // Takes bounds that have changed; addresses stay as they are.
+  void Reload(const node_settings& settings);
+
+  // Whether callers should be sent here.
+  bool IsReady() const;
+
+ private:
+  node_task(event_loop& loop, const node_settings& settings,
+            const node_platform& platform, event_log& log);
+
+  status Listen();
+  void OnAccept(int descriptor);
+  std::unique_ptr<request_handler> Make(http1_head head,
+                                        caller_exchange& exchange) override;
+  void OnTick();
+  void OnStopStep(monotonic_time now);
+  void CloseListener();
+
+  event_loop& loop_;
+  node_settings settings_;
+  header_names names_;
+  event_log& log_;
+  metrics stats_;
+  fleet_state fleet_;
+  fleet_feed feed_;
+  upstream_pool pool_;
+  node_context context_;
+  store_sync sync_;
+  std::unique_ptr<peer_exchange> peers_;
+  std::unique_ptr<node_pages> pages_;
+  evconnlistener* listener_ = nullptr;
+  std::vector<std::unique_ptr<caller_connection>> connections_;
+  loop_timer tick_;
+  monotonic_time tell_at_{};
+  monotonic_time sweep_at_{};
+  bool was_ready_ = false;
+
+  std::function<void()> stopped_;
+  monotonic_time close_at_{};
+  monotonic_time end_at_{};
+};
+
+}  // namespace citron
+
+#endif  // CITRON_NODE_NODE_TASK_H_
--- /dev/null
+++ b/include/citron/node/proxied_request.h
@@ -0,0 +1,110 @@
+#ifndef CITRON_NODE_PROXIED_REQUEST_H_
+#define CITRON_NODE_PROXIED_REQUEST_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "citron/base/time.h"
+#include "citron/base/verdict.h"
+#include "citron/node/caller_exchange.h"
+#include "citron/node/node_context.h"
+#include "citron/node/request_gate.h"
+#include "citron/node/upstream_connection.h"
+#include "citron/policy/affinity_selector.h"
+
+namespace citron {
+
+// One admitted request on its way: body, upstream, further tries, answer. It
+// sends a request that may run once to another upstream only if the last one
+// is known not to have run it.
+class proxied_request : public request_handler, private upstream_call_listener {
+ public:
+  proxied_request(node_context& context, http1_head head,
+                  admitted_request admitted, caller_exchange& exchange);
+  ~proxied_request() override;
+
+  // To be called once, right after making it.
+  void Start();
+
+  void OnBody(std::string_view bytes) override;
+  void OnBodyEnd() override;
+  void OnCallerGone() override;
+  void OnDrained() override;
+
+ private:
+  // upstream_call_listener
+  void OnConnected() override;
+  void OnAnswerHead(http1_head head) override;
+  void OnAnswerBody(std::string_view bytes) override;
+  void OnAnswerEnd() override;
+  void OnCallFailed(upstream_fault fault) override;
+  void OnRequestDrained() override;
+
+  enum class answer_kind {
+    kWhole,    // To be passed on.
+    kFailure,  // The upstream's own failure; may be tried elsewhere.
+    kNotRun,
+    kForged,   // Not an answer of this upstream to this request.
+  };
+
+  bool IsRepeatable() const;
+  bool BodyIsReplayable() const { return !streaming_body_; }
+  answer_kind Judge(const http1_head& head) const;
+  void ReportLoad(const http1_head& head);
+  void Place();
+  void SendTo(const selection& choice);
+  void SendBodyPiece(std::string_view bytes);
+  void OnNotRun(upstream_outcome outcome, const char* reason);
+  void OnMaybeRun(upstream_outcome outcome, const char* reason);
+  bool MayTryAgain(bool reached_upstream);
+  void EndAttempt(upstream_outcome outcome);
+  void KeepConnection();
+  void DropConnection();
+  void StartStreaming();
+  void DeliverWhole();
+  void Refuse(int status, const char* reason, duration retry_after);
+  void FailMaybeRun(int status, const char* reason);
+  void OnDeadline();
+  void Finish(int status, const char* outcome);
+
+  node_context& context_;
+  http1_head head_;
+  admitted_request admitted_;
+  caller_exchange& exchange_;
+  std::string id_;
+  std::uint64_t object_ = 0;
+  service_id service_;
+  monotonic_time arrived_at_;
+  monotonic_time deadline_;         // When the answer is of no use.
+  monotonic_time caller_deadline_;  // The caller's own part of it.
+  loop_timer deadline_timer_;
+
+  std::string body_;
+  bool body_ended_ = false;
+  bool streaming_body_ = false;
+
+  std::unique_ptr<upstream_connection> connection_;
+  upstream_id upstream_;
+  zone_id upstream_zone_;
+  bool attempt_open_ = false;
+  bool sent_ = false;  // A byte may have reached the present upstream.
+  std::vector<upstream_id> tried_;
+  int reached_ = 0;  // Upstreams that a byte may have reached.
+  int connect_failures_ = 0;
+  verdict verdict_ = verdict::kNotRun;
+  const char* last_reason_ = "";
+
+  std::optional<http1_head> answer_;
+  answer_kind kind_ = answer_kind::kWhole;
+  std::string answer_body_;
+  bool streaming_answer_ = false;
+  bool done_ = false;
+};
+
+}  // namespace citron
+
+#endif  // CITRON_NODE_PROXIED_REQUEST_H_
--- /dev/null
+++ b/include/citron/node/upstream_connection.h
@@ -0,0 +1,111 @@
+#ifndef CITRON_NODE_UPSTREAM_CONNECTION_H_
+#define CITRON_NODE_UPSTREAM_CONNECTION_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "citron/base/endpoint.h"
+#include "citron/base/time.h"
+#include "citron/net/event_loop.h"
+#include "citron/net/http1_reader.h"
+#include "citron/net/http_types.h"
+
+struct bufferevent;
+
+namespace citron {
+
+enum class upstream_fault {
+  kConnectFailed,   // Refused; nothing was sent.
+  kConnectTimeout,  // No connection in time; nothing was sent.
+  kLost,            // Closed, reset or silent before the whole answer.
+  kBadAnswer,       // Bytes that are no answer.
+};
+
+std::string_view UpstreamFaultName(upstream_fault fault);
+
+// What one call reports. OnAnswerEnd or OnCallFailed comes last, once; after
+// either the listener may start another call or destroy the connection.
+class upstream_call_listener {
+ public:
+  virtual ~upstream_call_listener() = default;
+  // Connected, and the request is being sent.
+  virtual void OnConnected() = 0;
+  virtual void OnAnswerHead(http1_head head) = 0;
+  virtual void OnAnswerBody(std::string_view bytes) = 0;
+  virtual void OnAnswerEnd() = 0;
+  virtual void OnCallFailed(upstream_fault fault) = 0;
+  // The request's bytes that were given are on their way.
+  virtual void OnRequestDrained() = 0;
+};
+
+// A connection to one upstream, for one request at a time.
+class upstream_connection : private http1_listener {
+ public:
+  // What happened to a connection that waited for work.
+  enum class idle_end { kClosed, kReset, kUnexpectedBytes };
+  using on_idle_end = std::function<void(upstream_connection&, idle_end)>;
+
+  // `id_header` names the header in which an answer carries its request's id:
+  // an answer with another id belongs to an earlier request and is passed over.
+  upstream_connection(event_loop& loop, const endpoint& address,
+                      duration connect_limit, std::string id_header,
+                      on_idle_end idle_ended);
+  ~upstream_connection() override;
+  upstream_connection(const upstream_connection&) = delete;
+  upstream_connection& operator=(const upstream_connection&) = delete;
+
+  // Sends the head, and the body as far as it is there. `request_id` may be
+  // empty. The listener must outlive the call.
+  void Start(std::string_view head_and_body, bool expects_body,
+             const std::string& request_id, upstream_call_listener& listener);
+  // More of the request's body, already in its transfer form.
+  void SendMore(std::string_view bytes);
+  // The listener is told nothing more; the connection is of no more use.
+  void Cancel();
+  void PauseReading();
+  void ResumeReading();
+
+  // Whether it can carry another request now: it is idle, and the upstream
+  // won't close it within `margin`.
+  bool IsReusable(duration margin, monotonic_time now) const;
+  bool IsReused() const { return calls_ > 1; }
+  std::size_t PendingBytes() const;
+
+ private:
+  enum class state { kConnecting, kBusy, kIdle, kDead };
+  struct callbacks;
+
+  void OnHead(http1_head head) override;
+  void OnBody(std::string_view bytes) override;
+
+  void OnConnected();
+  void OnReadable();
+  void OnEnd(bool reset);
+  void Finish();
+  void Fail(upstream_fault fault);
+  void EndIdle(idle_end how);
+
+  event_loop& loop_;
+  std::string id_header_;
+  on_idle_end idle_ended_;
+  bufferevent* bytes_ = nullptr;
+  http1_reader reader_;
+  loop_timer connect_timer_;
+  state state_ = state::kConnecting;
+  upstream_call_listener* listener_ = nullptr;
+  std::string unsent_;
+  std::string request_id_;
+  bool expects_body_ = true;
+  bool skipping_ = false;   // The answer of an earlier request.
+  bool stays_open_ = true;
+  bool paused_ = false;
+  int calls_ = 0;
+  monotonic_time idle_since_{};
+  duration keep_alive_limit_;
+};
+
+}  // namespace citron
+
+#endif  // CITRON_NODE_UPSTREAM_CONNECTION_H_
--- /dev/null
+++ b/include/citron/policy/affinity_selector.h
@@ -0,0 +1,106 @@
+#ifndef CITRON_POLICY_AFFINITY_SELECTOR_H_
+#define CITRON_POLICY_AFFINITY_SELECTOR_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "citron/base/strong_id.h"
+#include "citron/base/time.h"
+#include "citron/policy/upstream_standing.h"
+
+namespace citron {
+
+struct selector_options {
+  zone_id zone;  // Of this VM.
+  region_id region;
+  // Weights of upstreams of the own zone and of the own region against those
+  // elsewhere, and what large answers add to both.
+  double zone_weight = 2;
+  double region_weight = 2;
+  double large_answer_weight = 8;
+  // Upstreams that share one object, and the load in slots that one bears.
+  int copies = 2;
+  double load_limit = 2;
+  // Upstreams of one zone that can't be connected to before the zone counts as
+  // out of reach, and for how long.
+  int path_failures = 2;
+  duration path_avoidance = FromMilliseconds(1000);
+};
+
+// What a request asks of an upstream.
+struct selection_request {
+  std::uint64_t object = 0;  // Requests of one object have the same.
+  bool large_answer = false;
+  const std::set<region_id>* route_homes = nullptr;
+  const std::set<region_id>* workspace_homes = nullptr;
+  const std::vector<upstream_id>* tried = nullptr;
+};
+
+enum class no_selection {
+  kNoneKnown,    // No upstream of the service is announced.
+  kNotAllowed,   // None stands where the request may run.
+  kUnavailable,  // All that may run it fail, are cold or were tried.
+  kBusy,         // Those that it would be sent to are full.
+};
+
+std::string_view NoSelectionName(no_selection reason);
+
+// What decided, for the log.
+struct selection {
+  upstream_id upstream;
+  int load = 0;
+  int slots = 0;
+  bool cold = false;
+  bool first_choice = true;
+};
+
+// Chooses the upstream for each request of one service, so that all VMs send an
+// object to the same few upstreams without talking to each other.
+class affinity_selector {
+ public:
+  explicit affinity_selector(const selector_options& options);
+
+  void SetUpstream(const upstream_record& record, const region_id& region,
+                   monotonic_time now);
+  void RemoveUpstream(const upstream_id& id);
+  // Null if it isn't known any more.
+  upstream_standing* Find(const upstream_id& id);
+  void ForEach(const std::function<void(upstream_standing&)>& visit);
+  void SetClosedZones(const std::set<zone_id>& zones);
+
+  std::variant<selection, no_selection> Choose(const selection_request& request,
+                                               monotonic_time now) const;
+
+  // A connection stood, or didn't within its time.
+  void OnConnected(const zone_id& zone);
+  void OnConnectTimeout(const zone_id& zone, monotonic_time now);
+
+  std::size_t Count() const { return upstreams_.size(); }
+
+ private:
+  struct path_state {
+    int failures = 0;
+    monotonic_time avoided_until{};
+  };
+
+  bool IsAllowed(const upstream_standing& upstream,
+                 const selection_request& request) const;
+  bool IsAvailable(const upstream_standing& upstream,
+                   const selection_request& request, bool spare_ejected,
+                   monotonic_time now) const;
+  double WeightOf(const upstream_standing& upstream, bool large_answer) const;
+
+  selector_options options_;
+  std::map<upstream_id, upstream_standing> upstreams_;
+  std::set<zone_id> closed_zones_;
+  std::map<zone_id, path_state> paths_;
+};
+
+}  // namespace citron
+
+#endif  // CITRON_POLICY_AFFINITY_SELECTOR_H_
--- /dev/null
+++ b/include/citron/protocol/fleet_feed.h
@@ -0,0 +1,73 @@
+#ifndef CITRON_PROTOCOL_FLEET_FEED_H_
+#define CITRON_PROTOCOL_FLEET_FEED_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "citron/base/time.h"
+
+namespace citron {
+
+struct feed_options {
+  // Changes are asked for this often. Upstreams write all the time, so that a
+  // watch that is asked again at once would be a call for each of their writes.
+  duration poll_interval = FromMilliseconds(1000);
+  // How long a watch waits in the store where nothing changes; shorter than
+  // the interval, since each answer proves that the copy is current.
+  duration watch_wait = FromMilliseconds(700);
+  duration retry_interval = FromMilliseconds(300);
+  // What is missing after an outage may still come back for this long.
+  duration lapse_grace = FromMilliseconds(2100);
+};
+
+// Keeps a VM's copy of the store current: says which call comes next, and how
+// current the copy is proved to be. Revisions are the store's.
+class fleet_feed {
+ public:
+  enum class call { kRange, kWatch };
+  struct order {
+    call what = call::kRange;
+    std::uint64_t after = 0;  // For a watch.
+  };
+
+  explicit fleet_feed(const feed_options& options);
+
+  // The call to make now, if any; it counts as sent.
+  std::optional<order> Next(monotonic_time now);
+  // When Next may have one, if nothing is under way.
+  monotonic_time NextAt() const { return next_at_; }
+
+  void OnRange(std::uint64_t revision, monotonic_time now);
+  void OnEvents(std::uint64_t revision, monotonic_time now);
+  void OnCompacted(monotonic_time now);
+  void OnFailed(monotonic_time now);
+
+  // Whether a whole copy was ever read.
+  bool HasCopy() const { return has_copy_; }
+  // The copy has all that the store acknowledged before this moment.
+  std::optional<monotonic_time> ProvenAt() const { return proven_at_; }
+  bool IsProvenSince(duration age, monotonic_time now) const;
+  // The store answers.
+  bool IsInTouch() const { return failures_ == 0 && has_copy_; }
+  // Until when entries that are missing may only have lapsed in an outage.
+  monotonic_time LapsedUntil() const { return lapsed_until_; }
+  std::uint64_t Revision() const { return revision_; }
+
+ private:
+  void OnAnswer(std::uint64_t revision, monotonic_time now);
+
+  feed_options options_;
+  bool under_way_ = false;
+  bool has_copy_ = false;
+  bool needs_range_ = true;
+  int failures_ = 0;
+  std::uint64_t revision_ = 0;
+  monotonic_time next_at_{};
+  monotonic_time sent_at_{};
+  monotonic_time lapsed_until_{};
+  std::optional<monotonic_time> proven_at_;
+};
+
+}  // namespace citron
+
+#endif  // CITRON_PROTOCOL_FLEET_FEED_H_
--- /dev/null
+++ b/include/citron/protocol/workspace_quota.h
@@ -0,0 +1,90 @@
+#ifndef CITRON_PROTOCOL_WORKSPACE_QUOTA_H_
+#define CITRON_PROTOCOL_WORKSPACE_QUOTA_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "citron/base/strong_id.h"
+#include "citron/base/time.h"
+
+namespace citron {
+
+struct quota_options {
+  duration window = std::chrono::seconds(5);
+  // Requests above rate and burst that the whole fleet may be wrong by.
+  double fleet_slack = 12;
+  // How old what other VMs told may be; requests of so long are held free.
+  duration view_lag = FromMilliseconds(700);
+  // VMs that are assumed before they are known.
+  int assumed_vms = 2;
+  duration assume_for = std::chrono::seconds(2);
+};
+
+// What a VM tells the others of one workspace.
+struct quota_report {
+  double demand_per_s = 0;      // Requests that were asked of it.
+  double admitted_in_window = 0;
+};
+
+// Holds one workspace to its rate and burst over all VMs, without asking
+// anybody for a request.
+class workspace_quota {
+ public:
+  workspace_quota(const quota_options& options, monotonic_time now);
+
+  // Rate 0: no limit.
+  void SetTerms(double rate_per_s, double burst, monotonic_time now);
+  // The VMs that take requests, this one included.
+  void SetFleetSize(int vms) { fleet_size_ = vms; }
+  void OnReport(const vm_id& vm, const quota_report& report,
+                monotonic_time now);
+  void RemoveVm(const vm_id& vm) { others_.erase(vm); }
+
+  // A request asks to be let in; counts it either way.
+  bool TryAdmit(monotonic_time now);
+  // When a refused request may come again.
+  monotonic_time NextTokenAt(monotonic_time now) const;
+
+  // What to tell the others; the own share counts by what was told last.
+  quota_report Report(monotonic_time now);
+
+ private:
+  struct other_vm {
+    quota_report report;
+    monotonic_time heard_at{};
+  };
+  // Counts of the last window by tenths of it.
+  struct counter {
+    std::array<double, 10> counts{};
+    std::int64_t slot = 0;
+  };
+
+  double Share(monotonic_time now) const;
+  double FleetAdmitted() const;
+  double FleetDemand() const;
+  void Refill(monotonic_time now);
+  void Advance(counter& c, monotonic_time now) const;
+  void UpdateDemand(monotonic_time now);
+
+  quota_options options_;
+  monotonic_time started_at_;
+  double rate_per_s_ = 0;
+  double burst_ = 0;
+  int fleet_size_ = 1;
+  double tokens_ = 0;
+  monotonic_time refilled_at_;
+  counter admitted_;
+  double own_admitted_ = 0;
+  double demand_per_s_ = 0;
+  double told_demand_per_s_ = 0;
+  double arrivals_ = 0;
+  monotonic_time demand_at_;
+  std::map<vm_id, other_vm> others_;
+};
+
+}  // namespace citron
+
+#endif  // CITRON_PROTOCOL_WORKSPACE_QUOTA_H_
--- a/src/config/command_line.cc
+++ b/src/config/command_line.cc
@@ -25,10 +25,12 @@
 daemon_command ParseDaemonCommandLine(
     int argc, const char* const* argv, const std::string& program,
     const std::string& purpose, const std::string& version,
-    const std::vector<setting_description>& settings) {
+    const std::vector<setting_description>& settings,
+    const std::string& default_file) {
   daemon_command command;
+  command.config_file = default_file;
   cxxopts::Options options(program, purpose);
-  options.add_options()("config", "settings file (JSON)",
+  options.add_options()("config", "settings file",
                         cxxopts::value<std::string>(command.config_file),
                         "FILE")("check", "check the settings and stop")(
       "settings", "print every setting with unit, range and default")(
--- /dev/null
+++ b/src/node/fleet_state.cc
@@ -0,0 +1,327 @@
+#include "citron/node/fleet_state.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "citron/base/digest.h"
+#include "citron/policy/rendezvous.h"
+
+namespace citron {
+
+namespace {
+
+// VMs that may send to one cold upstream, and the part of what it bears that
+// they use together: while VMs come and go, each may see another pair for a
+// second or two.
+constexpr std::size_t kColdSenders = 2;
+constexpr double kColdPart = 0.6;
+// Of one sender's part of a second, what may come at once.
+constexpr double kColdBurstPart = 0.3;
+// A VM beside the upstream is this much more likely to be a sender.
+constexpr double kNearSenderWeight = 16;
+// Of the bound on retries, what the VMs use together; the rest is for what
+// their counts can't see.
+constexpr double kRetryPart = 0.7;
+// Part of the quota's slack that buckets may be rounded up by.
+constexpr double kQuotaSlackPart = 0.6;
+// Upstreams of a zone that was closed come back cold without a word of it.
+constexpr duration kReopenedColdSpell = std::chrono::seconds(3);
+
+}  // namespace
+
+fleet_state::fleet_state(const node_settings& settings,
+                         const fleet_codec& codec, event_log& log)
+    : settings_(settings), codec_(codec), log_(log) {}
+
+void fleet_state::ApplyRange(const std::vector<store_item>& items,
+                             monotonic_time keep_missing_until,
+                             monotonic_time now) {
+  std::set<std::string> present;
+  for (const store_item& item : items) {
+    present.insert(item.key);
+    ApplyItem(item, now);
+  }
+  const std::set<std::string> known = keys_;
+  for (const std::string& key : known) {
+    if (!present.contains(key)) missing_.emplace(key, keep_missing_until);
+  }
+  RemoveMissing(now);
+}
+
+void fleet_state::ApplyEvent(const store_event& event,
+                             monotonic_time keep_missing_until,
+                             monotonic_time now) {
+  if (!event.removed) return ApplyItem(event.item, now);
+  missing_.emplace(event.item.key, keep_missing_until);
+  RemoveMissing(now);
+}
+
+void fleet_state::RemoveMissing(monotonic_time now) {
+  for (auto it = missing_.begin(); it != missing_.end();) {
+    if (now < it->second) {
+      ++it;
+      continue;
+    }
+    Remove(it->first, now);
+    it = missing_.erase(it);
+  }
+}
+
+void fleet_state::ApplyItem(const store_item& item, monotonic_time now) {
+  keys_.insert(item.key);
+  missing_.erase(item.key);
+  const store_key key = codec_.ReadKey(item.key);
+  switch (key.kind) {
+    case store_key_kind::kRouting:
+      return ApplyRouting(item, now);
+    case store_key_kind::kUpstream:
+      return ApplyUpstream(item, upstream_id(key.name), now);
+    case store_key_kind::kVm:
+      return ApplyVm(item, vm_id(key.name), now);
+    case store_key_kind::kClosedZone:
+      if (closed_zones_.insert(zone_id(key.name)).second) {
+        log_.Write("fleet", "zone_closed",
+                   {{"zone", key.name}, {"revision", item.revision}}, now);
+        SetClosedZones(now);
+      }
+      return;
+    case store_key_kind::kOther:
+      return;
+  }
+}
+
+void fleet_state::Remove(const std::string& name, monotonic_time now) {
+  keys_.erase(name);
+  unreadable_.erase(name);
+  const store_key key = codec_.ReadKey(name);
+  switch (key.kind) {
+    case store_key_kind::kUpstream:
+      RemoveUpstream(upstream_id(key.name));
+      return;
+    case store_key_kind::kVm:
+      vms_.erase(vm_id(key.name));
+      for (auto& [workspace, quota] : quotas_) quota.RemoveVm(vm_id(key.name));
+      log_.Write("fleet", "vm_gone", {{"vm", key.name}}, now);
+      SetFleetSize();
+      return;
+    case store_key_kind::kClosedZone: {
+      closed_zones_.erase(zone_id(key.name));
+      log_.Write("fleet", "zone_opened", {{"zone", key.name}}, now);
+      SetClosedZones(now);
+      const zone_id zone(key.name);
+      for (auto& [service, selector] : selectors_) {
+        selector.ForEach([&](upstream_standing& upstream) {
+          if (upstream.Record().zone == zone) {
+            upstream.OnCold(kReopenedColdSpell, now);
+          }
+        });
+      }
+      return;
+    }
+    case store_key_kind::kRouting:
+    case store_key_kind::kOther:
+      return;
+  }
+}
+
+void fleet_state::ApplyRouting(const store_item& item, monotonic_time now) {
+  if (item.revision <= routing_revision_) return;
+  result<routing_config> read = codec_.ReadRouting(item.value);
+  if (!IsOk(read)) {
+    log_.Write("fleet", "routing_rejected",
+               {{"revision", item.revision}, {"problem", ErrorOf(read).message}},
+               now);
+    return;
+  }
+  routing_revision_ = item.revision;
+  routing_ = std::make_shared<const routing_config>(std::move(ValueOf(read)));
+  log_.Write("fleet", "routing_applied",
+             {{"version", routing_->version},
+              {"revision", item.revision},
+              {"routes", routing_->routes.size()},
+              {"workspaces", routing_->workspaces.size()}},
+             now);
+  quota_options options;
+  options.window = settings_.bounds.quota_window;
+  options.fleet_slack = settings_.bounds.quota_slack * kQuotaSlackPart;
+  options.assumed_vms = static_cast<int>(2 * settings_.zones.size());
+  for (const workspace_terms& terms : routing_->workspaces) {
+    const auto quota =
+        quotas_.try_emplace(terms.id, workspace_quota(options, now)).first;
+    quota->second.SetTerms(terms.rate_per_s, terms.burst, now);
+  }
+  std::erase_if(quotas_, [this](const auto& quota) {
+    return std::none_of(
+        routing_->workspaces.begin(), routing_->workspaces.end(),
+        [&](const workspace_terms& terms) { return terms.id == quota.first; });
+  });
+  for (const route_config& route : routing_->routes) {
+    SplitOf(route).SetServices(route.services);
+  }
+  SetFleetSize();
+}
+
+void fleet_state::ApplyUpstream(const store_item& item, const upstream_id& id,
+                                monotonic_time now) {
+  const result<upstream_record> read = codec_.ReadUpstream(id, item.value);
+  if (!IsOk(read)) {
+    // It names no upstream to use; the others hold.
+    RemoveUpstream(id);
+    if (unreadable_.emplace(item.key, item.revision).second) {
+      log_.Write("fleet", "upstream_unreadable",
+                 {{"upstream", id.Str()}, {"problem", ErrorOf(read).message}},
+                 now);
+    }
+    return;
+  }
+  unreadable_.erase(item.key);
+  const upstream_record& record = ValueOf(read);
+  const auto zone = settings_.zones.find(record.zone);
+  const region_id region =
+      zone == settings_.zones.end() ? region_id() : zone->second;
+  const auto known = service_of_.find(id);
+  if (known != service_of_.end() && known->second != record.service) {
+    RemoveUpstream(id);
+  }
+  affinity_selector& selector = MakeSelector(record.service);
+  const bool is_new = selector.Find(id) == nullptr;
+  const bool was_draining = !is_new && selector.Find(id)->Record().draining;
+  selector.SetUpstream(record, region, now);
+  service_of_[id] = record.service;
+  upstream_standing* upstream = selector.Find(id);
+  upstream->SetColdAllowance(AllowanceFor(*upstream));
+  if (is_new || was_draining != record.draining) {
+    log_.Write("fleet", record.draining ? "upstream_draining" : "upstream_ready",
+               {{"upstream", id.Str()},
+                {"service", record.service.Str()},
+                {"zone", record.zone.Str()},
+                {"cold_ms", ToMilliseconds(record.cold_left)},
+                {"revision", item.revision}},
+               now);
+  }
+}
+
+void fleet_state::ApplyVm(const store_item& item, const vm_id& id,
+                          monotonic_time now) {
+  result<vm_listing> read = DecodeVmListing(id, item.value);
+  if (!IsOk(read)) {
+    log_.Write("fleet", "vm_unreadable",
+               {{"vm", id.Str()}, {"problem", ErrorOf(read).message}}, now);
+    return;
+  }
+  const bool is_new = !vms_.contains(id);
+  vms_[id] = std::move(ValueOf(read));
+  if (is_new) log_.Write("fleet", "vm_listed", {{"vm", id.Str()}}, now);
+  SetFleetSize();
+}
+
+void fleet_state::RemoveUpstream(const upstream_id& id) {
+  const auto known = service_of_.find(id);
+  if (known == service_of_.end()) return;
+  const auto selector = selectors_.find(known->second);
+  if (selector != selectors_.end()) selector->second.RemoveUpstream(id);
+  service_of_.erase(known);
+}
+
+void fleet_state::SetClosedZones(monotonic_time) {
+  for (auto& [service, selector] : selectors_) {
+    selector.SetClosedZones(closed_zones_);
+  }
+}
+
+int fleet_state::FleetSize() const {
+  const bool listed = vms_.contains(settings_.vm);
+  return std::max<int>(1, static_cast<int>(vms_.size()) + (listed ? 0 : 1));
+}
+
+int fleet_state::UpstreamCount() const {
+  return static_cast<int>(service_of_.size());
+}
+
+void fleet_state::SetFleetSize() {
+  const int vms = FleetSize();
+  for (auto& [workspace, quota] : quotas_) quota.SetFleetSize(vms);
+  SetColdAllowances();
+}
+
+void fleet_state::SetColdAllowances() {
+  for (auto& [service, selector] : selectors_) {
+    selector.ForEach([this](upstream_standing& upstream) {
+      upstream.SetColdAllowance(AllowanceFor(upstream));
+    });
+  }
+}
+
+// Answers: an upstream that starts is cold and breaks when all VMs begin to
+// send to it at once. Two VMs, the same for all who know the fleet, share what
+// it bears; the others leave it alone until it is warm.
+cold_allowance fleet_state::AllowanceFor(
+    const upstream_standing& upstream) const {
+  const std::uint64_t hash = upstream.Hash();
+  const auto cost = [&](const vm_id& vm, const zone_id& zone) {
+    const bool near = zone == upstream.Record().zone;
+    return RendezvousCost(hash, HashBytes(vm.Str()),
+                          near ? kNearSenderWeight : 1);
+  };
+  const double own = cost(settings_.vm, settings_.zone);
+  const auto before = static_cast<std::size_t>(
+      std::count_if(vms_.begin(), vms_.end(), [&](const auto& entry) {
+        return entry.first != settings_.vm &&
+               cost(entry.first, entry.second.zone) < own;
+      }));
+  if (before >= kColdSenders) return {};
+  const service_terms* terms =
+      routing_ ? routing_->FindService(upstream.Record().service) : nullptr;
+  const double rate = terms == nullptr ? 0 : terms->cold_rate_per_s;
+  const double bearable =
+      rate * settings_.bounds.cold_overshoot + settings_.bounds.cold_slack;
+  const double part =
+      kColdPart * bearable / static_cast<double>(kColdSenders);
+  return {part * (1 - kColdBurstPart), std::max(1.0, part * kColdBurstPart)};
+}
+
+affinity_selector& fleet_state::MakeSelector(const service_id& service) {
+  const auto found = selectors_.find(service);
+  if (found != selectors_.end()) return found->second;
+  selector_options options;
+  options.zone = settings_.zone;
+  options.region = settings_.region;
+  affinity_selector& made =
+      selectors_.emplace(service, affinity_selector(options)).first->second;
+  made.SetClosedZones(closed_zones_);
+  return made;
+}
+
+affinity_selector* fleet_state::SelectorOf(const service_id& service) {
+  const auto found = selectors_.find(service);
+  return found == selectors_.end() ? nullptr : &found->second;
+}
+
+upstream_standing* fleet_state::FindUpstream(const upstream_id& id) {
+  const auto service = service_of_.find(id);
+  if (service == service_of_.end()) return nullptr;
+  affinity_selector* selector = SelectorOf(service->second);
+  return selector == nullptr ? nullptr : selector->Find(id);
+}
+
+service_split& fleet_state::SplitOf(const route_config& route) {
+  return splits_[route.id];
+}
+
+retry_budget& fleet_state::RetriesOf(const service_id& service) {
+  const auto found = retries_.find(service);
+  if (found != retries_.end()) return found->second;
+  const double kept = kRetryPart * settings_.bounds.retry_slack /
+                      static_cast<double>(2 * settings_.zones.size());
+  return retries_
+      .emplace(service,
+               retry_budget(kRetryPart * settings_.bounds.retry_ratio, kept))
+      .first->second;
+}
+
+workspace_quota* fleet_state::QuotaOf(const workspace_id& workspace) {
+  const auto found = quotas_.find(workspace);
+  return found == quotas_.end() ? nullptr : &found->second;
+}
+
+}  // namespace citron
--- /dev/null
+++ b/src/node/node_task.cc
@@ -0,0 +1,246 @@
+#include "citron/node/node_task.h"
+
+#include <arpa/inet.h>
+#include <event2/listener.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include "citron/node/proxied_request.h"
+
+namespace citron {
+
+namespace {
+
+constexpr duration kTick = std::chrono::milliseconds(50);
+constexpr duration kSweepInterval = std::chrono::seconds(1);
+constexpr int kBacklog = 1024;
+// Descriptors for upstreams, the store, pages and files.
+constexpr int kKeptDescriptors = 1200;
+// Of the grace period: callers use what they were told for three times the
+// lifetime of a look-up, and requests that came in then need the rest.
+constexpr double kAcceptPart = 0.55;
+constexpr double kEndPart = 0.95;
+
+// What a request gets that is turned away.
+void ReplyTurnedAway(const turned_away& turned, const std::string& id,
+                     const header_names& names, caller_exchange& exchange) {
+  http_headers headers{{"Content-Type", "application/json"}};
+  if (!id.empty()) headers.push_back({names.request_id, id});
+  if (turned.status == 401) {
+    headers.push_back({"WWW-Authenticate", names.key_scheme});
+  }
+  if (turned.retry_after > duration::zero()) {
+    headers.push_back(
+        {"Retry-After", fmt::format("{:.3f}", ToSeconds(turned.retry_after))});
+  }
+  exchange.Reply(turned.status, headers,
+                 fmt::format(R"({{"error":"{}","verdict":"not_run"}})",
+                             turned.reason));
+}
+
+// The handler of a request that has its answer already.
+class answered_request : public request_handler {
+ public:
+  void OnBody(std::string_view) override {}
+  void OnBodyEnd() override {}
+  void OnCallerGone() override {}
+  void OnDrained() override {}
+};
+
+}  // namespace
+
+result<std::unique_ptr<node_task>> node_task::Make(
+    event_loop& loop, const node_settings& settings,
+    const node_platform& platform, event_log& log) {
+  std::unique_ptr<node_task> task(
+      new node_task(loop, settings, platform, log));
+  result<std::unique_ptr<peer_exchange>> peers =
+      peer_exchange::Make(task->context_);
+  if (!IsOk(peers)) return ErrorOf(peers);
+  task->peers_ = std::move(ValueOf(peers));
+  result<std::unique_ptr<node_pages>> pages =
+      node_pages::Make(task->context_, platform.pages, *task->peers_,
+                       [self = task.get()] { return self->IsReady(); });
+  if (!IsOk(pages)) return ErrorOf(pages);
+  task->pages_ = std::move(ValueOf(pages));
+  const status listening = task->Listen();
+  if (!IsOk(listening)) return ErrorOf(listening);
+  task->OnTick();
+  return task;
+}
+
+node_task::node_task(event_loop& loop, const node_settings& settings,
+                     const node_platform& platform, event_log& log)
+    : loop_(loop),
+      settings_(settings),
+      names_(platform.names),
+      log_(log),
+      fleet_(settings_, *platform.codec, log_),
+      feed_(feed_options{}),
+      pool_(loop, platform.names.request_id,
+            [this](const upstream_id& id) {
+              upstream_standing* standing = fleet_.FindUpstream(id);
+              if (standing != nullptr) standing->OnIdleReset();
+            }),
+      context_{loop_, settings_, names_, log_, stats_, fleet_, feed_, pool_},
+      sync_(context_, *platform.store, *platform.codec),
+      tick_(loop, [this] { OnTick(); }) {}
+
+node_task::~node_task() {
+  connections_.clear();
+  CloseListener();
+}
+
+status node_task::Listen() {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(settings_.callers.port);
+  inet_pton(AF_INET, settings_.callers.address.c_str(), &address.sin_addr);
+  listener_ = evconnlistener_new_bind(
+      loop_.Base(),
+      [](evconnlistener*, evutil_socket_t descriptor, sockaddr*, int,
+         void* self) { static_cast<node_task*>(self)->OnAccept(descriptor); },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+      kBacklog, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  if (listener_ != nullptr) return std::monostate{};
+  return MakeError(error_code::kUnavailable,
+                   fmt::format("can't listen on {}: {}",
+                               settings_.callers.Str(), std::strerror(errno)));
+}
+
+void node_task::OnAccept(int descriptor) {
+  const auto most = static_cast<std::size_t>(
+      std::max(64, settings_.max_descriptors - kKeptDescriptors));
+  if (connections_.size() >= most) {
+    log_.Write("callers", "connection_refused",
+               {{"open", connections_.size()}, {"most", most}}, MonotonicNow());
+    evutil_closesocket(descriptor);
+    return;
+  }
+  const auto routing = fleet_.Routing();
+  const caller_limits limits = routing ? routing->limits : caller_limits{};
+  request_handler_factory& handlers = *this;
+  connections_.push_back(std::make_unique<caller_connection>(
+      loop_, descriptor, limits, handlers, [this](caller_connection& ended) {
+        const auto found = std::find_if(
+            connections_.begin(), connections_.end(),
+            [&](const auto& held) { return held.get() == &ended; });
+        if (found == connections_.end()) return;
+        const std::shared_ptr<caller_connection> retired = std::move(*found);
+        *found = std::move(connections_.back());
+        connections_.pop_back();
+        loop_.Defer([retired] {});
+      }));
+  if (stopped_) connections_.back()->StopAfterAnswer();
+}
+
+std::unique_ptr<request_handler> node_task::Make(http1_head head,
+                                                 caller_exchange& exchange) {
+  const monotonic_time now = MonotonicNow();
+  std::variant<admitted_request, turned_away> gate =
+      AdmitRequest(context_, head, now);
+  if (const auto* turned = std::get_if<turned_away>(&gate)) {
+    const auto id = FindHeader(head.headers, names_.request_id);
+    const std::string request(id.value_or(""));
+    stats_.Count("citron_turned_away_total", {{"reason", turned->reason}});
+    log_.Write("request", "turned_away",
+               {{"id", request},
+                {"reason", turned->reason},
+                {"status", turned->status},
+                {"target", head.target},
+                {"retry_ms", ToMilliseconds(turned->retry_after)},
+                {"store_age_ms", feed_.ProvenAt()
+                                     ? ToMilliseconds(now - *feed_.ProvenAt())
+                                     : -1.0}},
+               now);
+    ReplyTurnedAway(*turned, request, names_, exchange);
+    return std::make_unique<answered_request>();
+  }
+  auto request = std::make_unique<proxied_request>(
+      context_, std::move(head), std::get<admitted_request>(std::move(gate)),
+      exchange);
+  request->Start();
+  return request;
+}
+
+bool node_task::IsReady() const {
+  if (stopped_ || fleet_.Routing() == nullptr) return false;
+  // A VM that can't let keys in is of no use to most callers, and sends them
+  // away some time before it comes to that.
+  constexpr double kReadyPart = 0.6;
+  const duration limit =
+      FromSeconds(kReadyPart * ToSeconds(settings_.bounds.revocation));
+  return !settings_.bounds.strict_revocation ||
+         feed_.IsProvenSince(limit, MonotonicNow());
+}
+
+void node_task::OnTick() {
+  const monotonic_time now = MonotonicNow();
+  sync_.Run(now);
+  fleet_.RemoveMissing(now);
+  const bool ready = IsReady();
+  if (now >= tell_at_ || ready != was_ready_) {
+    peers_->Tell(ready, now);
+    tell_at_ = now + peers_->Interval();
+  }
+  if (ready != was_ready_) {
+    log_.Write("node", ready ? "ready" : "not_ready",
+               {{"vm", settings_.vm.Str()}, {"stopping", bool(stopped_)}}, now);
+  }
+  was_ready_ = ready;
+  if (now >= sweep_at_) {
+    sweep_at_ = now + kSweepInterval;
+    pool_.Sweep([this](const upstream_id& id) {
+      return fleet_.FindUpstream(id) != nullptr;
+    }, now);
+    log_.Summarize(now);
+  }
+  if (stopped_) OnStopStep(now);
+  tick_.Arm(now + kTick);
+}
+
+void node_task::Reload(const node_settings& settings) {
+  settings_.bounds = settings.bounds;
+  log_.Write("node", "reloaded", {{"vm", settings_.vm.Str()}}, MonotonicNow());
+}
+
+void node_task::Stop(std::function<void()> stopped) {
+  const monotonic_time now = MonotonicNow();
+  const double grace_s = ToSeconds(settings_.bounds.grace_period);
+  stopped_ = std::move(stopped);
+  close_at_ = now + FromSeconds(kAcceptPart * grace_s);
+  end_at_ = now + FromSeconds(kEndPart * grace_s);
+  log_.Write("node", "stopping",
+             {{"vm", settings_.vm.Str()}, {"connections", connections_.size()}},
+             now);
+  sync_.Leave(now);
+  for (const auto& connection : connections_) connection->StopAfterAnswer();
+  OnTick();
+}
+
+// Callers come for a while after the stop was told; then the door closes, and
+// what was let in is brought to its end.
+void node_task::OnStopStep(monotonic_time now) {
+  if (now < close_at_) return;
+  CloseListener();
+  // Closing one takes it out of the list.
+  std::vector<caller_connection*> open;
+  for (const auto& connection : connections_) open.push_back(connection.get());
+  for (caller_connection* connection : open) connection->CloseIfIdle();
+  if (!connections_.empty() && now < end_at_) return;
+  log_.Write("node", "stopped",
+             {{"vm", settings_.vm.Str()}, {"cut", connections_.size()}}, now);
+  stopped_();
+}
+
+void node_task::CloseListener() {
+  if (listener_ != nullptr) evconnlistener_free(listener_);
+  listener_ = nullptr;
+}
+
+}  // namespace citron
--- /dev/null
+++ b/src/node/proxied_request.cc
@@ -0,0 +1,490 @@
+#include "citron/node/proxied_request.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "citron/base/digest.h"
+#include "node/forwarded_head.h"
+
+namespace citron {
+
+namespace {
+
+// A body up to this size is held until it is whole, so that the request can be
+// sent again; a longer one goes on as it comes.
+constexpr std::size_t kHeldBody = std::size_t{256} << 10;
+// An answer up to this size is held until it is whole, so that one that breaks
+// off on the way can be replaced by another upstream's.
+constexpr std::size_t kHeldAnswer = std::size_t{1} << 20;
+// Bytes on their way to a slow side before the fast one is made to wait.
+constexpr std::size_t kMaxPending = std::size_t{256} << 10;
+// Connecting takes one round trip, up to 110 ms between regions, and one more
+// try of the kernel after 200 ms where a packet is lost.
+constexpr duration kConnectLimit = std::chrono::milliseconds(500);
+// What an idle connection must have left before its upstream closes it; more
+// for requests that can't be repeated if the two cross.
+constexpr duration kIdleMargin = std::chrono::milliseconds(800);
+constexpr duration kIdleMarginOnce = std::chrono::milliseconds(3000);
+// Less than this can't bring an answer back.
+constexpr duration kLeastTimeLeft = std::chrono::milliseconds(15);
+constexpr int kMaxConnectFailures = 3;
+
+// When to come back: after a slot at one of the upstreams that are full is
+// likely to have come free, or after failing ones have been tried again.
+constexpr duration kRetryWhenBusy = std::chrono::milliseconds(250);
+constexpr duration kRetryWhenUnavailable = std::chrono::milliseconds(400);
+
+std::optional<std::int64_t> ReadWhole(std::string_view text) {
+  std::int64_t value = 0;
+  const auto [end, failure] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (failure != std::errc() || end != text.data() + text.size()) return {};
+  return value;
+}
+
+std::optional<load_report> ReadLoad(std::string_view text) {
+  load_report report;
+  int* const fields[] = {&report.running, &report.waiting, &report.slots};
+  const char* at = text.data();
+  const char* const end = text.data() + text.size();
+  for (int* field : fields) {
+    while (at != end && (*at == ',' || *at == ' ')) ++at;
+    const auto [next, failure] = std::from_chars(at, end, *field);
+    if (failure != std::errc() || *field < 0) return std::nullopt;
+    at = next;
+  }
+  return report;
+}
+
+std::string HeaderOr(const http_headers& headers, const std::string& name) {
+  const auto value = FindHeader(headers, name);
+  return value ? std::string(*value) : std::string();
+}
+
+}  // namespace
+
+proxied_request::proxied_request(node_context& context, http1_head head,
+                                 admitted_request admitted,
+                                 caller_exchange& exchange)
+    : context_(context),
+      head_(std::move(head)),
+      admitted_(std::move(admitted)),
+      exchange_(exchange),
+      id_(HeaderOr(head_.headers, context.names.request_id)),
+      arrived_at_(MonotonicNow()),
+      deadline_timer_(context.loop, [this] { OnDeadline(); }) {
+  const route_config& route = *admitted_.route;
+  const std::string object = HeaderOr(head_.headers, context.names.affinity);
+  const bool sticks = route.has_affinity && !object.empty();
+  object_ = HashBytes(sticks ? object : id_, HashBytes(route.id.Str()));
+  caller_deadline_ = monotonic_time::max();
+  const auto asked = ReadWhole(HeaderOr(head_.headers, context.names.deadline_ms));
+  if (asked && *asked >= 0) {
+    caller_deadline_ = arrived_at_ + std::chrono::milliseconds(*asked);
+  }
+  deadline_ = std::min(caller_deadline_, arrived_at_ + route.timeout);
+}
+
+proxied_request::~proxied_request() {
+  if (attempt_open_) EndAttempt(upstream_outcome::kCancelled);
+  DropConnection();
+}
+
+bool proxied_request::IsRepeatable() const {
+  return admitted_.route->repeats != repetition::kOnce;
+}
+
+void proxied_request::Start() {
+  deadline_timer_.Arm(deadline_);
+  service_ = context_.fleet.SplitOf(*admitted_.route).Choose(object_);
+  context_.fleet.RetriesOf(service_).OnRequest();
+}
+
+void proxied_request::OnBody(std::string_view bytes) {
+  if (done_) return;
+  if (streaming_body_) return SendBodyPiece(bytes);
+  body_.append(bytes);
+  if (body_.size() <= kHeldBody) return;
+  streaming_body_ = true;
+  Place();
+}
+
+void proxied_request::OnBodyEnd() {
+  if (done_) return;
+  body_ended_ = true;
+  if (!streaming_body_) return Place();
+  if (connection_ != nullptr && !head_.body_length) {
+    connection_->SendMore("0\r\n\r\n");
+  }
+}
+
+void proxied_request::SendBodyPiece(std::string_view bytes) {
+  if (connection_ == nullptr) return;
+  if (head_.body_length) {
+    connection_->SendMore(bytes);
+  } else {
+    connection_->SendMore(fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes));
+  }
+  if (connection_->PendingBytes() > kMaxPending) exchange_.PauseBody();
+}
+
+void proxied_request::OnRequestDrained() { exchange_.ResumeBody(); }
+
+void proxied_request::Place() {
+  const monotonic_time now = MonotonicNow();
+  if (deadline_ - now < kLeastTimeLeft) {
+    return verdict_ == verdict::kNotRun
+               ? Refuse(503, "no_time_left", kRetryWhenBusy)
+               : FailMaybeRun(504, "no_time_left");
+  }
+  affinity_selector* selector = context_.fleet.SelectorOf(service_);
+  selection_request request;
+  request.object = object_;
+  request.large_answer = admitted_.route->repeats == repetition::kDownload;
+  request.route_homes = &admitted_.route->homes;
+  if (admitted_.workspace != nullptr) {
+    request.workspace_homes = &admitted_.workspace->homes;
+  }
+  request.tried = &tried_;
+  const std::variant<selection, no_selection> chosen =
+      selector == nullptr ? no_selection::kNoneKnown
+                          : selector->Choose(request, now);
+  if (const auto* none = std::get_if<no_selection>(&chosen)) {
+    last_reason_ = NoSelectionName(*none).data();
+    if (verdict_ != verdict::kNotRun) return FailMaybeRun(502, last_reason_);
+    return Refuse(503, last_reason_,
+                  *none == no_selection::kBusy ? kRetryWhenBusy
+                                               : kRetryWhenUnavailable);
+  }
+  SendTo(std::get<selection>(chosen));
+}
+
+void proxied_request::SendTo(const selection& choice) {
+  const monotonic_time now = MonotonicNow();
+  upstream_standing* standing =
+      context_.fleet.SelectorOf(service_)->Find(choice.upstream);
+  upstream_ = choice.upstream;
+  upstream_zone_ = standing->Record().zone;
+  tried_.push_back(upstream_);
+  standing->OnSent(now);
+  attempt_open_ = true;
+  sent_ = false;
+  answer_.reset();
+  answer_body_.clear();
+
+  body_framing framing;
+  if (streaming_body_) {
+    framing.length = head_.body_length;
+    framing.chunked = !head_.body_length;
+  } else if (head_.body_length || head_.chunked) {
+    framing.length = body_.size();
+  }
+  const workspace_id workspace =
+      admitted_.workspace == nullptr ? workspace_id() : admitted_.workspace->id;
+  std::string message = MakeUpstreamHead(
+      head_, context_.names, upstream_, workspace, deadline_ - now, framing);
+  if (!framing.chunked) message += body_;
+  connection_ = context_.pool.Take(
+      upstream_, standing->Record().address, kConnectLimit,
+      IsRepeatable() ? kIdleMargin : kIdleMarginOnce, now);
+  const bool expects_body = head_.method != "HEAD";
+  // A kept connection sends at once; a new one reports when it does.
+  sent_ = connection_->IsReusable({}, now);
+  if (sent_) ++reached_;
+  connection_->Start(message, expects_body, id_, *this);
+  if (framing.chunked) SendBodyPiece(body_);
+  if (streaming_body_) body_.clear();
+  context_.log.Write(
+      "request", "sent",
+      {{"id", id_},
+       {"route", admitted_.route->id.Str()},
+       {"workspace", workspace.Str()},
+       {"upstream", upstream_.Str()},
+       {"zone", upstream_zone_.Str()},
+       {"load", choice.load},
+       {"slots", choice.slots},
+       {"first_choice", choice.first_choice},
+       {"cold", choice.cold},
+       {"try", tried_.size()},
+       {"kept_connection", sent_},
+       {"left_ms", ToMilliseconds(deadline_ - now)},
+       {"declaration", admitted_.routing->version}},
+      now);
+}
+
+void proxied_request::OnConnected() {
+  sent_ = true;
+  ++reached_;
+  affinity_selector* selector = context_.fleet.SelectorOf(service_);
+  if (selector != nullptr) selector->OnConnected(upstream_zone_);
+}
+
+proxied_request::answer_kind proxied_request::Judge(
+    const http1_head& head) const {
+  if (FindHeader(head.headers, context_.names.not_run) || head.status == 421) {
+    return answer_kind::kNotRun;
+  }
+  const bool encoded =
+      FindHeader(head.headers, "Content-Encoding").has_value();
+  const bool signed_by_upstream =
+      FindHeader(head.headers, context_.names.signature).has_value();
+  const bool success = head.status >= 200 && head.status < 300;
+  if (success && (!signed_by_upstream || encoded)) return answer_kind::kForged;
+  return head.status >= 500 ? answer_kind::kFailure : answer_kind::kWhole;
+}
+
+void proxied_request::ReportLoad(const http1_head& head) {
+  affinity_selector* selector = context_.fleet.SelectorOf(service_);
+  upstream_standing* standing =
+      selector == nullptr ? nullptr : selector->Find(upstream_);
+  if (standing == nullptr) return;
+  const auto text = FindHeader(head.headers, context_.names.load);
+  const auto report = text ? ReadLoad(*text) : std::nullopt;
+  if (report) standing->OnReport(*report, MonotonicNow());
+}
+
+void proxied_request::OnAnswerHead(http1_head head) {
+  ReportLoad(head);
+  kind_ = Judge(head);
+  answer_ = std::move(head);
+}
+
+void proxied_request::OnAnswerBody(std::string_view bytes) {
+  if (streaming_answer_) {
+    exchange_.SendBody(bytes);
+    if (exchange_.PendingBytes() > kMaxPending) connection_->PauseReading();
+    return;
+  }
+  answer_body_.append(bytes);
+  if (answer_body_.size() <= kHeldAnswer) return;
+  if (kind_ == answer_kind::kWhole) return StartStreaming();
+  // A failure this long isn't worth its memory; its text is cut.
+  answer_body_.resize(kHeldAnswer);
+}
+
+void proxied_request::StartStreaming() {
+  streaming_answer_ = true;
+  exchange_.StartReply(answer_->status,
+                       CallerHeaders(answer_->headers, context_.names),
+                       answer_->body_length);
+  exchange_.SendBody(answer_body_);
+  answer_body_.clear();
+}
+
+void proxied_request::OnDrained() {
+  if (connection_ != nullptr) connection_->ResumeReading();
+}
+
+void proxied_request::OnAnswerEnd() {
+  // Behind an answer that came before the end of the request's body, the
+  // upstream would take the next request for the rest of this one.
+  const bool request_is_out = !streaming_body_ || body_ended_;
+  if (request_is_out) KeepConnection();
+  DropConnection();
+  switch (kind_) {
+    case answer_kind::kWhole:
+      verdict_ = verdict::kRan;
+      EndAttempt(upstream_outcome::kAnswered);
+      return DeliverWhole();
+    case answer_kind::kNotRun:
+      return OnNotRun(answer_->status == 421 ? upstream_outcome::kLeavingNotRun
+                                             : upstream_outcome::kShedNotRun,
+                      answer_->status == 421 ? "other_upstream" : "shed");
+    case answer_kind::kFailure:
+      verdict_ = verdict::kRan;
+      return OnMaybeRun(upstream_outcome::kServerError, "upstream_failure");
+    case answer_kind::kForged:
+      return OnMaybeRun(upstream_outcome::kServerError, "not_its_answer");
+  }
+}
+
+void proxied_request::OnCallFailed(upstream_fault fault) {
+  const std::string_view name = UpstreamFaultName(fault);
+  answer_.reset();
+  DropConnection();
+  if (streaming_answer_) {
+    // The caller has a part of it: the rest can only be seen to be missing.
+    EndAttempt(upstream_outcome::kConnectionLost);
+    exchange_.Abort();
+    return Finish(0, name.data());
+  }
+  if (!sent_) {
+    ++connect_failures_;
+    affinity_selector* selector = context_.fleet.SelectorOf(service_);
+    if (fault == upstream_fault::kConnectTimeout && selector != nullptr) {
+      selector->OnConnectTimeout(upstream_zone_, MonotonicNow());
+    }
+    return OnNotRun(upstream_outcome::kConnectFailedNotRun, name.data());
+  }
+  OnMaybeRun(fault == upstream_fault::kLost ? upstream_outcome::kConnectionLost
+                                            : upstream_outcome::kServerError,
+             name.data());
+}
+
+bool proxied_request::MayTryAgain(bool reached_upstream) {
+  if (!BodyIsReplayable()) return false;
+  if (connect_failures_ > kMaxConnectFailures) return false;
+  if (reached_ >= admitted_.route->max_upstreams) return false;
+  // Upstreams see only what reaches them.
+  return !reached_upstream || context_.fleet.RetriesOf(service_).TryTake();
+}
+
+void proxied_request::OnNotRun(upstream_outcome outcome, const char* reason) {
+  const bool reached = sent_;
+  last_reason_ = reason;
+  EndAttempt(outcome);
+  if (MayTryAgain(reached)) return Place();
+  if (verdict_ != verdict::kNotRun) return FailMaybeRun(502, reason);
+  Refuse(503, reason,
+         outcome == upstream_outcome::kShedNotRun ? kRetryWhenBusy
+                                                  : kRetryWhenUnavailable);
+}
+
+void proxied_request::OnMaybeRun(upstream_outcome outcome, const char* reason) {
+  last_reason_ = reason;
+  EndAttempt(outcome);
+  if (verdict_ == verdict::kNotRun) verdict_ = verdict::kMayHaveRun;
+  const std::optional<http1_head> failure = answer_;
+  const std::string body = answer_body_;
+  if (IsRepeatable() && MayTryAgain(true)) return Place();
+  const bool is_upstreams_own = failure && kind_ == answer_kind::kFailure;
+  // 503 would promise that it has not run.
+  if (!is_upstreams_own || failure->status == 503) {
+    return FailMaybeRun(502, reason);
+  }
+  exchange_.Reply(failure->status,
+                  CallerHeaders(failure->headers, context_.names), body);
+  Finish(failure->status, reason);
+}
+
+void proxied_request::EndAttempt(upstream_outcome outcome) {
+  if (!attempt_open_) return;
+  attempt_open_ = false;
+  const monotonic_time now = MonotonicNow();
+  affinity_selector* selector = context_.fleet.SelectorOf(service_);
+  upstream_standing* standing =
+      selector == nullptr ? nullptr : selector->Find(upstream_);
+  if (standing != nullptr) standing->OnDone(outcome, now);
+  if (outcome == upstream_outcome::kAnswered ||
+      outcome == upstream_outcome::kCancelled) {
+    return;
+  }
+  context_.log.Write("request", "try_failed",
+                     {{"id", id_},
+                      {"upstream", upstream_.Str()},
+                      {"zone", upstream_zone_.Str()},
+                      {"reason", last_reason_},
+                      {"status", answer_ ? answer_->status : 0},
+                      {"sent", sent_},
+                      {"failure_rate",
+                       standing == nullptr ? 0.0 : standing->FailureRate()},
+                      {"left_ms", ToMilliseconds(deadline_ - now)}},
+                     now);
+}
+
+void proxied_request::KeepConnection() {
+  if (connection_ == nullptr) return;
+  context_.pool.Give(upstream_, std::move(connection_), MonotonicNow());
+}
+
+void proxied_request::DropConnection() {
+  if (connection_ == nullptr) return;
+  connection_->Cancel();
+  // The connection's own callback may be running.
+  const std::shared_ptr<upstream_connection> dropped = std::move(connection_);
+  context_.loop.Defer([dropped] {});
+}
+
+void proxied_request::DeliverWhole() {
+  if (streaming_answer_) {
+    exchange_.FinishBody();
+    return Finish(answer_->status, "answered");
+  }
+  // These two promise that nothing ran, and only the upstream's own word that
+  // came with them would be proof.
+  if (answer_->status == 429 || answer_->status == 408) {
+    return FailMaybeRun(502, "unproved_promise");
+  }
+  http_headers headers = CallerHeaders(answer_->headers, context_.names);
+  const int status = answer_->status;
+  exchange_.Reply(status, headers, answer_body_);
+  Finish(status, "answered");
+}
+
+void proxied_request::Refuse(int status, const char* reason,
+                             duration retry_after) {
+  http_headers headers{{"Content-Type", "application/json"}};
+  if (!id_.empty()) headers.push_back({context_.names.request_id, id_});
+  headers.push_back(
+      {"Retry-After", fmt::format("{:.3f}", ToSeconds(retry_after))});
+  exchange_.Reply(status, headers,
+                  fmt::format(R"({{"error":"{}","verdict":"not_run"}})", reason));
+  Finish(status, reason);
+}
+
+void proxied_request::FailMaybeRun(int status, const char* reason) {
+  http_headers headers{{"Content-Type", "application/json"}};
+  if (!id_.empty()) headers.push_back({context_.names.request_id, id_});
+  exchange_.Reply(
+      status, headers,
+      fmt::format(R"({{"error":"{}","verdict":"may_have_run"}})", reason));
+  Finish(status, reason);
+}
+
+void proxied_request::OnDeadline() {
+  if (done_) return;
+  if (streaming_answer_) {
+    EndAttempt(upstream_outcome::kCancelled);
+    DropConnection();
+    exchange_.Abort();
+    return Finish(0, "deadline");
+  }
+  if (attempt_open_) {
+    if (sent_ && verdict_ == verdict::kNotRun) verdict_ = verdict::kMayHaveRun;
+    EndAttempt(upstream_outcome::kTimedOut);
+    DropConnection();
+  }
+  FailMaybeRun(504, "deadline");
+}
+
+void proxied_request::OnCallerGone() {
+  if (done_) return;
+  EndAttempt(upstream_outcome::kCancelled);
+  DropConnection();
+  Finish(0, "caller_gone");
+}
+
+void proxied_request::Finish(int status, const char* outcome) {
+  done_ = true;
+  deadline_timer_.Disarm();
+  const monotonic_time now = MonotonicNow();
+  const duration took = now - arrived_at_;
+  context_.stats.Count("citron_requests_total",
+                       {{"route", admitted_.route->id.Str()},
+                        {"status", std::to_string(status)},
+                        {"outcome", outcome}});
+  context_.stats.ObserveSeconds("citron_request_seconds",
+                                {{"route", admitted_.route->id.Str()}},
+                                ToSeconds(took));
+  context_.log.Write(
+      "request", "ended",
+      {{"id", id_},
+       {"route", admitted_.route->id.Str()},
+       {"service", service_.Str()},
+       {"status", status},
+       {"outcome", outcome},
+       {"verdict", VerdictName(verdict_)},
+       {"tries", tried_.size()},
+       {"upstream", upstream_.Str()},
+       {"ms", ToMilliseconds(took)},
+       {"store_age_ms",
+        context_.feed.ProvenAt()
+            ? ToMilliseconds(now - *context_.feed.ProvenAt())
+            : -1.0}},
+      now);
+}
+
+}  // namespace citron
--- /dev/null
+++ b/src/node/upstream_connection.cc
@@ -0,0 +1,245 @@
+#include "citron/node/upstream_connection.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <cassert>
+#include <cerrno>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include "node/socket_options.h"
+
+namespace citron {
+
+namespace {
+
+constexpr std::size_t kMaxAnswerHeadBytes = std::size_t{64} << 10;
+// How long an upstream that doesn't say keeps an idle connection.
+constexpr duration kUnstatedKeepAlive = std::chrono::seconds(5);
+
+// Seconds of the parameter "timeout" of a header such as "timeout=5, max=100".
+std::optional<duration> KeepAliveLimit(const http_headers& headers) {
+  const auto value = FindHeader(headers, "Keep-Alive");
+  if (!value) return std::nullopt;
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t at = value->find(kName);
+  if (at == std::string_view::npos) return std::nullopt;
+  int seconds = 0;
+  const std::string_view digits = value->substr(at + kName.size());
+  const auto [end, failure] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (failure != std::errc() || seconds < 0) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+std::string_view UpstreamFaultName(upstream_fault fault) {
+  switch (fault) {
+    case upstream_fault::kConnectFailed:
+      return "connect_failed";
+    case upstream_fault::kConnectTimeout:
+      return "connect_timeout";
+    case upstream_fault::kLost:
+      return "connection_lost";
+    case upstream_fault::kBadAnswer:
+      return "bad_answer";
+  }
+  return "unknown";
+}
+
+struct upstream_connection::callbacks {
+  static void Readable(bufferevent*, void* self) {
+    static_cast<upstream_connection*>(self)->OnReadable();
+  }
+  static void Written(bufferevent*, void* self) {
+    auto* that = static_cast<upstream_connection*>(self);
+    if (that->state_ == state::kBusy && that->listener_ != nullptr) {
+      that->listener_->OnRequestDrained();
+    }
+  }
+  static void Event(bufferevent*, short what, void* self) {  // NOLINT
+    auto* that = static_cast<upstream_connection*>(self);
+    if ((what & BEV_EVENT_CONNECTED) != 0) return that->OnConnected();
+    const bool ended = (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0;
+    if (ended) that->OnEnd((what & BEV_EVENT_ERROR) != 0);
+  }
+};
+
+upstream_connection::upstream_connection(event_loop& loop,
+                                         const endpoint& address,
+                                         duration connect_limit,
+                                         std::string id_header,
+                                         on_idle_end idle_ended)
+    : loop_(loop),
+      id_header_(std::move(id_header)),
+      idle_ended_(std::move(idle_ended)),
+      reader_(http1_reader::direction::kAnswers, kMaxAnswerHeadBytes, *this),
+      connect_timer_(loop, [this] { Fail(upstream_fault::kConnectTimeout); }),
+      keep_alive_limit_(kUnstatedKeepAlive) {
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port = htons(address.port);
+  inet_pton(AF_INET, address.address.c_str(), &to.sin_addr);
+  bytes_ = bufferevent_socket_new(loop.Base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  bufferevent_setcb(bytes_, callbacks::Readable, callbacks::Written,
+                    callbacks::Event, this);
+  connect_timer_.Arm(MonotonicNow() + connect_limit);
+  // A failure at once is reported as an event all the same.
+  bufferevent_socket_connect(bytes_, reinterpret_cast<sockaddr*>(&to),
+                             sizeof(to));
+}
+
+upstream_connection::~upstream_connection() { bufferevent_free(bytes_); }
+
+void upstream_connection::Start(std::string_view head_and_body,
+                                bool expects_body,
+                                const std::string& request_id,
+                                upstream_call_listener& listener) {
+  assert(state_ == state::kConnecting || state_ == state::kIdle);
+  listener_ = &listener;
+  request_id_ = request_id;
+  expects_body_ = expects_body;
+  ++calls_;
+  if (state_ == state::kConnecting) {
+    unsent_.assign(head_and_body);
+    return;
+  }
+  state_ = state::kBusy;
+  reader_.Reset();
+  if (!expects_body_) reader_.ExpectNoBody();
+  bufferevent_write(bytes_, head_and_body.data(), head_and_body.size());
+}
+
+void upstream_connection::SendMore(std::string_view bytes) {
+  if (state_ == state::kConnecting) {
+    unsent_.append(bytes);
+  } else if (state_ == state::kBusy) {
+    bufferevent_write(bytes_, bytes.data(), bytes.size());
+  }
+}
+
+void upstream_connection::Cancel() {
+  listener_ = nullptr;
+  state_ = state::kDead;
+  connect_timer_.Disarm();
+  bufferevent_disable(bytes_, EV_READ | EV_WRITE);
+}
+
+void upstream_connection::PauseReading() {
+  paused_ = true;
+  bufferevent_disable(bytes_, EV_READ);
+}
+
+void upstream_connection::ResumeReading() {
+  if (!paused_ || state_ != state::kBusy) return;
+  paused_ = false;
+  bufferevent_enable(bytes_, EV_READ);
+}
+
+bool upstream_connection::IsReusable(duration margin,
+                                     monotonic_time now) const {
+  return state_ == state::kIdle && now + margin < idle_since_ + keep_alive_limit_;
+}
+
+std::size_t upstream_connection::PendingBytes() const {
+  return unsent_.size() + evbuffer_get_length(bufferevent_get_output(bytes_));
+}
+
+void upstream_connection::OnConnected() {
+  if (state_ != state::kConnecting) return;
+  connect_timer_.Disarm();
+  SetSocketOptions(bufferevent_getfd(bytes_));
+  state_ = state::kBusy;
+  if (!expects_body_) reader_.ExpectNoBody();
+  bufferevent_write(bytes_, unsent_.data(), unsent_.size());
+  unsent_.clear();
+  bufferevent_enable(bytes_, EV_READ | EV_WRITE);
+  if (listener_ != nullptr) listener_->OnConnected();
+}
+
+void upstream_connection::OnReadable() {
+  if (state_ == state::kIdle) return EndIdle(idle_end::kUnexpectedBytes);
+  if (state_ != state::kBusy) return;
+  while (true) {
+    const http1_reader::progress made = reader_.Read(bufferevent_get_input(bytes_));
+    if (state_ != state::kBusy) return;
+    if (made == http1_reader::progress::kNeedsMore) return;
+    if (made == http1_reader::progress::kFault) {
+      return Fail(upstream_fault::kBadAnswer);
+    }
+    if (!skipping_) return Finish();
+    skipping_ = false;
+    reader_.Reset();
+    if (!expects_body_) reader_.ExpectNoBody();
+  }
+}
+
+void upstream_connection::OnHead(http1_head head) {
+  const auto id = FindHeader(head.headers, id_header_);
+  // A late second answer to an earlier request, where this one's was due.
+  skipping_ = id.has_value() && !request_id_.empty() && *id != request_id_;
+  if (skipping_) return;
+  stays_open_ = head.keep_alive && (head.body_length || head.chunked);
+  keep_alive_limit_ = KeepAliveLimit(head.headers).value_or(keep_alive_limit_);
+  if (listener_ != nullptr) listener_->OnAnswerHead(std::move(head));
+}
+
+void upstream_connection::OnBody(std::string_view bytes) {
+  if (!skipping_ && listener_ != nullptr) listener_->OnAnswerBody(bytes);
+}
+
+void upstream_connection::Finish() {
+  const bool has_more = evbuffer_get_length(bufferevent_get_input(bytes_)) > 0;
+  // Bytes behind the answer, or a request that isn't out yet: what comes next
+  // here could be taken for the answer to another request.
+  const bool clean = stays_open_ && !has_more && PendingBytes() == 0;
+  state_ = clean ? state::kIdle : state::kDead;
+  idle_since_ = MonotonicNow();
+  upstream_call_listener* listener = std::exchange(listener_, nullptr);
+  if (!clean) bufferevent_disable(bytes_, EV_READ | EV_WRITE);
+  if (listener != nullptr) listener->OnAnswerEnd();
+}
+
+void upstream_connection::OnEnd(bool reset) {
+  switch (state_) {
+    case state::kDead:
+      return;
+    case state::kIdle:
+      return EndIdle(reset ? idle_end::kReset : idle_end::kClosed);
+    case state::kConnecting:
+      return Fail(upstream_fault::kConnectFailed);
+    case state::kBusy:
+      break;
+  }
+  OnReadable();
+  if (state_ != state::kBusy) return;
+  // An answer without a length ends with its connection, but not with a reset.
+  if (!reset && !skipping_ && reader_.CompletesAtEnd()) {
+    stays_open_ = false;
+    return Finish();
+  }
+  Fail(upstream_fault::kLost);
+}
+
+void upstream_connection::Fail(upstream_fault fault) {
+  state_ = state::kDead;
+  connect_timer_.Disarm();
+  bufferevent_disable(bytes_, EV_READ | EV_WRITE);
+  upstream_call_listener* listener = std::exchange(listener_, nullptr);
+  if (listener != nullptr) listener->OnCallFailed(fault);
+}
+
+void upstream_connection::EndIdle(idle_end how) {
+  state_ = state::kDead;
+  bufferevent_disable(bytes_, EV_READ | EV_WRITE);
+  idle_ended_(*this, how);
+}
+
+}  // namespace citron
--- /dev/null
+++ b/src/policy/affinity_selector.cc
@@ -0,0 +1,163 @@
+#include "citron/policy/affinity_selector.h"
+
+#include <algorithm>
+
+#include "citron/policy/rendezvous.h"
+
+namespace citron {
+
+namespace {
+
+struct candidate {
+  double cost = 0;
+  const upstream_standing* upstream = nullptr;
+};
+
+bool Contains(const std::set<region_id>* homes, const region_id& region) {
+  return homes == nullptr || homes->empty() || homes->contains(region);
+}
+
+bool WasTried(const selection_request& request, const upstream_id& id) {
+  if (request.tried == nullptr) return false;
+  return std::find(request.tried->begin(), request.tried->end(), id) !=
+         request.tried->end();
+}
+
+}  // namespace
+
+// Answers: more work than the upstreams carry cold. An upstream that had an
+// object lately serves it in about a third of the time, so that where a request
+// goes decides how much fits at all. Spread at random, every upstream meets
+// every object and none stays warm; one notices by service times that stay
+// high at any load. A rendezvous order that all VMs compute alike keeps each
+// object at a few upstreams, also while upstreams and VMs come and go.
+
+std::string_view NoSelectionName(no_selection reason) {
+  switch (reason) {
+    case no_selection::kNoneKnown:
+      return "none_known";
+    case no_selection::kNotAllowed:
+      return "not_allowed";
+    case no_selection::kUnavailable:
+      return "unavailable";
+    case no_selection::kBusy:
+      return "busy";
+  }
+  return "unknown";
+}
+
+affinity_selector::affinity_selector(const selector_options& options)
+    : options_(options) {}
+
+void affinity_selector::SetUpstream(const upstream_record& record,
+                                    const region_id& region,
+                                    monotonic_time now) {
+  const auto found = upstreams_.find(record.id);
+  if (found != upstreams_.end()) return found->second.OnRecord(record, now);
+  upstreams_.emplace(record.id, upstream_standing(record, region, now));
+}
+
+void affinity_selector::RemoveUpstream(const upstream_id& id) {
+  upstreams_.erase(id);
+}
+
+upstream_standing* affinity_selector::Find(const upstream_id& id) {
+  const auto found = upstreams_.find(id);
+  return found == upstreams_.end() ? nullptr : &found->second;
+}
+
+void affinity_selector::ForEach(
+    const std::function<void(upstream_standing&)>& visit) {
+  for (auto& [id, upstream] : upstreams_) visit(upstream);
+}
+
+void affinity_selector::SetClosedZones(const std::set<zone_id>& zones) {
+  closed_zones_ = zones;
+}
+
+void affinity_selector::OnConnected(const zone_id& zone) { paths_.erase(zone); }
+
+// Answers: a cut between zones. Each upstream behind it would cost one request
+// a whole connect timeout before it is left alone; two in a row without a
+// success say that the path is at fault.
+void affinity_selector::OnConnectTimeout(const zone_id& zone,
+                                         monotonic_time now) {
+  path_state& path = paths_[zone];
+  ++path.failures;
+  if (path.failures >= options_.path_failures) {
+    path.avoided_until = now + options_.path_avoidance;
+  }
+}
+
+bool affinity_selector::IsAllowed(const upstream_standing& upstream,
+                                  const selection_request& request) const {
+  return Contains(request.route_homes, upstream.Region()) &&
+         Contains(request.workspace_homes, upstream.Region());
+}
+
+bool affinity_selector::IsAvailable(const upstream_standing& upstream,
+                                    const selection_request& request,
+                                    bool spare_ejected,
+                                    monotonic_time now) const {
+  const upstream_record& record = upstream.Record();
+  if (record.draining || closed_zones_.contains(record.zone)) return false;
+  if (WasTried(request, record.id)) return false;
+  if (upstream.IsAvoided(now)) return false;
+  if (upstream.IsOnTrial() && upstream.InFlight() > 0) return false;
+  if (!spare_ejected && upstream.IsEjected(now)) return false;
+  if (upstream.IsCold(now) && !upstream.HasColdRoom(now)) return false;
+  const auto path = paths_.find(record.zone);
+  return path == paths_.end() || now >= path->second.avoided_until;
+}
+
+double affinity_selector::WeightOf(const upstream_standing& upstream,
+                                   bool large_answer) const {
+  double weight = std::max(1, upstream.Record().slots);
+  if (upstream.Region() != options_.region) return weight;
+  weight *= options_.region_weight;
+  if (upstream.Record().zone == options_.zone) weight *= options_.zone_weight;
+  if (large_answer) weight *= options_.large_answer_weight;
+  return weight;
+}
+
+std::variant<selection, no_selection> affinity_selector::Choose(
+    const selection_request& request, monotonic_time now) const {
+  if (upstreams_.empty()) return no_selection::kNoneKnown;
+  // Ejection must leave half of the upstreams: where more than that fail, the
+  // cause lies elsewhere and the rest would be overrun.
+  const auto ejected = static_cast<std::size_t>(
+      std::count_if(upstreams_.begin(), upstreams_.end(),
+                    [now](const auto& u) { return u.second.IsEjected(now); }));
+  const bool spare_ejected = 2 * ejected > upstreams_.size();
+  std::vector<candidate> best;
+  bool allowed = false;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (!IsAllowed(upstream, request)) continue;
+    allowed = true;
+    if (!IsAvailable(upstream, request, spare_ejected, now)) continue;
+    const double cost =
+        RendezvousCost(request.object, upstream.Hash(),
+                       WeightOf(upstream, request.large_answer));
+    best.push_back({cost, &upstream});
+  }
+  if (!allowed) return no_selection::kNotAllowed;
+  if (best.empty()) return no_selection::kUnavailable;
+  const auto copies = std::min<std::size_t>(
+      best.size(), static_cast<std::size_t>(options_.copies));
+  std::partial_sort(best.begin(),
+                    best.begin() + static_cast<std::ptrdiff_t>(copies),
+                    best.end(), [](const candidate& a, const candidate& b) {
+                      return a.cost < b.cost;
+                    });
+  for (std::size_t i = 0; i < copies; ++i) {
+    const upstream_standing& upstream = *best[i].upstream;
+    const int slots = std::max(1, upstream.Record().slots);
+    const int load = upstream.Load(now);
+    if (load >= options_.load_limit * slots) continue;
+    return selection{upstream.Record().id, load, slots, upstream.IsCold(now),
+                     i == 0};
+  }
+  return no_selection::kBusy;
+}
+
+}  // namespace citron
--- /dev/null
+++ b/src/policy/vm_choice.cc
@@ -0,0 +1,37 @@
+#include "citron/policy/vm_choice.h"
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <iterator>
+
+namespace citron {
+
+// Answers: zones whose VMs die, freeze or lose the store. Callers spread over
+// all that they are told of, so that one dead VM among two costs half of them a
+// second each. What is known to fail is left out as long as anything else is
+// there; what is far is left out as long as something near takes requests,
+// since each answer would cross between zones.
+std::vector<vm_candidate> ChooseVms(const std::vector<vm_candidate>& all,
+                                    const zone_id& zone,
+                                    const region_id& region) {
+  using filter = std::function<bool(const vm_candidate&)>;
+  const filter in_zone = [&](const vm_candidate& vm) { return vm.zone == zone; };
+  const filter in_region = [&](const vm_candidate& vm) {
+    return vm.region == region;
+  };
+  const filter anywhere = [](const vm_candidate&) { return true; };
+  const filter sound = [](const vm_candidate& vm) { return vm.ready && vm.heard; };
+  const filter ready = [](const vm_candidate& vm) { return vm.ready; };
+  for (const filter& health : std::array{sound, ready, anywhere}) {
+    for (const filter& place : std::array{in_zone, in_region, anywhere}) {
+      std::vector<vm_candidate> chosen;
+      std::copy_if(all.begin(), all.end(), std::back_inserter(chosen),
+                   [&](const vm_candidate& vm) { return health(vm) && place(vm); });
+      if (!chosen.empty()) return chosen;
+    }
+  }
+  return {};
+}
+
+}  // namespace citron
--- /dev/null
+++ b/src/protocol/fleet_feed.cc
@@ -0,0 +1,62 @@
+#include "citron/protocol/fleet_feed.h"
+
+#include <algorithm>
+
+namespace citron {
+
+// Answers: a store that is priced by the call, loses answers, forgets its
+// history and is away for seconds. Without the pace each write of an upstream
+// is a call by each VM; without the proof a VM that lost the store would go on
+// with keys that were withdrawn long ago, which one notices only by requests
+// that run for somebody who has no access any more.
+
+fleet_feed::fleet_feed(const feed_options& options) : options_(options) {}
+
+std::optional<fleet_feed::order> fleet_feed::Next(monotonic_time now) {
+  if (under_way_ || now < next_at_) return std::nullopt;
+  under_way_ = true;
+  sent_at_ = now;
+  if (needs_range_) return order{call::kRange, 0};
+  return order{call::kWatch, revision_};
+}
+
+void fleet_feed::OnRange(std::uint64_t revision, monotonic_time now) {
+  needs_range_ = false;
+  has_copy_ = true;
+  revision_ = revision;
+  OnAnswer(revision, now);
+}
+
+void fleet_feed::OnEvents(std::uint64_t revision, monotonic_time now) {
+  OnAnswer(revision, now);
+}
+
+void fleet_feed::OnAnswer(std::uint64_t revision, monotonic_time now) {
+  under_way_ = false;
+  revision_ = std::max(revision_, revision);
+  // The store saw the call after it was sent; only that is certain.
+  proven_at_ = sent_at_;
+  if (failures_ > 0) lapsed_until_ = now + options_.lapse_grace;
+  failures_ = 0;
+  next_at_ = std::max(now, sent_at_ + options_.poll_interval);
+}
+
+void fleet_feed::OnCompacted(monotonic_time now) {
+  under_way_ = false;
+  needs_range_ = true;
+  next_at_ = now;
+}
+
+void fleet_feed::OnFailed(monotonic_time now) {
+  under_way_ = false;
+  ++failures_;
+  // A watch that was cut may have missed what happened before: read anew.
+  needs_range_ = true;
+  next_at_ = now + options_.retry_interval;
+}
+
+bool fleet_feed::IsProvenSince(duration age, monotonic_time now) const {
+  return proven_at_.has_value() && now - *proven_at_ < age;
+}
+
+}  // namespace citron
--- /dev/null
+++ b/src/protocol/workspace_quota.cc
@@ -0,0 +1,151 @@
+#include "citron/protocol/workspace_quota.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace citron {
+
+namespace {
+
+// Weight of a demand that nobody has, for each VM: a VM that was idle has a
+// small share at once when callers come to it.
+constexpr double kIdleShare = 0.25;
+// The demand is an average over about this long.
+constexpr double kDemandHorizonS = 0.6;
+// Tokens that a share holds at the least: below one it would never let a
+// request in, however small the rate.
+constexpr double kLeastCapacity = 1.5;
+// Debts end after this long at the rate; a longer one would refuse a workspace
+// for what it was let in on purpose.
+constexpr double kMostDebtS = 2.0;
+
+}  // namespace
+
+// Answers: callers of one workspace that come through any VM, move between
+// them, and now and then send many times their rate. Fixed parts refuse
+// callers who all use one VM, asking a common place costs a call a request. So
+// each VM has a bucket with its part of rate and burst, parts following the
+// demand that VMs tell each other twice a second. Where the whole fleet is far
+// below the contract, as the last reports show with room for their age, a
+// request is let in above the part and paid back from the bucket.
+
+workspace_quota::workspace_quota(const quota_options& options,
+                                 monotonic_time now)
+    : options_(options), started_at_(now), refilled_at_(now), demand_at_(now) {}
+
+void workspace_quota::SetTerms(double rate_per_s, double burst,
+                               monotonic_time now) {
+  Refill(now);
+  const bool first = rate_per_s_ == 0;
+  rate_per_s_ = rate_per_s;
+  burst_ = burst;
+  // Other VMs may have used the burst just before this one started; a share
+  // without it loses little, a whole one could double it.
+  if (first) tokens_ = 1;
+}
+
+void workspace_quota::OnReport(const vm_id& vm, const quota_report& report,
+                               monotonic_time now) {
+  others_[vm] = {report, now};
+}
+
+// Parts add up to one as long as all have heard the same. The own demand is the
+// one that was told, not the newest: a workspace that grows everywhere at once
+// would raise every part before any VM hears of the others.
+double workspace_quota::Share(monotonic_time now) const {
+  int vms = std::max<int>(fleet_size_, static_cast<int>(others_.size()) + 1);
+  if (now - started_at_ < options_.assume_for) {
+    vms = std::max(vms, options_.assumed_vms);
+  }
+  const double idle =
+      kIdleShare * std::max(rate_per_s_, 1.0) / static_cast<double>(vms);
+  double all = told_demand_per_s_;
+  for (const auto& [vm, other] : others_) all += other.report.demand_per_s;
+  return (told_demand_per_s_ + idle) / (all + idle * vms);
+}
+
+double workspace_quota::FleetAdmitted() const {
+  double sum = own_admitted_;
+  for (const auto& [vm, other] : others_) {
+    sum += other.report.admitted_in_window;
+  }
+  return sum;
+}
+
+double workspace_quota::FleetDemand() const {
+  double sum = demand_per_s_;
+  for (const auto& [vm, other] : others_) sum += other.report.demand_per_s;
+  // A rise that shows here may have come to all others too.
+  const double rise = demand_per_s_ / std::max(told_demand_per_s_, 0.5);
+  return rise > 1.5 ? sum * std::min(rise, 10.0) : sum;
+}
+
+void workspace_quota::Refill(monotonic_time now) {
+  const double seconds = ToSeconds(now - refilled_at_);
+  refilled_at_ = now;
+  const double share = Share(now);
+  // Capacities below one token are rounded up; what that adds over all VMs
+  // stays within the slack.
+  const double most_extra =
+      options_.fleet_slack / static_cast<double>(std::max(fleet_size_, 1));
+  const double whole = share * burst_;
+  const double capacity =
+      std::max(whole, std::min(kLeastCapacity, whole + most_extra));
+  tokens_ = std::min(capacity, tokens_ + seconds * share * rate_per_s_);
+  tokens_ = std::max(tokens_, -kMostDebtS * share * rate_per_s_ - 1);
+}
+
+void workspace_quota::Advance(counter& c, monotonic_time now) const {
+  const auto slots = static_cast<std::int64_t>(c.counts.size());
+  const std::int64_t slot = now.time_since_epoch() / (options_.window / slots);
+  const std::int64_t passed = std::min(slot - c.slot, slots);
+  for (std::int64_t i = 1; i <= passed; ++i) {
+    c.counts[static_cast<std::size_t>((c.slot + i) % slots)] = 0;
+  }
+  if (slot > c.slot) c.slot = slot;
+}
+
+void workspace_quota::UpdateDemand(monotonic_time now) {
+  const double seconds = ToSeconds(now - demand_at_);
+  if (seconds < 0.1) return;
+  demand_at_ = now;
+  const double weight = 1 - std::exp(-seconds / kDemandHorizonS);
+  demand_per_s_ += weight * (arrivals_ / seconds - demand_per_s_);
+  arrivals_ = 0;
+}
+
+bool workspace_quota::TryAdmit(monotonic_time now) {
+  arrivals_ += 1;
+  UpdateDemand(now);
+  if (rate_per_s_ <= 0) return true;
+  Refill(now);
+  Advance(admitted_, now);
+  own_admitted_ =
+      std::accumulate(admitted_.counts.begin(), admitted_.counts.end(), 0.0);
+  const double limit = rate_per_s_ * ToSeconds(options_.window) + burst_;
+  const double on_the_way = FleetDemand() * ToSeconds(options_.view_lag);
+  const bool fleet_has_room = FleetAdmitted() + on_the_way + 1 <= limit;
+  if (tokens_ < 1 && !fleet_has_room) return false;
+  tokens_ -= 1;
+  const auto slots = static_cast<std::int64_t>(admitted_.counts.size());
+  admitted_.counts[static_cast<std::size_t>(admitted_.slot % slots)] += 1;
+  own_admitted_ += 1;
+  return true;
+}
+
+monotonic_time workspace_quota::NextTokenAt(monotonic_time now) const {
+  const double per_s = std::max(Share(now) * rate_per_s_, 0.2);
+  return now + FromSeconds(std::max(0.0, 1 - tokens_) / per_s);
+}
+
+quota_report workspace_quota::Report(monotonic_time now) {
+  UpdateDemand(now);
+  Advance(admitted_, now);
+  own_admitted_ =
+      std::accumulate(admitted_.counts.begin(), admitted_.counts.end(), 0.0);
+  told_demand_per_s_ = demand_per_s_;
+  return {demand_per_s_, own_admitted_};
+}
+
+}  // namespace citron
