A sound upstream is not held for cold for ever

Ruled out: a store that answers nothing after a compaction (it is read anew 0.4 s later). The load in slots above which a second copy is used is a setting of its own.

--- a/include/citron/node/upstream_connection.h
+++ b/include/citron/node/upstream_connection.h
@@ -43,9 +43,8 @@
 // A connection to one upstream, for one request at a time.
 class upstream_connection : private http1_listener {
  public:
-  // What happened to a connection that waited for work.
-  enum class idle_end { kClosed, kReset, kUnexpectedBytes };
-  using on_idle_end = std::function<void(upstream_connection&, idle_end)>;
+  // Told when a connection that waited for work is of no more use.
+  using on_idle_end = std::function<void(upstream_connection&)>;
 
   // `id_header` names the header in which an answer carries its request's id:
   // an answer with another id belongs to an earlier request and is passed over.
@@ -85,7 +84,7 @@
   void OnEnd(bool reset);
   void Finish();
   void Fail(upstream_fault fault);
-  void EndIdle(idle_end how);
+  void EndIdle();
 
   event_loop& loop_;
   std::string id_header_;
--- a/include/citron/node/upstream_pool.h
+++ b/include/citron/node/upstream_pool.h
@@ -19,10 +19,7 @@
 // begins with connections of its own.
 class upstream_pool {
  public:
-  // Told when an idle connection is reset.
-  using on_reset = std::function<void(const upstream_id&)>;
-
-  upstream_pool(event_loop& loop, std::string id_header, on_reset reset);
+  upstream_pool(event_loop& loop, std::string id_header);
 
   // An idle connection that the upstream keeps for `margin` at the least, or a
   // new one.
@@ -44,13 +41,11 @@
  private:
   using idle_list = std::vector<std::unique_ptr<upstream_connection>>;
 
-  void OnIdleEnd(const upstream_id& upstream, upstream_connection& connection,
-                 upstream_connection::idle_end how);
+  void OnIdleEnd(const upstream_id& upstream, upstream_connection& connection);
   void CloseLater(std::unique_ptr<upstream_connection> connection);
 
   event_loop& loop_;
   std::string id_header_;
-  on_reset reset_;
   std::map<upstream_id, idle_list> idle_;
 };
 
--- a/include/citron/policy/affinity_selector.h
+++ b/include/citron/policy/affinity_selector.h
@@ -23,9 +23,11 @@
   double zone_weight = 2;
   double region_weight = 2;
   double large_answer_weight = 8;
-  // Upstreams that share one object, and the load in slots that one bears.
+  // Upstreams that share one object. The first takes it up to the first load in
+  // slots, above that the one with the least, up to the second.
   int copies = 2;
-  double load_limit = 2;
+  double spill_load = 1.5;
+  double load_limit = 3.5;
   // Upstreams of one zone that can't be connected to before the zone counts as
   // out of reach, and for how long.
   int path_failures = 2;
--- a/src/node/node_task.cc
+++ b/src/node/node_task.cc
@@ -81,11 +81,7 @@
       log_(log),
       fleet_(settings_, *platform.codec, log_),
       feed_(feed_options{}),
-      pool_(loop, platform.names.request_id,
-            [this](const upstream_id& id) {
-              upstream_standing* standing = fleet_.FindUpstream(id);
-              if (standing != nullptr) standing->OnIdleReset();
-            }),
+      pool_(loop, platform.names.request_id),
       context_{loop_, settings_, names_, log_, stats_, fleet_, feed_, pool_},
       sync_(context_, *platform.store, *platform.codec),
       tick_(loop, [this] { OnTick(); }) {}
--- a/src/node/upstream_connection.cc
+++ b/src/node/upstream_connection.cc
@@ -167,7 +167,7 @@
 }
 
 void upstream_connection::OnReadable() {
-  if (state_ == state::kIdle) return EndIdle(idle_end::kUnexpectedBytes);
+  if (state_ == state::kIdle) return EndIdle();
   if (state_ != state::kBusy) return;
   while (true) {
     const http1_reader::progress made =
@@ -215,7 +215,7 @@
     case state::kDead:
       return;
     case state::kIdle:
-      return EndIdle(reset ? idle_end::kReset : idle_end::kClosed);
+      return EndIdle();
     case state::kConnecting:
       return Fail(upstream_fault::kConnectFailed);
     case state::kBusy:
@@ -239,10 +239,11 @@
   if (listener != nullptr) listener->OnCallFailed(fault);
 }
 
-void upstream_connection::EndIdle(idle_end how) {
+// Closed, or bytes that belong to no request.
+void upstream_connection::EndIdle() {
   state_ = state::kDead;
   bufferevent_disable(bytes_, EV_READ | EV_WRITE);
-  idle_ended_(*this, how);
+  idle_ended_(*this);
 }
 
 }  // namespace citron
--- a/src/node/upstream_pool.cc
+++ b/src/node/upstream_pool.cc
@@ -12,9 +12,8 @@
 
 }  // namespace
 
-upstream_pool::upstream_pool(event_loop& loop, std::string id_header,
-                             on_reset reset)
-    : loop_(loop), id_header_(std::move(id_header)), reset_(std::move(reset)) {}
+upstream_pool::upstream_pool(event_loop& loop, std::string id_header)
+    : loop_(loop), id_header_(std::move(id_header)) {}
 
 std::unique_ptr<upstream_connection> upstream_pool::Take(
     const upstream_id& upstream, const endpoint& address,
@@ -29,9 +28,8 @@
   }
   return std::make_unique<upstream_connection>(
       loop_, address, connect_limit, id_header_,
-      [this, upstream](upstream_connection& ended,
-                       upstream_connection::idle_end how) {
-        OnIdleEnd(upstream, ended, how);
+      [this, upstream](upstream_connection& ended) {
+        OnIdleEnd(upstream, ended);
       });
 }
 
@@ -67,8 +65,7 @@
 }
 
 void upstream_pool::OnIdleEnd(const upstream_id& upstream,
-                              upstream_connection& connection,
-                              upstream_connection::idle_end how) {
+                              upstream_connection& connection) {
   idle_list& idle = idle_[upstream];
   const auto found =
       std::find_if(idle.begin(), idle.end(),
@@ -76,7 +73,6 @@
   if (found == idle.end()) return;
   CloseLater(std::move(*found));
   idle.erase(found);
-  if (how == upstream_connection::idle_end::kReset) reset_(upstream);
 }
 
 void upstream_pool::CloseLater(
--- a/src/policy/affinity_selector.cc
+++ b/src/policy/affinity_selector.cc
@@ -17,6 +17,12 @@
   return homes == nullptr || homes->empty() || homes->contains(region);
 }
 
+// Requests there for each slot.
+double LoadOf(const upstream_standing& upstream, monotonic_time now) {
+  return static_cast<double>(upstream.Load(now)) /
+         std::max(1, upstream.Record().slots);
+}
+
 bool WasTried(const selection_request& request, const upstream_id& id) {
   if (request.tried == nullptr) return false;
   return std::find(request.tried->begin(), request.tried->end(), id) !=
@@ -148,15 +154,19 @@
       best.begin(), best.begin() + static_cast<std::ptrdiff_t>(copies),
       best.end(),
       [](const candidate& a, const candidate& b) { return a.cost < b.cost; });
-  for (std::size_t i = 0; i < copies; ++i) {
-    const upstream_standing& upstream = *best[i].upstream;
-    const int slots = std::max(1, upstream.Record().slots);
-    const int load = upstream.Load(now);
-    if (load >= options_.load_limit * slots) continue;
-    return selection{upstream.Record().id, load, slots, upstream.IsCold(now),
-                     i == 0};
+  std::size_t chosen = 0;
+  if (LoadOf(*best[0].upstream, now) >= options_.spill_load) {
+    for (std::size_t i = 1; i < copies; ++i) {
+      if (LoadOf(*best[i].upstream, now) <
+          LoadOf(*best[chosen].upstream, now)) {
+        chosen = i;
+      }
+    }
   }
-  return no_selection::kBusy;
+  const upstream_standing& upstream = *best[chosen].upstream;
+  if (LoadOf(upstream, now) >= options_.load_limit) return no_selection::kBusy;
+  return selection{upstream.Record().id, upstream.Load(now),
+                   upstream.Record().slots, upstream.IsCold(now), chosen == 0};
 }
 
 }  // namespace citron
--- a/tests/policy/affinity_selector_test.cc
+++ b/tests/policy/affinity_selector_test.cc
@@ -31,6 +31,7 @@
     options.region_weight = 1;
     options.large_answer_weight = 8;
     options.copies = 2;
+    options.spill_load = 1;
     options.load_limit = 2;
     return options;
   }
