Large answers come from the own zone; watches wait instead of being paced

Entries change seldom, so that a watch which waits two seconds is half of the calls and hears of changes sooner.

--- a/include/citron/policy/affinity_selector.h
+++ b/include/citron/policy/affinity_selector.h
@@ -18,15 +18,17 @@
 struct selector_options {
   zone_id zone;  // Of this VM.
   region_id region;
-  // Weights of upstreams of the own zone and of the own region against those
-  // elsewhere, and what large answers add to both.
+  // Weights of upstreams of the own zone against the own region, and of the
+  // own region against others; for large answers others, since each of them
+  // that crosses a zone costs more than what it is worth.
   double zone_weight = 2;
   double region_weight = 2;
-  double large_answer_weight = 8;
+  double large_zone_weight = 64;
+  double large_region_weight = 8;
   // Upstreams that share one object. The first takes it up to the first load in
   // slots, above that the one with the least, up to the second.
   int copies = 2;
-  double spill_load = 1.5;
+  double spill_load = 3;
   double load_limit = 3.5;
   // Upstreams of one zone that can't be connected to before the zone counts as
   // out of reach, and for how long.
--- a/include/citron/protocol/fleet_feed.h
+++ b/include/citron/protocol/fleet_feed.h
@@ -9,12 +9,13 @@
 namespace citron {
 
 struct feed_options {
-  // Changes are asked for this often. Upstreams write all the time, so that a
-  // watch that is asked again at once would be a call for each of their writes.
-  duration poll_interval = FromMilliseconds(1000);
-  // How long a watch waits in the store where nothing changes; shorter than
-  // the interval, since each answer proves that the copy is current.
-  duration watch_wait = FromMilliseconds(700);
+  // A watch that was answered is not asked again sooner: changes come in rows,
+  // and each call is paid for.
+  duration least_interval = FromMilliseconds(300);
+  // How long a watch waits in the store where nothing changes. Its end is a
+  // call and a proof that the copy is current; longer ones would leave a VM
+  // without a proof for more than half of what revocation allows.
+  duration watch_wait = FromMilliseconds(2000);
   duration retry_interval = FromMilliseconds(300);
   // What is missing after an outage may still come back for this long.
   duration lapse_grace = FromMilliseconds(2100);
@@ -38,7 +39,8 @@
   monotonic_time NextAt() const { return next_at_; }
 
   void OnRange(std::uint64_t revision, monotonic_time now);
-  void OnEvents(std::uint64_t revision, monotonic_time now);
+  // `any`: there were changes, so that the watch ended before its wait.
+  void OnEvents(std::uint64_t revision, bool any, monotonic_time now);
   void OnCompacted(monotonic_time now);
   void OnFailed(monotonic_time now);
 
@@ -54,7 +56,8 @@
   std::uint64_t Revision() const { return revision_; }
 
  private:
-  void OnAnswer(std::uint64_t revision, monotonic_time now);
+  void OnAnswer(std::uint64_t revision, monotonic_time proven_at,
+                monotonic_time now);
 
   feed_options options_;
   bool under_way_ = false;
--- a/src/node/request_gate.cc
+++ b/src/node/request_gate.cc
@@ -13,7 +13,7 @@
 // Of the time after which a withdrawn key must not work any more: how old the
 // proof of the declaration may be. The rest covers a watch that heard nothing
 // for a moment while changes were made.
-constexpr double kRevocationPart = 0.86;
+constexpr double kRevocationPart = 0.82;
 // When a caller whose VM has lost the store should ask again: at once, since
 // its next connection goes to another VM.
 constexpr duration kElsewhere = std::chrono::milliseconds(50);
--- a/src/node/store_sync.cc
+++ b/src/node/store_sync.cc
@@ -14,7 +14,6 @@
 // after this long is cut off, and a new connection may reach it.
 constexpr duration kAnswerLimit = std::chrono::milliseconds(1000);
 constexpr duration kRangeLimit = std::chrono::milliseconds(2000);
-constexpr duration kWatchWait = std::chrono::milliseconds(700);
 
 }  // namespace
 
@@ -38,7 +37,7 @@
                  [this](const result<store_range>& range) { OnRange(range); });
     return;
   }
-  const monotonic_time wait_until = now + kWatchWait;
+  const monotonic_time wait_until = now + feed_options{}.watch_wait;
   store_.Watch(
       "", order->after, wait_until, wait_until + kAnswerLimit,
       [this](const result<store_events>& events) { OnEvents(events); });
@@ -70,7 +69,7 @@
     context_.feed.OnCompacted(now);
     return Run(now);
   }
-  context_.feed.OnEvents(got.revision, now);
+  context_.feed.OnEvents(got.revision, !got.events.empty(), now);
   for (const store_event& event : got.events) {
     context_.fleet.ApplyEvent(event, context_.feed.LapsedUntil(), now);
   }
--- a/src/policy/affinity_selector.cc
+++ b/src/policy/affinity_selector.cc
@@ -120,10 +120,11 @@
                                    bool large_answer) const {
   double weight = std::max(1, upstream.Record().slots);
   if (upstream.Region() != options_.region) return weight;
-  weight *= options_.region_weight;
-  if (upstream.Record().zone == options_.zone) weight *= options_.zone_weight;
-  if (large_answer) weight *= options_.large_answer_weight;
-  return weight;
+  weight *=
+      large_answer ? options_.large_region_weight : options_.region_weight;
+  if (upstream.Record().zone != options_.zone) return weight;
+  return weight *
+         (large_answer ? options_.large_zone_weight : options_.zone_weight);
 }
 
 std::variant<selection, no_selection> affinity_selector::Choose(
--- a/src/protocol/fleet_feed.cc
+++ b/src/protocol/fleet_feed.cc
@@ -24,21 +24,27 @@
   needs_range_ = false;
   has_copy_ = true;
   revision_ = revision;
-  OnAnswer(revision, now);
+  OnAnswer(revision, sent_at_, now);
 }
 
-void fleet_feed::OnEvents(std::uint64_t revision, monotonic_time now) {
-  OnAnswer(revision, now);
+// A watch without changes was held by the store for its whole wait, so that the
+// answer was made that long after the call was sent at the soonest; it may have
+// been read much later, by a VM that was frozen.
+void fleet_feed::OnEvents(std::uint64_t revision, bool any,
+                          monotonic_time now) {
+  const monotonic_time held = std::min(now, sent_at_ + options_.watch_wait);
+  OnAnswer(revision, any ? sent_at_ : held, now);
 }
 
-void fleet_feed::OnAnswer(std::uint64_t revision, monotonic_time now) {
+// The store saw the call after it was sent; only that is certain otherwise.
+void fleet_feed::OnAnswer(std::uint64_t revision, monotonic_time proven_at,
+                          monotonic_time now) {
   under_way_ = false;
   revision_ = std::max(revision_, revision);
-  // The store saw the call after it was sent; only that is certain.
-  proven_at_ = sent_at_;
+  proven_at_ = proven_at;
   if (failures_ > 0) lapsed_until_ = now + options_.lapse_grace;
   failures_ = 0;
-  next_at_ = std::max(now, sent_at_ + options_.poll_interval);
+  next_at_ = std::max(now, sent_at_ + options_.least_interval);
 }
 
 void fleet_feed::OnCompacted(monotonic_time now) {
