--- a/include/citron/node/request_gate.h
+++ b/include/citron/node/request_gate.h
@@ -9,6 +9,7 @@
 #include "citron/config/routing_config.h"
 #include "citron/net/http1_reader.h"
 #include "citron/node/node_context.h"
+#include "citron/protocol/workspace_quota.h"
 
 namespace citron {
 
@@ -25,6 +26,9 @@
   int status = 0;
   const char* reason = "";
   duration retry_after{};  // Zero: coming back doesn't help.
+  // Where a quota decided: whose, and how it stood.
+  workspace_id workspace;
+  quota_state quota;
 };
 
 // Whether the declaration is proved current enough to let keys in.
--- a/include/citron/protocol/workspace_quota.h
+++ b/include/citron/protocol/workspace_quota.h
@@ -32,6 +32,16 @@
   double admitted_in_window = 0;
 };
 
+// What decided about the last request; for the log.
+struct quota_state {
+  double rate_per_s = 0;
+  double burst = 0;
+  double share = 0;   // Of this VM.
+  double tokens = 0;  // In this VM's bucket; below zero what was lent.
+  double fleet_admitted = 0;
+  double window_limit = 0;
+};
+
 // Holds one workspace to its rate and burst over all VMs, without asking
 // anybody for a request.
 class workspace_quota {
@@ -51,6 +61,8 @@
   // When a refused request may come again.
   monotonic_time NextTokenAt(monotonic_time now) const;
 
+  quota_state State(monotonic_time now) const;
+
   // What to tell the others; the own share counts by what was told last.
   quota_report Report(monotonic_time now);
 
--- a/src/node/request_gate.cc
+++ b/src/node/request_gate.cc
@@ -84,7 +84,8 @@
   if (admitted.workspace == nullptr) return turned_away{401, "unknown_key", {}};
   workspace_quota* quota = context.fleet.QuotaOf(admitted.workspace->id);
   if (quota != nullptr && !quota->TryAdmit(now)) {
-    return turned_away{429, "over_rate", quota->NextTokenAt(now) - now};
+    return turned_away{429, "over_rate", quota->NextTokenAt(now) - now,
+                       admitted.workspace->id, quota->State(now)};
   }
   return admitted;
 }
--- a/src/protocol/workspace_quota.cc
+++ b/src/protocol/workspace_quota.cc
@@ -180,6 +180,11 @@
   return now + FromSeconds(std::max(0.0, 1 - tokens_) / per_s);
 }
 
+quota_state workspace_quota::State(monotonic_time now) const {
+  return {rate_per_s_,        burst_,          Share(now), tokens_,
+          FleetAdmitted(now), WindowLimit(now)};
+}
+
 quota_report workspace_quota::Report(monotonic_time now) {
   UpdateDemand(now);
   Advance(admitted_, now);
