--- a/src/node/fleet_state.cc
+++ b/src/node/fleet_state.cc
@@ -24,6 +24,10 @@
 constexpr double kRetryPart = 0.7;
 // Part of the quota's slack that buckets may be rounded up by.
 constexpr double kQuotaSlackPart = 0.6;
+// Part of the quota's overshoot that is used: VMs that count apart let other
+// requests in than one counter would, and each that one would have let in and
+// they refuse is a request refused inside the rate.
+constexpr double kQuotaOvershootPart = 0.5;
 // Upstreams of a zone that was closed come back cold without a word of it.
 constexpr duration kReopenedColdSpell = std::chrono::seconds(3);
 
@@ -150,7 +154,9 @@
   for (const workspace_terms& terms : routing_->workspaces) {
     const auto quota =
         quotas_.try_emplace(terms.id, workspace_quota(options, now)).first;
-    quota->second.SetTerms(terms.rate_per_s, terms.burst, now);
+    const double tolerated =
+        1 + kQuotaOvershootPart * settings_.bounds.quota_overshoot;
+    quota->second.SetTerms(terms.rate_per_s * tolerated, terms.burst, now);
   }
   std::erase_if(quotas_, [this](const auto& quota) {
     return std::none_of(
