A change late in a watch does not make every VM unready

A watch now waits no longer than the proof may age (2.4 s). Ruled out: the store (no failed call near it).

--- a/include/citron/protocol/fleet_feed.h
+++ b/include/citron/protocol/fleet_feed.h
@@ -16,6 +16,10 @@
   // call and a proof that the copy is current; longer ones would leave a VM
   // without a proof for more than half of what revocation allows.
   duration watch_wait = FromMilliseconds(2000);
+  // A watch that ends with a change proves only its beginning: the next one
+  // waits less, so that the proof is never older than this and an answer.
+  duration oldest_proof = FromMilliseconds(2400);
+  duration least_wait = FromMilliseconds(100);
   duration retry_interval = FromMilliseconds(300);
   // What is missing after an outage may still come back for this long.
   duration lapse_grace = FromMilliseconds(2100);
@@ -28,7 +32,8 @@
   enum class call { kRange, kWatch };
   struct order {
     call what = call::kRange;
-    std::uint64_t after = 0;  // For a watch.
+    std::uint64_t after = 0;  // For a watch, and how long it may wait.
+    duration wait{};
   };
 
   explicit fleet_feed(const feed_options& options);
@@ -67,6 +72,7 @@
   std::uint64_t revision_ = 0;
   monotonic_time next_at_{};
   monotonic_time sent_at_{};
+  duration wait_{};  // Of the watch that was sent last.
   monotonic_time lapsed_until_{};
   std::optional<monotonic_time> proven_at_;
 };
--- a/src/node/store_sync.cc
+++ b/src/node/store_sync.cc
@@ -37,7 +37,7 @@
                  [this](const result<store_range>& range) { OnRange(range); });
     return;
   }
-  const monotonic_time wait_until = now + feed_options{}.watch_wait;
+  const monotonic_time wait_until = now + order->wait;
   store_.Watch(
       "", order->after, wait_until, wait_until + kAnswerLimit,
       [this](const result<store_events>& events) { OnEvents(events); });
--- a/src/protocol/fleet_feed.cc
+++ b/src/protocol/fleet_feed.cc
@@ -16,8 +16,10 @@
   if (under_way_ || now < next_at_) return std::nullopt;
   under_way_ = true;
   sent_at_ = now;
-  if (needs_range_) return order{call::kRange, 0};
-  return order{call::kWatch, revision_};
+  if (needs_range_) return order{call::kRange, 0, {}};
+  const duration left = options_.oldest_proof - (now - *proven_at_);
+  wait_ = std::clamp(left, options_.least_wait, options_.watch_wait);
+  return order{call::kWatch, revision_, wait_};
 }
 
 void fleet_feed::OnRange(std::uint64_t revision, monotonic_time now) {
@@ -32,7 +34,7 @@
 // been read much later, by a VM that was frozen.
 void fleet_feed::OnEvents(std::uint64_t revision, bool any,
                           monotonic_time now) {
-  const monotonic_time held = std::min(now, sent_at_ + options_.watch_wait);
+  const monotonic_time held = std::min(now, sent_at_ + wait_);
   OnAnswer(revision, any ? sent_at_ : held, now);
 }
 
