--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -442,6 +442,7 @@
     exchange_.Abort();
     return Finish(0, "deadline");
   }
+  last_reason_ = "deadline";
   if (attempt_open_) {
     if (sent_ && verdict_ == verdict::kNotRun) verdict_ = verdict::kMayHaveRun;
     EndAttempt(upstream_outcome::kTimedOut);
