--- a/tests/protocol/fleet_feed_test.cc
+++ b/tests/protocol/fleet_feed_test.cc
@@ -40,15 +40,15 @@
 // in time without a call for each.
 BOOST_AUTO_TEST_CASE(ManyChangesAreFetchedTogether) {
   ReadCopy(1);
-  int calls = 0;
+  std::uint64_t calls = 0;
   for (int ms = 0; ms < 6000; ms += 10) {
     now_ += milliseconds(10);
     if (!feed_.Next(now_)) continue;
     ++calls;
-    feed_.OnEvents(static_cast<std::uint64_t>(calls + 1), true, now_);
+    feed_.OnEvents(calls + 1, true, now_);
   }
-  BOOST_TEST(calls >= 19);
-  BOOST_TEST(calls <= 20);
+  BOOST_TEST(calls >= 19u);
+  BOOST_TEST(calls <= 20u);
 }
 
 // The store held the watch for its whole wait. That the copy was current at its
@@ -80,14 +80,14 @@
   ReadCopy(1);
   feed_.SetFleetSize(60);
   now_ += seconds(1);
-  int calls = 0;
+  std::uint64_t calls = 0;
   for (int ms = 0; ms < 11000; ms += 10) {
     now_ += milliseconds(10);
     if (!feed_.Next(now_)) continue;
     ++calls;
-    feed_.OnEvents(static_cast<std::uint64_t>(calls + 1), true, now_);
+    feed_.OnEvents(calls + 1, true, now_);
   }
-  BOOST_TEST(calls == 10);
+  BOOST_TEST(calls == 10u);
 }
 
 // An answer that comes late proves only what held when it was asked for. A VM
@@ -107,14 +107,14 @@
 // at the same moment.
 BOOST_AUTO_TEST_CASE(ChangesDoNotLetTheProofGrowOld) {
   ReadCopy(5);
-  for (int i = 0; i < 20; ++i) {
+  for (std::uint64_t i = 0; i < 20; ++i) {
     now_ = std::max(now_, feed_.NextAt());
     const auto order = feed_.Next(now_);
     BOOST_REQUIRE(order);
     const bool change = i % 3 != 2;
     now_ += change ? order->wait - milliseconds(10) : order->wait;
     BOOST_TEST(feed_.IsProvenSince(milliseconds(2701), now_));
-    feed_.OnEvents(static_cast<std::uint64_t>(6 + i), change, now_);
+    feed_.OnEvents(6 + i, change, now_);
   }
 }
 
