--- a/standins/platform/platform_server.cc
+++ b/standins/platform/platform_server.cc
@@ -21,7 +21,7 @@
 }
 
 bool IsWatch(const http_request& request) {
-  return request.Path() == "/v1/watch";
+  return request.Path() == "/v1/watch" || published_calls::IsWatch(request);
 }
 
 http_response BadRequest(const std::string& problem) {
@@ -73,7 +73,7 @@
 }
 
 platform_server::platform_server(event_loop& loop, std::size_t history_bound)
-    : loop_(loop), store_(history_bound), timers_(loop) {}
+    : loop_(loop), store_(history_bound), published_(store_), timers_(loop) {}
 
 status platform_server::Load(const nlohmann::json& data) {
   if (!data.is_object()) {
@@ -142,12 +142,18 @@
   watch.exchange = &exchange;
   watch.prefix = request.Query("prefix").value_or("");
   watch.after = QueryNumber(request, "after").value_or(0);
+  std::uint64_t wait_ms = QueryNumber(request, "wait_ms").value_or(0);
+  watch.is_published = published_calls::IsWatch(request);
+  if (watch.is_published) {
+    const published_watch asked = published_calls::ReadWatch(request);
+    watch.prefix = asked.prefix;
+    wait_ms = asked.wait_ms;
+  }
   watch.id = ++last_watch_;
   if (AnswerWatch(watch, false)) return;
   exchange.OnGone([this, id = watch.id] { EndWatch(id); });
   watches_.push_back(watch);
-  const std::uint64_t wait_ms =
-      std::min(QueryNumber(request, "wait_ms").value_or(0), kMaxWaitMs);
+  wait_ms = std::min(wait_ms, kMaxWaitMs);
   timers_.At(MonotonicNow() + std::chrono::milliseconds(wait_ms),
              [this, id = watch.id] {
                const auto found = std::find_if(
@@ -176,6 +182,10 @@
     watch.exchange->Abort();
     return true;
   }
+  if (watch.is_published) {
+    watch.exchange->Reply(published_.WatchAnswer(history));
+    return true;
+  }
   watch.exchange->Reply(
       JsonResponse(200, {{"revision", store_.Revision()},
                          {"events", EventsJson(history.events)},
@@ -188,6 +198,7 @@
 }
 
 http_response platform_server::Answer(const http_request& request) {
+  if (published_calls::IsOne(request)) return published_.Answer(request);
   const std::string_view path = request.Path();
   if (path == "/v1/kv" && request.method == "GET") return Get(request);
   if (path == "/v1/kv" && request.method == "PUT") return Put(request);
--- a/standins/platform/platform_server.h
+++ b/standins/platform/platform_server.h
@@ -15,6 +15,7 @@
 #include "citron/net/event_loop.h"
 #include "citron/net/http_server.h"
 #include "standins/platform/kv_store.h"
+#include "standins/platform/published_calls.h"
 #include "standins/timer_queue.h"
 
 namespace citron {
@@ -43,6 +44,7 @@
     std::string prefix;
     std::uint64_t after = 0;
     std::uint64_t id = 0;
+    bool is_published = false;
   };
   // A call that waits before it takes effect; its caller may go meanwhile.
   struct delayed_call {
@@ -78,6 +80,7 @@
 
   event_loop& loop_;
   kv_store store_;
+  published_calls published_;
   timer_queue timers_;
   platform_faults faults_;
   nlohmann::json shown_vms_ = nlohmann::json::array();
