--- a/include/citron/policy/affinity_selector.h
+++ b/include/citron/policy/affinity_selector.h
@@ -87,6 +87,10 @@
   std::size_t Count() const { return upstreams_.size(); }
 
  private:
+  struct candidate {
+    double cost = 0;
+    const upstream_standing* upstream = nullptr;
+  };
   struct path_state {
     int failures = 0;
     monotonic_time avoided_until{};
@@ -97,6 +101,7 @@
   bool IsAvailable(const upstream_standing& upstream,
                    const selection_request& request, bool spare_ejected,
                    monotonic_time now) const;
+  void KeepCopies(std::vector<candidate>& candidates) const;
   double WeightOf(const upstream_standing& upstream, bool large_answer) const;
 
   selector_options options_;
--- a/src/policy/affinity_selector.cc
+++ b/src/policy/affinity_selector.cc
@@ -8,11 +8,6 @@
 
 namespace {
 
-struct candidate {
-  double cost = 0;
-  const upstream_standing* upstream = nullptr;
-};
-
 bool Contains(const std::set<region_id>* homes, const region_id& region) {
   return homes == nullptr || homes->empty() || homes->contains(region);
 }
@@ -127,6 +122,23 @@
          (large_answer ? options_.large_zone_weight : options_.zone_weight);
 }
 
+// Leaves the upstreams that share the object, the first one first. Copies stand
+// in the region of the first: a flood that fills the first ones would otherwise
+// move a third of a region's requests to other regions from one second to the
+// next, and back at its end.
+void affinity_selector::KeepCopies(std::vector<candidate>& candidates) const {
+  std::sort(
+      candidates.begin(), candidates.end(),
+      [](const candidate& a, const candidate& b) { return a.cost < b.cost; });
+  const region_id region = candidates.front().upstream->Region();
+  std::erase_if(candidates, [&region](const candidate& c) {
+    return c.upstream->Region() != region;
+  });
+  if (candidates.size() > static_cast<std::size_t>(options_.copies)) {
+    candidates.resize(static_cast<std::size_t>(options_.copies));
+  }
+}
+
 std::variant<selection, no_selection> affinity_selector::Choose(
     const selection_request& request, monotonic_time now) const {
   if (upstreams_.empty()) return no_selection::kNoneKnown;
@@ -149,15 +161,10 @@
   }
   if (!allowed) return no_selection::kNotAllowed;
   if (best.empty()) return no_selection::kUnavailable;
-  const auto copies = std::min<std::size_t>(
-      best.size(), static_cast<std::size_t>(options_.copies));
-  std::partial_sort(
-      best.begin(), best.begin() + static_cast<std::ptrdiff_t>(copies),
-      best.end(),
-      [](const candidate& a, const candidate& b) { return a.cost < b.cost; });
+  KeepCopies(best);
   std::size_t chosen = 0;
   if (LoadOf(*best[0].upstream, now) >= options_.spill_load) {
-    for (std::size_t i = 1; i < copies; ++i) {
+    for (std::size_t i = 1; i < best.size(); ++i) {
       if (LoadOf(*best[i].upstream, now) <
           LoadOf(*best[chosen].upstream, now)) {
         chosen = i;
--- a/tests/policy/affinity_selector_test.cc
+++ b/tests/policy/affinity_selector_test.cc
@@ -33,6 +33,7 @@
     options.large_region_weight = 8;
     options.copies = 2;
     options.spill_load = 1;
+    options.spill_load = 1;
     options.load_limit = 2;
     return options;
   }
@@ -125,6 +126,31 @@
   BOOST_TEST(sent == 12);
 }
 
+// A flood fills the first upstreams of many objects. What spills over must stay
+// in their regions: the links between regions are narrow, and the receiving
+// region is warm for other objects.
+BOOST_AUTO_TEST_CASE(AFloodDoesNotMoveObjectsToAnotherRegion) {
+  const auto region_of = [this](const std::string& id) {
+    return selector_.Find(upstream_id(id))->Region().Str();
+  };
+  std::map<int, std::string> before;
+  for (int object = 0; object < 200; ++object) {
+    before[object] = region_of(Chosen(Object(object)));
+  }
+  int spilled = 0;
+  for (int i = 0; i < 60; ++i) {
+    for (const auto& [object, region] : before) {
+      const auto chosen = selector_.Choose(Object(object), now_);
+      const auto* selected = std::get_if<selection>(&chosen);
+      if (selected == nullptr) continue;
+      if (!selected->first_choice) ++spilled;
+      BOOST_TEST(region_of(selected->upstream.Str()) == region);
+      Fill(selected->upstream.Str(), 1);
+    }
+  }
+  BOOST_TEST(spilled > 0);
+}
+
 BOOST_AUTO_TEST_CASE(AllowedRegionsBindAlsoWhenAllIsBusyThere) {
   const std::set<region_id> homes{region_id("r1")};
   selection_request request = Object(1);
