--- a/apps/citron_node.cc
+++ b/apps/citron_node.cc
@@ -8,6 +8,7 @@
 #include "citron/config/command_line.h"
 #include "citron/net/daemon_runner.h"
 #include "citron/net/event_loop.h"
+#include "citron/node/file_watch.h"
 #include "citron/node/node_task.h"
 #include "platform/fleet_documents.h"
 #include "platform/kv_platform_store.h"
@@ -17,6 +18,9 @@
 namespace {
 
 constexpr char kProgram[] = "citron_node";
+// How often the settings file is looked at; a change of bounds is in force well
+// inside the time that a change of the declaration has.
+constexpr citron::duration kSettingsInterval = std::chrono::seconds(1);
 
 std::string DefaultFile() {
   const char* file = std::getenv(citron::platform::kSettingsVariable);
@@ -56,14 +60,17 @@
     return Fail(citron::ErrorOf(task), citron::kExitFailed);
   }
   citron::node_task& node = *citron::ValueOf(task);
-  loop->OnSignal(SIGHUP, [&] {
+  const auto reload = [&] {
     const citron::result<citron::node_settings> read =
         citron::platform::LoadSettings(command.config_file);
     if (citron::IsOk(read)) return node.Reload(citron::ValueOf(read));
     log.Write("node", "reload_rejected",
               {{"problem", citron::ErrorOf(read).message}},
               citron::MonotonicNow());
-  });
+  };
+  loop->OnSignal(SIGHUP, reload);
+  const citron::file_watch settings_watch(*loop, command.config_file,
+                                          kSettingsInterval, reload);
   log.Write("node", "started",
             {{"vm", citron::ValueOf(settings).vm.Str()},
              {"version", CITRON_VERSION},
