One piece of code for own answers, addresses, freshness and age in the node

Read again as a newcomer: the answer that this system gives itself was written three times (turned away, refused, may have run), a socket address three times, the test of a declaration's age twice, and its age for the log twice. A handler that does nothing stood in for a request that has its answer, two members and two functions had no caller, a set was copied to be walked, and a parameter was unused.

--- a/include/citron/node/caller_connection.h
+++ b/include/citron/node/caller_connection.h
@@ -35,8 +35,6 @@
   // Closes now if no request is under way or has begun to come in.
   void CloseIfIdle();
   bool IsIdle() const;
-  // Whether a request is being served.
-  bool IsBusy() const { return handler_ != nullptr; }
 
  private:
   enum class state { kReading, kServing, kClosing, kEnded };
--- a/include/citron/node/caller_exchange.h
+++ b/include/citron/node/caller_exchange.h
@@ -48,7 +48,7 @@
   virtual void OnDrained() = 0;
 };
 
-// Makes the handler of a request; Start is called on it right after.
+// Makes the handler of a request; null if it has its answer already.
 class request_handler_factory {
  public:
   virtual ~request_handler_factory() = default;
--- a/include/citron/node/fleet_state.h
+++ b/include/citron/node/fleet_state.h
@@ -62,7 +62,7 @@
   void ApplyVm(const store_item& item, const vm_id& id, monotonic_time now);
   void Remove(const std::string& key, monotonic_time now);
   void RemoveUpstream(const upstream_id& id);
-  void SetClosedZones(monotonic_time now);
+  void SetClosedZones();
   void SetFleetSize();
   void SetColdAllowances();
   cold_allowance AllowanceFor(const upstream_standing& upstream) const;
--- a/include/citron/node/node_context.h
+++ b/include/citron/node/node_context.h
@@ -24,6 +24,12 @@
   upstream_pool& pool;
 };
 
+// How old the copy of the store is proved to be, for the log; -1 without one.
+inline double StoreAgeMs(const node_context& context, monotonic_time now) {
+  const auto proven = context.feed.ProvenAt();
+  return proven ? ToMilliseconds(now - *proven) : -1.0;
+}
+
 }  // namespace citron
 
 #endif  // CITRON_NODE_NODE_CONTEXT_H_
--- a/include/citron/node/request_gate.h
+++ b/include/citron/node/request_gate.h
@@ -31,8 +31,10 @@
   quota_state quota;
 };
 
-// Whether the declaration is proved current enough to let keys in.
-bool KeysAreCurrent(const node_context& context, monotonic_time now);
+// Whether the declaration is proved to be younger than that part of the time
+// in which a withdrawn key must stop working.
+bool IsCurrentWithin(double revocation_part, const node_context& context,
+                     monotonic_time now);
 
 // Host, path, key and rate, in this order.
 std::variant<admitted_request, turned_away> AdmitRequest(node_context& context,
--- a/include/citron/node/upstream_connection.h
+++ b/include/citron/node/upstream_connection.h
@@ -69,7 +69,6 @@
   // Whether it can carry another request now: it is idle, and the upstream
   // won't close it within `margin`.
   bool IsReusable(duration margin, monotonic_time now) const;
-  bool IsReused() const { return calls_ > 1; }
   std::size_t PendingBytes() const;
 
  private:
@@ -100,7 +99,6 @@
   bool skipping_ = false;  // The answer of an earlier request.
   bool stays_open_ = true;
   bool paused_ = false;
-  int calls_ = 0;
   monotonic_time idle_since_{};
   duration keep_alive_limit_;
 };
--- a/src/node/fleet_state.cc
+++ b/src/node/fleet_state.cc
@@ -45,8 +45,7 @@
     present.insert(item.key);
     ApplyItem(item, now);
   }
-  const std::set<std::string> known = keys_;
-  for (const std::string& key : known) {
+  for (const std::string& key : keys_) {
     if (!present.contains(key)) missing_.emplace(key, keep_missing_until);
   }
   RemoveMissing(now);
@@ -86,7 +85,7 @@
       if (closed_zones_.insert(zone_id(key.name)).second) {
         log_.Write("fleet", "zone_closed",
                    {{"zone", key.name}, {"revision", item.revision}}, now);
-        SetClosedZones(now);
+        SetClosedZones();
       }
       return;
     case store_key_kind::kOther:
@@ -113,7 +112,7 @@
     case store_key_kind::kClosedZone: {
       closed_zones_.erase(zone_id(key.name));
       log_.Write("fleet", "zone_opened", {{"zone", key.name}}, now);
-      SetClosedZones(now);
+      SetClosedZones();
       const zone_id zone(key.name);
       for (auto& [service, selector] : selectors_) {
         selector.ForEach([&](upstream_standing& upstream) {
@@ -232,7 +231,7 @@
   service_of_.erase(known);
 }
 
-void fleet_state::SetClosedZones(monotonic_time) {
+void fleet_state::SetClosedZones() {
   for (auto& [service, selector] : selectors_) {
     selector.SetClosedZones(closed_zones_);
   }
--- a/src/node/node_task.cc
+++ b/src/node/node_task.cc
@@ -1,9 +1,7 @@
 #include "citron/node/node_task.h"
 
-#include <arpa/inet.h>
 #include <event2/listener.h>
 #include <fmt/format.h>
-#include <netinet/in.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -11,6 +9,8 @@
 #include <utility>
 
 #include "citron/node/proxied_request.h"
+#include "node/own_answer.h"
+#include "node/socket_address.h"
 
 namespace citron {
 
@@ -26,32 +26,6 @@
 constexpr double kAcceptPart = 0.55;
 constexpr double kEndPart = 0.95;
 
-// What a request gets that is turned away.
-void ReplyTurnedAway(const turned_away& turned, const std::string& id,
-                     const header_names& names, caller_exchange& exchange) {
-  http_headers headers{{"Content-Type", "application/json"}};
-  if (!id.empty()) headers.push_back({names.request_id, id});
-  if (turned.status == 401) {
-    headers.push_back({"WWW-Authenticate", names.key_scheme});
-  }
-  if (turned.retry_after > duration::zero()) {
-    headers.push_back(
-        {"Retry-After", fmt::format("{:.3f}", ToSeconds(turned.retry_after))});
-  }
-  exchange.Reply(
-      turned.status, headers,
-      fmt::format(R"({{"error":"{}","verdict":"not_run"}})", turned.reason));
-}
-
-// The handler of a request that has its answer already.
-class answered_request : public request_handler {
- public:
-  void OnBody(std::string_view) override {}
-  void OnBodyEnd() override {}
-  void OnCallerGone() override {}
-  void OnDrained() override {}
-};
-
 }  // namespace
 
 result<std::unique_ptr<node_task>> node_task::Make(
@@ -92,10 +66,7 @@
 }
 
 status node_task::Listen() {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(settings_.callers.port);
-  inet_pton(AF_INET, settings_.callers.address.c_str(), &address.sin_addr);
+  sockaddr_in address = SocketAddress(settings_.callers);
   listener_ = evconnlistener_new_bind(
       loop_.Base(),
       [](evconnlistener*, evutil_socket_t descriptor, sockaddr*, int,
@@ -160,8 +131,10 @@
          {"store_age_ms",
           feed_.ProvenAt() ? ToMilliseconds(now - *feed_.ProvenAt()) : -1.0}},
         now);
-    ReplyTurnedAway(*turned, request, names_, exchange);
-    return std::make_unique<answered_request>();
+    ReplyOwn(
+        {turned->status, turned->reason, verdict::kNotRun, turned->retry_after},
+        request, names_, exchange);
+    return nullptr;
   }
   auto request = std::make_unique<proxied_request>(
       context_, std::move(head), std::get<admitted_request>(std::move(gate)),
@@ -175,10 +148,7 @@
   // A VM that can't let keys in is of no use to most callers, and sends them
   // away some time before it comes to that.
   constexpr double kReadyPart = 0.6;
-  const duration limit =
-      FromSeconds(kReadyPart * ToSeconds(settings_.bounds.revocation));
-  return !settings_.bounds.strict_revocation ||
-         feed_.IsProvenSince(limit, MonotonicNow());
+  return IsCurrentWithin(kReadyPart, context_, MonotonicNow());
 }
 
 void node_task::OnTick() {
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -1,10 +1,8 @@
 #include "citron/node/peer_exchange.h"
 
-#include <arpa/inet.h>
 #include <event2/event.h>
 #include <fcntl.h>
 #include <fmt/format.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -17,6 +15,7 @@
 
 #include "citron/wire/codec.h"
 #include "citron/wire/fields.h"
+#include "node/socket_address.h"
 
 namespace citron {
 
@@ -38,14 +37,6 @@
 // Reports that may be lost in a row before a VM counts as not heard.
 constexpr int kLostReports = 4;
 
-sockaddr_in AddressOf(const endpoint& to) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(to.port);
-  inet_pton(AF_INET, to.address.c_str(), &address.sin_addr);
-  return address;
-}
-
 }  // namespace
 
 result<std::unique_ptr<peer_exchange>> peer_exchange::Make(
@@ -56,7 +47,7 @@
     return MakeError(error_code::kUnavailable,
                      fmt::format("datagram socket: {}", std::strerror(errno)));
   }
-  const sockaddr_in address = AddressOf(context.settings.peer);
+  const sockaddr_in address = SocketAddress(context.settings.peer);
   if (bind(descriptor, reinterpret_cast<const sockaddr*>(&address),
            sizeof(address)) != 0) {
     const std::string problem = std::strerror(errno);
@@ -103,7 +94,7 @@
   const std::string bytes = EncodeWire(report);
   for (const auto& [vm, listing] : context_.fleet.Vms()) {
     if (vm == context_.settings.vm) continue;
-    const sockaddr_in to = AddressOf(listing.peer);
+    const sockaddr_in to = SocketAddress(listing.peer);
     // One that can't be sent is a lost one; the next follows.
     sendto(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL,
            reinterpret_cast<const sockaddr*>(&to), sizeof(to));
--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -8,6 +8,7 @@
 
 #include "citron/base/digest.h"
 #include "node/forwarded_head.h"
+#include "node/own_answer.h"
 
 namespace citron {
 
@@ -415,22 +416,14 @@
 
 void proxied_request::Refuse(int status, const char* reason,
                              duration retry_after) {
-  http_headers headers{{"Content-Type", "application/json"}};
-  if (!id_.empty()) headers.push_back({context_.names.request_id, id_});
-  headers.push_back(
-      {"Retry-After", fmt::format("{:.3f}", ToSeconds(retry_after))});
-  exchange_.Reply(
-      status, headers,
-      fmt::format(R"({{"error":"{}","verdict":"not_run"}})", reason));
+  ReplyOwn({status, reason, verdict::kNotRun, retry_after}, id_, context_.names,
+           exchange_);
   Finish(status, reason);
 }
 
 void proxied_request::FailMaybeRun(int status, const char* reason) {
-  http_headers headers{{"Content-Type", "application/json"}};
-  if (!id_.empty()) headers.push_back({context_.names.request_id, id_});
-  exchange_.Reply(
-      status, headers,
-      fmt::format(R"({{"error":"{}","verdict":"may_have_run"}})", reason));
+  ReplyOwn({status, reason, verdict::kMayHaveRun, {}}, id_, context_.names,
+           exchange_);
   Finish(status, reason);
 }
 
@@ -470,21 +463,18 @@
   context_.stats.ObserveSeconds("citron_request_seconds",
                                 {{"route", admitted_.route->id.Str()}},
                                 ToSeconds(took));
-  context_.log.Write(
-      "request", "ended",
-      {{"id", id_},
-       {"route", admitted_.route->id.Str()},
-       {"service", service_.Str()},
-       {"status", status},
-       {"outcome", outcome},
-       {"verdict", VerdictName(verdict_)},
-       {"tries", tried_.size()},
-       {"upstream", upstream_.Str()},
-       {"ms", ToMilliseconds(took)},
-       {"store_age_ms", context_.feed.ProvenAt()
-                            ? ToMilliseconds(now - *context_.feed.ProvenAt())
-                            : -1.0}},
-      now);
+  context_.log.Write("request", "ended",
+                     {{"id", id_},
+                      {"route", admitted_.route->id.Str()},
+                      {"service", service_.Str()},
+                      {"status", status},
+                      {"outcome", outcome},
+                      {"verdict", VerdictName(verdict_)},
+                      {"tries", tried_.size()},
+                      {"upstream", upstream_.Str()},
+                      {"ms", ToMilliseconds(took)},
+                      {"store_age_ms", StoreAgeMs(context_, now)}},
+                     now);
 }
 
 }  // namespace citron
--- a/src/node/request_gate.cc
+++ b/src/node/request_gate.cc
@@ -49,12 +49,12 @@
 
 }  // namespace
 
-bool KeysAreCurrent(const node_context& context, monotonic_time now) {
+bool IsCurrentWithin(double revocation_part, const node_context& context,
+                     monotonic_time now) {
   const fleet_bounds& bounds = context.settings.bounds;
   if (!bounds.strict_revocation) return context.feed.HasCopy();
-  const duration limit =
-      FromSeconds(kRevocationPart * ToSeconds(bounds.revocation));
-  return context.feed.IsProvenSince(limit, now);
+  return context.feed.IsProvenSince(
+      FromSeconds(revocation_part * ToSeconds(bounds.revocation)), now);
 }
 
 std::variant<admitted_request, turned_away> AdmitRequest(node_context& context,
@@ -76,7 +76,7 @@
   if (admitted.route == nullptr) return turned_away{404, "no_route", {}};
   if (!admitted.route->needs_key) return admitted;
 
-  if (!KeysAreCurrent(context, now)) {
+  if (!IsCurrentWithin(kRevocationPart, context, now)) {
     return turned_away{503, "keys_not_current", kElsewhere};
   }
   const auto key = KeyOf(head.headers, context.names.key_scheme);
--- a/src/node/upstream_connection.cc
+++ b/src/node/upstream_connection.cc
@@ -1,10 +1,8 @@
 #include "citron/node/upstream_connection.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 
 #include <cassert>
@@ -13,6 +11,7 @@
 #include <optional>
 #include <utility>
 
+#include "node/socket_address.h"
 #include "node/socket_options.h"
 
 namespace citron {
@@ -83,10 +82,7 @@
       reader_(http1_reader::direction::kAnswers, kMaxAnswerHeadBytes, *this),
       connect_timer_(loop, [this] { Fail(upstream_fault::kConnectTimeout); }),
       keep_alive_limit_(kUnstatedKeepAlive) {
-  sockaddr_in to{};
-  to.sin_family = AF_INET;
-  to.sin_port = htons(address.port);
-  inet_pton(AF_INET, address.address.c_str(), &to.sin_addr);
+  sockaddr_in to = SocketAddress(address);
   bytes_ = bufferevent_socket_new(
       loop.Base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   bufferevent_setcb(bytes_, callbacks::Readable, callbacks::Written,
@@ -107,7 +103,6 @@
   listener_ = &listener;
   request_id_ = request_id;
   expects_body_ = expects_body;
-  ++calls_;
   if (state_ == state::kConnecting) {
     unsent_.assign(head_and_body);
     return;
