The fleet's size is told on once for all that came together

A whole copy of the store named each VM in turn, and each of them worked out the cold allowances of all upstreams: 60 VMs and 264 upstreams made 60 passes at a start. Now one pass follows each copy or event. Tests of the node unchanged, green.

--- a/include/citron/node/fleet_state.h
+++ b/include/citron/node/fleet_state.h
@@ -80,7 +80,8 @@
   std::map<workspace_id, workspace_quota> quotas_;
   std::set<zone_id> closed_zones_;
   std::map<vm_id, vm_listing> vms_;
-  std::set<std::string> keys_;                        // All that is known.
+  bool fleet_changed_ = false;  // Since the size was last told on.
+  std::set<std::string> keys_;  // All that is known.
   std::map<std::string, monotonic_time> missing_;     // Key, removed then.
   std::map<std::string, store_revision> unreadable_;  // Logged once each.
 };
--- a/src/node/fleet_state.cc
+++ b/src/node/fleet_state.cc
@@ -54,8 +54,11 @@
 void fleet_state::ApplyEvent(const store_event& event,
                              monotonic_time keep_missing_until,
                              monotonic_time now) {
-  if (!event.removed) return ApplyItem(event.item, now);
-  missing_.emplace(event.item.key, keep_missing_until);
+  if (event.removed) {
+    missing_.emplace(event.item.key, keep_missing_until);
+  } else {
+    ApplyItem(event.item, now);
+  }
   RemoveMissing(now);
 }
 
@@ -68,6 +71,7 @@
     Remove(it->first, now);
     it = missing_.erase(it);
   }
+  SetFleetSize();
 }
 
 void fleet_state::ApplyItem(const store_item& item, monotonic_time now) {
@@ -107,7 +111,7 @@
         quota.RemoveVm(vm_id(key.name), now);
       }
       log_.Write("fleet", "vm_gone", {{"vm", key.name}}, now);
-      SetFleetSize();
+      fleet_changed_ = true;
       return;
     case store_key_kind::kClosedZone: {
       closed_zones_.erase(zone_id(key.name));
@@ -165,7 +169,7 @@
   for (const route_config& route : routing_->routes) {
     SplitOf(route).SetServices(route.services);
   }
-  SetFleetSize();
+  fleet_changed_ = true;
 }
 
 void fleet_state::ApplyUpstream(const store_item& item, const upstream_id& id,
@@ -220,7 +224,7 @@
   const bool is_new = !vms_.contains(id);
   vms_[id] = std::move(ValueOf(read));
   if (is_new) log_.Write("fleet", "vm_listed", {{"vm", id.Str()}}, now);
-  SetFleetSize();
+  fleet_changed_ = true;
 }
 
 void fleet_state::RemoveUpstream(const upstream_id& id) {
@@ -246,7 +250,11 @@
   return static_cast<int>(service_of_.size());
 }
 
+// Once for all that came together: a whole copy names each VM and upstream, and
+// each VM concerns all of them.
 void fleet_state::SetFleetSize() {
+  if (!fleet_changed_) return;
+  fleet_changed_ = false;
   const int vms = FleetSize();
   for (auto& [workspace, quota] : quotas_) quota.SetFleetSize(vms);
   SetColdAllowances();
