Objects leave upstreams that are overloaded; a copy is used only where it is nearly free

An object whose first upstream was busy spilled to a second one, which served it cold, at the cost of three warm requests.

Conclusion: weights by reported load, and a spare copy that is nearly free.

What an upstream told a request of its leaving stands apart from what it announced, so that its next announcement takes it back.

--- a/include/citron/policy/affinity_selector.h
+++ b/include/citron/policy/affinity_selector.h
@@ -25,15 +25,17 @@
   double region_weight = 2;
   double large_zone_weight = 64;
   double large_region_weight = 8;
-  // Upstreams that share one object. The first takes it up to the first load in
-  // slots, above that the one with the least, up to the second.
-  int copies = 2;
-  double spill_load = 3;
+  // Requests there for each slot up to which the first upstream of an object
+  // takes it: upstreams queue three for each slot and turn away the rest.
   double load_limit = 3.5;
+  // Above that, one of so many upstreams that has less than this.
+  int copies = 2;
+  double spare_load = 0.5;
   // Upstreams of one zone that can't be connected to before the zone counts as
   // out of reach, and for how long.
   int path_failures = 2;
   duration path_avoidance = FromMilliseconds(1000);
+  weight_control_options weights;
 };
 
 // What a request asks of an upstream.
@@ -102,6 +104,9 @@
                    const selection_request& request, bool spare_ejected,
                    monotonic_time now) const;
   void KeepCopies(std::vector<candidate>& candidates) const;
+  // Null if there is none.
+  const upstream_standing* SpareCopy(const std::vector<candidate>& copies,
+                                     monotonic_time now) const;
   double WeightOf(const upstream_standing& upstream, bool large_answer) const;
 
   selector_options options_;
--- a/src/policy/affinity_selector.cc
+++ b/src/policy/affinity_selector.cc
@@ -55,7 +55,8 @@
                                     monotonic_time now) {
   const auto found = upstreams_.find(record.id);
   if (found != upstreams_.end()) return found->second.OnRecord(record, now);
-  upstreams_.emplace(record.id, upstream_standing(record, region, now));
+  upstreams_.emplace(record.id,
+                     upstream_standing(record, region, now, options_.weights));
 }
 
 void affinity_selector::RemoveUpstream(const upstream_id& id) {
@@ -101,7 +102,7 @@
                                     bool spare_ejected,
                                     monotonic_time now) const {
   const upstream_record& record = upstream.Record();
-  if (record.draining || closed_zones_.contains(record.zone)) return false;
+  if (upstream.IsLeaving() || closed_zones_.contains(record.zone)) return false;
   if (WasTried(request, record.id)) return false;
   if (upstream.IsAvoided(now)) return false;
   if (upstream.IsOnTrial() && upstream.InFlight() > 0) return false;
@@ -113,7 +114,7 @@
 
 double affinity_selector::WeightOf(const upstream_standing& upstream,
                                    bool large_answer) const {
-  double weight = std::max(1, upstream.Record().slots);
+  double weight = std::max(1, upstream.Record().slots) * upstream.LoadWeight();
   if (upstream.Region() != options_.region) return weight;
   weight *=
       large_answer ? options_.large_region_weight : options_.region_weight;
@@ -139,6 +140,19 @@
   }
 }
 
+// One that is nearly free, for an object whose first upstream is full. A copy
+// that has work of its own would serve the object cold, at the cost of three
+// requests that it has warm.
+const upstream_standing* affinity_selector::SpareCopy(
+    const std::vector<candidate>& copies, monotonic_time now) const {
+  for (std::size_t i = 1; i < copies.size(); ++i) {
+    if (LoadOf(*copies[i].upstream, now) < options_.spare_load) {
+      return copies[i].upstream;
+    }
+  }
+  return nullptr;
+}
+
 std::variant<selection, no_selection> affinity_selector::Choose(
     const selection_request& request, monotonic_time now) const {
   if (upstreams_.empty()) return no_selection::kNoneKnown;
@@ -162,19 +176,14 @@
   if (!allowed) return no_selection::kNotAllowed;
   if (best.empty()) return no_selection::kUnavailable;
   KeepCopies(best);
-  std::size_t chosen = 0;
-  if (LoadOf(*best[0].upstream, now) >= options_.spill_load) {
-    for (std::size_t i = 1; i < best.size(); ++i) {
-      if (LoadOf(*best[i].upstream, now) <
-          LoadOf(*best[chosen].upstream, now)) {
-        chosen = i;
-      }
-    }
+  const upstream_standing* upstream = best[0].upstream;
+  if (LoadOf(*upstream, now) >= options_.load_limit) {
+    upstream = SpareCopy(best, now);
+    if (upstream == nullptr) return no_selection::kBusy;
   }
-  const upstream_standing& upstream = *best[chosen].upstream;
-  if (LoadOf(upstream, now) >= options_.load_limit) return no_selection::kBusy;
-  return selection{upstream.Record().id, upstream.Load(now),
-                   upstream.Record().slots, upstream.IsCold(now), chosen == 0};
+  return selection{upstream->Record().id, upstream->Load(now),
+                   upstream->Record().slots, upstream->IsCold(now),
+                   upstream == best[0].upstream};
 }
 
 }  // namespace citron
--- a/src/policy/upstream_standing.cc
+++ b/src/policy/upstream_standing.cc
@@ -23,8 +23,12 @@
 
 upstream_standing::upstream_standing(const upstream_record& record,
                                      const region_id& region,
-                                     monotonic_time now)
-    : record_(record), region_(region), hash_(HashBytes(record.id.Str())) {
+                                     monotonic_time now,
+                                     const weight_control_options& weights)
+    : record_(record),
+      region_(region),
+      hash_(HashBytes(record.id.Str())),
+      weight_(weights) {
   OnCold(record.cold_left, now);
 }
 
@@ -33,6 +37,7 @@
   const bool started_anew =
       record.born_ms != record_.born_ms || record.address != record_.address;
   record_ = record;
+  told_leaving_ = false;
   may_have_restarted_ = false;
   if (started_anew) {
     failures_in_row_ = 0;
@@ -41,6 +46,7 @@
     samples_ = 0;
     ejected_until_ = {};
     foreign_load_ = 0;
+    weight_.Reset();
   }
   OnCold(record.cold_left, now);
 }
@@ -71,6 +77,9 @@
   // the count of this VM once it is done.
   foreign_load_ = std::max(0, report.running + report.waiting - in_flight_ + 1);
   reported_at_ = now;
+  weight_.OnLoad(static_cast<double>(report.running + report.waiting) /
+                     std::max(1, report.slots),
+                 now);
 }
 
 int upstream_standing::Load(monotonic_time now) const {
@@ -97,7 +106,7 @@
       OnConnectFailure(now);
       break;
     case upstream_outcome::kLeavingNotRun:
-      record_.draining = true;
+      told_leaving_ = true;
       break;
     case upstream_outcome::kAnswered:
     case upstream_outcome::kServerError:
