One VM of a region reads the store, the others ask it

A VM asks the first of its zone, the first of its region, the second of it, then the store; the order is by width of link and hash, and nobody asks one that comes after him. An answer tells how old its proof was and how long the question was held, so that the asker's proof needs no common clock. Messages are sealed with a secret that each start lists in the store.

What calls are left: renewed leases, and VMs whom the store turns away.

--- a/include/citron/config/node_settings.h
+++ b/include/citron/config/node_settings.h
@@ -42,6 +42,7 @@
   endpoint metrics;
   endpoint store;
   int max_descriptors = 4096;
+  double link_mbps = 0;  // 0: not known.
   fleet_bounds bounds;
 };
 
--- a/include/citron/config/routing_config.h
+++ b/include/citron/config/routing_config.h
@@ -83,6 +83,9 @@
   bool draining = false;
   duration cold_left{};      // At the moment when it was read.
   std::int64_t born_ms = 0;  // Tells its starts apart.
+
+  friend bool operator==(const upstream_record&,
+                         const upstream_record&) = default;
 };
 
 // The operator's declaration as a whole, with what is looked up in it.
--- a/include/citron/node/fleet_state.h
+++ b/include/citron/node/fleet_state.h
@@ -35,8 +35,11 @@
   // removed, at `keep_missing_until` at the soonest.
   void ApplyRange(const std::vector<store_item>& items,
                   monotonic_time keep_missing_until, monotonic_time now);
-  void ApplyEvent(const store_event& event, monotonic_time keep_missing_until,
+  // True if it says something new.
+  bool ApplyEvent(const store_event& event, monotonic_time keep_missing_until,
                   monotonic_time now);
+  // The key was written again with nothing new in it.
+  void Confirm(const std::string& key, monotonic_time now);
   // Removes what is still missing.
   void RemoveMissing(monotonic_time now);
 
@@ -55,11 +58,12 @@
   int UpstreamCount() const;
 
  private:
-  void ApplyItem(const store_item& item, monotonic_time now);
-  void ApplyRouting(const store_item& item, monotonic_time now);
-  void ApplyUpstream(const store_item& item, const upstream_id& id,
+  // Each is true if the item says something new.
+  bool ApplyItem(const store_item& item, monotonic_time now);
+  bool ApplyRouting(const store_item& item, monotonic_time now);
+  bool ApplyUpstream(const store_item& item, const upstream_id& id,
                      monotonic_time now);
-  void ApplyVm(const store_item& item, const vm_id& id, monotonic_time now);
+  bool ApplyVm(const store_item& item, const vm_id& id, monotonic_time now);
   void Remove(const std::string& key, monotonic_time now);
   void RemoveUpstream(const upstream_id& id);
   void SetClosedZones();
--- a/include/citron/node/node_pages.h
+++ b/include/citron/node/node_pages.h
@@ -7,6 +7,7 @@
 
 #include "citron/base/result.h"
 #include "citron/net/http_server.h"
+#include "citron/node/feed_relay.h"
 #include "citron/node/node_context.h"
 #include "citron/node/peer_exchange.h"
 
@@ -22,28 +23,32 @@
   std::string lookup_lifetime;
 };
 
-// Whether this VM takes requests, which VMs callers should use, metrics.
+// Whether this VM takes requests, which VMs callers should use; and on the
+// address for the inside, metrics and other VMs' questions.
 class node_pages {
  public:
   static result<std::unique_ptr<node_pages>> Make(
       node_context& context, const page_paths& paths,
-      const peer_exchange& peers, std::function<bool()> is_ready);
+      const peer_exchange& peers, feed_relay& relay,
+      std::function<bool()> is_ready);
 
  private:
   node_pages(node_context& context, const page_paths& paths,
-             const peer_exchange& peers, std::function<bool()> is_ready);
+             const peer_exchange& peers, feed_relay& relay,
+             std::function<bool()> is_ready);
 
   void OnReadiness(http_exchange& exchange);
   void OnLookup(http_exchange& exchange);
-  void OnMetrics(http_exchange& exchange);
+  void OnInternal(http_exchange& exchange);
 
   node_context& context_;
   page_paths paths_;
   const peer_exchange& peers_;
+  feed_relay& relay_;
   std::function<bool()> is_ready_;
   std::unique_ptr<http_server> readiness_;
   std::unique_ptr<http_server> lookup_;
-  std::unique_ptr<http_server> metrics_;
+  std::unique_ptr<http_server> internal_;
 };
 
 }  // namespace citron
--- a/include/citron/node/node_task.h
+++ b/include/citron/node/node_task.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "citron/base/event_log.h"
@@ -13,6 +14,7 @@
 #include "citron/net/metrics.h"
 #include "citron/node/caller_connection.h"
 #include "citron/node/caller_exchange.h"
+#include "citron/node/feed_relay.h"
 #include "citron/node/fleet_state.h"
 #include "citron/node/node_context.h"
 #include "citron/node/node_pages.h"
@@ -72,7 +74,9 @@
   fleet_feed feed_;
   upstream_pool pool_;
   node_context context_;
+  std::string secret_;  // Of this start, for other VMs of the fleet.
   store_sync sync_;
+  feed_relay relay_;
   std::unique_ptr<peer_exchange> peers_;
   std::unique_ptr<node_pages> pages_;
   evconnlistener* listener_ = nullptr;
--- a/include/citron/node/store_sync.h
+++ b/include/citron/node/store_sync.h
@@ -1,26 +1,41 @@
 #ifndef CITRON_NODE_STORE_SYNC_H_
 #define CITRON_NODE_STORE_SYNC_H_
 
+#include <string>
+
 #include "citron/base/time.h"
+#include "citron/node/feed_client.h"
 #include "citron/node/node_context.h"
 #include "citron/platform/platform_store.h"
+#include "citron/protocol/change_index.h"
+#include "citron/protocol/feed_sources.h"
 #include "citron/protocol/vm_registration.h"
 
 namespace citron {
 
-// Makes the store calls that keep this VM's copy current and this VM listed.
+// Keeps this VM's copy of the store current, by calls to the store or questions
+// to other VMs, and this VM listed in the store.
 class store_sync {
  public:
+  // `secret`: what this VM lists of it.
   store_sync(node_context& context, platform_store& store,
-             const fleet_codec& codec);
+             const fleet_codec& codec, std::string secret);
 
   // Makes the calls that are due; to be called again at NextAt.
   void Run(monotonic_time now);
   // This VM is leaving: the list loses it at once.
   void Leave(monotonic_time now);
+  // What has been learnt, for other VMs.
+  const change_index& Index() const { return index_; }
 
  private:
   void RunFeed(monotonic_time now);
+  void PlanSources();
+  vm_listing OwnListing() const;
+  void AskRelay(const vm_listing& relay, const fleet_feed::order& order,
+                monotonic_time now);
+  void OnRelayed(const vm_id& relay, const result<feed_answer>& answer);
+  void Apply(const key_change& change, monotonic_time now);
   void RunRegistration(monotonic_time now);
   void OnRange(const result<store_range>& range);
   void OnEvents(const result<store_events>& events);
@@ -31,6 +46,10 @@
   node_context& context_;
   platform_store& store_;
   const fleet_codec& codec_;
+  std::string secret_;
+  feed_client relays_;
+  feed_sources sources_;
+  change_index index_;
   vm_registration registration_;
   bool in_touch_ = false;
   bool leaving_ = false;
--- a/include/citron/node/vm_listing.h
+++ b/include/citron/node/vm_listing.h
@@ -17,6 +17,11 @@
   region_id region;
   endpoint callers;
   endpoint peer;
+  double link_mbps = 0;
+  // Who knows it has read it in the store, and is one of the fleet.
+  std::string secret;
+
+  friend bool operator==(const vm_listing&, const vm_listing&) = default;
 };
 
 std::string EncodeVmListing(const vm_listing& listing);
--- a/include/citron/protocol/fleet_feed.h
+++ b/include/citron/protocol/fleet_feed.h
@@ -20,6 +20,11 @@
   // call and a proof that the copy is current; longer ones would leave a VM
   // without a proof for more than half of what revocation allows.
   duration watch_wait = FromMilliseconds(2000);
+  // The same of a VM that others ask: what they know is older by their own
+  // questions, and has to be young enough all the same.
+  duration shared_watch_wait = FromMilliseconds(800);
+  // How long a question to another VM waits there for changes.
+  duration relay_wait = FromMilliseconds(500);
   // A watch that ends with a change proves only its beginning: the next one
   // waits less, so that the proof is never older than this and an answer.
   duration oldest_proof = FromMilliseconds(2400);
@@ -38,19 +43,31 @@
     call what = call::kRange;
     std::uint64_t after = 0;  // For a watch, and how long it may wait.
     duration wait{};
+    bool relayed = false;  // To be asked of another VM, not of the store.
   };
 
   explicit fleet_feed(const feed_options& options);
 
+  // VMs that make calls to the store like this one.
   void SetFleetSize(int vms);
-  // The call to make now, if any; it counts as sent.
-  std::optional<order> Next(monotonic_time now);
+  // Other VMs ask this one for what it has read.
+  void SetShared(bool shared) { is_shared_ = shared; }
+  // The call to make now, if any; it counts as sent. `may_relay`: another VM
+  // can be asked, as long as there is a copy that it can add to.
+  std::optional<order> Next(monotonic_time now, bool may_relay = false);
   // When Next may have one, if nothing is under way.
   monotonic_time NextAt() const { return next_at_; }
 
   void OnRange(std::uint64_t revision, monotonic_time now);
   // `any`: there were changes, so that the watch ended before its wait.
   void OnEvents(std::uint64_t revision, bool any, monotonic_time now);
+  // Another VM answered. `proof_age`: how old its own proof was when it did,
+  // after it had held the question for `held`; `lapsed_left`: for how long what
+  // is missing there may only have lapsed.
+  void OnRelayed(std::uint64_t revision, duration held, duration proof_age,
+                 duration lapsed_left, monotonic_time now);
+  // It gave no answer, or none that is current; nothing was learnt.
+  void OnRelayFailed(monotonic_time now);
   void OnCompacted(monotonic_time now);
   void OnFailed(monotonic_time now);
 
@@ -74,6 +91,8 @@
   bool under_way_ = false;
   bool has_copy_ = false;
   bool needs_range_ = true;
+  bool history_gone_ = true;  // Only a whole copy helps.
+  bool is_shared_ = false;
   int failures_ = 0;
   std::uint64_t revision_ = 0;
   monotonic_time next_at_{};
--- /dev/null
+++ b/src/node/feed_relay.cc
@@ -0,0 +1,89 @@
+#include "citron/node/feed_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citron {
+
+namespace {
+
+// A VM whose own proof is older has lost its source; those who ask it should
+// ask another one while their copies are still good.
+constexpr duration kOldestProof = std::chrono::milliseconds(2000);
+// Whatever is asked for: connections of those who have gone without a word must
+// not pile up.
+constexpr duration kLongestHold = std::chrono::milliseconds(2000);
+
+http_response Refusal(int status, const char* reason) {
+  return {{status, {{"Content-Type", "text/plain"}}}, reason};
+}
+
+}  // namespace
+
+feed_relay::feed_relay(node_context& context, const change_index& index,
+                       std::string secret)
+    : context_(context), index_(index), secret_(std::move(secret)) {}
+
+bool feed_relay::IsCurrent(monotonic_time now) const {
+  return context_.feed.IsProvenSince(kOldestProof, now);
+}
+
+void feed_relay::OnQuestion(http_exchange& exchange) {
+  const monotonic_time now = MonotonicNow();
+  result<feed_question> read = ReadFeedRequest(exchange.Request(), secret_);
+  if (!IsOk(read)) {
+    context_.log.Write(
+        "relay", "question_rejected",
+        {{"from", exchange.PeerAddress()}, {"problem", ErrorOf(read).message}},
+        now);
+    return exchange.Reply(Refusal(401, "not_from_the_fleet"));
+  }
+  if (!IsCurrent(now)) return exchange.Reply(Refusal(503, "not_current"));
+  const std::uint64_t place = ++last_place_;
+  waiting_.push_back({place, &exchange, std::move(ValueOf(read)), now});
+  exchange.OnGone([this, place] {
+    std::erase_if(waiting_, [place](const waiting_question& waiting) {
+      return waiting.place == place;
+    });
+  });
+  Run(now);
+}
+
+void feed_relay::Run(monotonic_time now) {
+  const bool current = IsCurrent(now);
+  const auto is_due = [&](const waiting_question& waiting) {
+    const duration wait = std::min(waiting.question.wait, kLongestHold);
+    return !current || now >= waiting.asked_at + wait ||
+           index_.HasNewsAfter(waiting.question.after);
+  };
+  // An answer may bring the next question before this returns.
+  const auto first_due =
+      std::partition(waiting_.begin(), waiting_.end(),
+                     [&](const auto& waiting) { return !is_due(waiting); });
+  const std::vector<waiting_question> due(first_due, waiting_.end());
+  waiting_.erase(first_due, waiting_.end());
+  for (const waiting_question& waiting : due) {
+    if (current) {
+      Answer(waiting, now);
+    } else {
+      waiting.exchange->Reply(Refusal(503, "not_current"));
+    }
+  }
+}
+
+void feed_relay::Answer(const waiting_question& waiting, monotonic_time now) {
+  feed_answer answer;
+  answer.number = waiting.question.number;
+  answer.revision = index_.Revision();
+  answer.held = now - waiting.asked_at;
+  answer.proof_age = now - *context_.feed.ProvenAt();
+  answer.lapsed_left =
+      std::max(duration::zero(), context_.feed.LapsedUntil() - now);
+  auto changes = index_.After(waiting.question.after);
+  answer.history_gone = !changes.has_value();
+  if (changes) answer.changes = std::move(*changes);
+  context_.stats.Count("citron_feed_answers_total", {});
+  waiting.exchange->Reply(MakeFeedResponse(answer, secret_));
+}
+
+}  // namespace citron
--- a/src/node/fleet_state.cc
+++ b/src/node/fleet_state.cc
@@ -51,15 +51,26 @@
   RemoveMissing(now);
 }
 
-void fleet_state::ApplyEvent(const store_event& event,
+bool fleet_state::ApplyEvent(const store_event& event,
                              monotonic_time keep_missing_until,
                              monotonic_time now) {
+  bool is_new = event.removed;
   if (event.removed) {
     missing_.emplace(event.item.key, keep_missing_until);
   } else {
-    ApplyItem(event.item, now);
+    is_new = ApplyItem(event.item, now);
   }
   RemoveMissing(now);
+  return is_new;
+}
+
+// That an upstream still writes says that it has not started anew.
+void fleet_state::Confirm(const std::string& key, monotonic_time now) {
+  missing_.erase(key);
+  const store_key read = codec_.ReadKey(key);
+  if (read.kind != store_key_kind::kUpstream) return;
+  upstream_standing* upstream = FindUpstream(upstream_id(read.name));
+  if (upstream != nullptr) upstream->OnRecord(upstream->Record(), now);
 }
 
 void fleet_state::RemoveMissing(monotonic_time now) {
@@ -74,27 +85,27 @@
   SetFleetSize();
 }
 
-void fleet_state::ApplyItem(const store_item& item, monotonic_time now) {
+bool fleet_state::ApplyItem(const store_item& item, monotonic_time now) {
   keys_.insert(item.key);
-  missing_.erase(item.key);
+  const bool was_missing = missing_.erase(item.key) > 0;
   const store_key key = codec_.ReadKey(item.key);
   switch (key.kind) {
     case store_key_kind::kRouting:
-      return ApplyRouting(item, now);
+      return ApplyRouting(item, now) || was_missing;
     case store_key_kind::kUpstream:
-      return ApplyUpstream(item, upstream_id(key.name), now);
+      return ApplyUpstream(item, upstream_id(key.name), now) || was_missing;
     case store_key_kind::kVm:
-      return ApplyVm(item, vm_id(key.name), now);
+      return ApplyVm(item, vm_id(key.name), now) || was_missing;
     case store_key_kind::kClosedZone:
-      if (closed_zones_.insert(zone_id(key.name)).second) {
-        log_.Write("fleet", "zone_closed",
-                   {{"zone", key.name}, {"revision", item.revision}}, now);
-        SetClosedZones();
-      }
-      return;
+      if (!closed_zones_.insert(zone_id(key.name)).second) return was_missing;
+      log_.Write("fleet", "zone_closed",
+                 {{"zone", key.name}, {"revision", item.revision}}, now);
+      SetClosedZones();
+      return true;
     case store_key_kind::kOther:
-      return;
+      return false;
   }
+  return false;
 }
 
 void fleet_state::Remove(const std::string& name, monotonic_time now) {
@@ -133,14 +144,14 @@
   }
 }
 
-void fleet_state::ApplyRouting(const store_item& item, monotonic_time now) {
-  if (item.revision <= routing_revision_) return;
+bool fleet_state::ApplyRouting(const store_item& item, monotonic_time now) {
+  if (item.revision <= routing_revision_) return false;
   result<routing_config> read = codec_.ReadRouting(item.value);
   if (!IsOk(read)) {
     log_.Write(
         "fleet", "routing_rejected",
         {{"revision", item.revision}, {"problem", ErrorOf(read).message}}, now);
-    return;
+    return false;
   }
   routing_revision_ = item.revision;
   routing_ = std::make_shared<const routing_config>(std::move(ValueOf(read)));
@@ -170,20 +181,20 @@
     SplitOf(route).SetServices(route.services);
   }
   fleet_changed_ = true;
+  return true;
 }
 
-void fleet_state::ApplyUpstream(const store_item& item, const upstream_id& id,
+bool fleet_state::ApplyUpstream(const store_item& item, const upstream_id& id,
                                 monotonic_time now) {
   const result<upstream_record> read = codec_.ReadUpstream(id, item.value);
   if (!IsOk(read)) {
     // It names no upstream to use; the others hold.
     RemoveUpstream(id);
-    if (unreadable_.emplace(item.key, item.revision).second) {
-      log_.Write("fleet", "upstream_unreadable",
-                 {{"upstream", id.Str()}, {"problem", ErrorOf(read).message}},
-                 now);
-    }
-    return;
+    if (!unreadable_.emplace(item.key, item.revision).second) return false;
+    log_.Write("fleet", "upstream_unreadable",
+               {{"upstream", id.Str()}, {"problem", ErrorOf(read).message}},
+               now);
+    return true;
   }
   unreadable_.erase(item.key);
   const upstream_record& record = ValueOf(read);
@@ -195,8 +206,10 @@
     RemoveUpstream(id);
   }
   affinity_selector& selector = MakeSelector(record.service);
-  const bool is_new = selector.Find(id) == nullptr;
-  const bool was_draining = !is_new && selector.Find(id)->Record().draining;
+  const upstream_standing* before = selector.Find(id);
+  const bool is_new = before == nullptr;
+  const bool was_draining = !is_new && before->Record().draining;
+  const bool says_new = is_new || before->Record() != record;
   selector.SetUpstream(record, region, now);
   service_of_[id] = record.service;
   upstream_standing* upstream = selector.Find(id);
@@ -211,20 +224,25 @@
                 {"revision", item.revision}},
                now);
   }
+  return says_new;
 }
 
-void fleet_state::ApplyVm(const store_item& item, const vm_id& id,
+bool fleet_state::ApplyVm(const store_item& item, const vm_id& id,
                           monotonic_time now) {
   result<vm_listing> read = DecodeVmListing(id, item.value);
   if (!IsOk(read)) {
     log_.Write("fleet", "vm_unreadable",
                {{"vm", id.Str()}, {"problem", ErrorOf(read).message}}, now);
-    return;
+    return false;
+  }
+  const auto known = vms_.find(id);
+  if (known != vms_.end() && known->second == ValueOf(read)) return false;
+  if (known == vms_.end()) {
+    log_.Write("fleet", "vm_listed", {{"vm", id.Str()}}, now);
   }
-  const bool is_new = !vms_.contains(id);
   vms_[id] = std::move(ValueOf(read));
-  if (is_new) log_.Write("fleet", "vm_listed", {{"vm", id.Str()}}, now);
   fleet_changed_ = true;
+  return true;
 }
 
 void fleet_state::RemoveUpstream(const upstream_id& id) {
--- a/src/node/node_pages.cc
+++ b/src/node/node_pages.cc
@@ -25,9 +25,9 @@
 
 result<std::unique_ptr<node_pages>> node_pages::Make(
     node_context& context, const page_paths& paths, const peer_exchange& peers,
-    std::function<bool()> is_ready) {
+    feed_relay& relay, std::function<bool()> is_ready) {
   std::unique_ptr<node_pages> pages(
-      new node_pages(context, paths, peers, std::move(is_ready)));
+      new node_pages(context, paths, peers, relay, std::move(is_ready)));
   struct page {
     const endpoint& address;
     void (node_pages::*answer)(http_exchange&);
@@ -36,7 +36,7 @@
   const page all[] = {
       {context.settings.readiness, &node_pages::OnReadiness, pages->readiness_},
       {context.settings.lookup, &node_pages::OnLookup, pages->lookup_},
-      {context.settings.metrics, &node_pages::OnMetrics, pages->metrics_}};
+      {context.settings.metrics, &node_pages::OnInternal, pages->internal_}};
   for (const page& p : all) {
     result<std::unique_ptr<http_server>> server = http_server::Make(
         context.loop, p.address, {},
@@ -50,11 +50,12 @@
 }
 
 node_pages::node_pages(node_context& context, const page_paths& paths,
-                       const peer_exchange& peers,
+                       const peer_exchange& peers, feed_relay& relay,
                        std::function<bool()> is_ready)
     : context_(context),
       paths_(paths),
       peers_(peers),
+      relay_(relay),
       is_ready_(std::move(is_ready)) {}
 
 void node_pages::OnReadiness(http_exchange& exchange) {
@@ -96,7 +97,10 @@
                          {paths_.lookup_lifetime, ToSeconds(lifetime)}}));
 }
 
-void node_pages::OnMetrics(http_exchange& exchange) {
+void node_pages::OnInternal(http_exchange& exchange) {
+  if (exchange.Request().Path() == kFeedPath) {
+    return relay_.OnQuestion(exchange);
+  }
   exchange.Reply({{200, {{"Content-Type", "text/plain; version=0.0.4"}}},
                   context_.stats.Page()});
 }
--- a/src/node/node_task.cc
+++ b/src/node/node_task.cc
@@ -8,6 +8,7 @@
 #include <cstring>
 #include <utility>
 
+#include "citron/base/digest.h"
 #include "citron/node/proxied_request.h"
 #include "node/own_answer.h"
 #include "node/socket_address.h"
@@ -19,6 +20,7 @@
 constexpr duration kTick = std::chrono::milliseconds(50);
 constexpr duration kSweepInterval = std::chrono::seconds(1);
 constexpr int kBacklog = 1024;
+constexpr std::size_t kSecretBytes = 16;
 // Descriptors for upstreams, the store, pages and files.
 constexpr int kKeptDescriptors = 1200;
 // Of the grace period: callers use what they were told for three times the
@@ -36,9 +38,9 @@
       peer_exchange::Make(task->context_);
   if (!IsOk(peers)) return ErrorOf(peers);
   task->peers_ = std::move(ValueOf(peers));
-  result<std::unique_ptr<node_pages>> pages =
-      node_pages::Make(task->context_, platform.pages, *task->peers_,
-                       [self = task.get()] { return self->IsReady(); });
+  result<std::unique_ptr<node_pages>> pages = node_pages::Make(
+      task->context_, platform.pages, *task->peers_, task->relay_,
+      [self = task.get()] { return self->IsReady(); });
   if (!IsOk(pages)) return ErrorOf(pages);
   task->pages_ = std::move(ValueOf(pages));
   const status listening = task->Listen();
@@ -57,7 +59,9 @@
       feed_(feed_options{}),
       pool_(loop, platform.names.request_id),
       context_{loop_, settings_, names_, log_, stats_, fleet_, feed_, pool_},
-      sync_(context_, *platform.store, *platform.codec),
+      secret_(RandomHex(kSecretBytes)),
+      sync_(context_, *platform.store, *platform.codec, secret_),
+      relay_(context_, sync_.Index(), secret_),
       tick_(loop, [this] { OnTick(); }) {}
 
 node_task::~node_task() {
@@ -153,8 +157,8 @@
 
 void node_task::OnTick() {
   const monotonic_time now = MonotonicNow();
-  feed_.SetFleetSize(fleet_.FleetSize());
   sync_.Run(now);
+  relay_.Run(now);
   fleet_.RemoveMissing(now);
   const bool ready = IsReady();
   if (now >= tell_at_ || ready != was_ready_) {
--- a/src/node/store_sync.cc
+++ b/src/node/store_sync.cc
@@ -14,14 +14,19 @@
 // after this long is cut off, and a new connection may reach it.
 constexpr duration kAnswerLimit = std::chrono::milliseconds(1000);
 constexpr duration kRangeLimit = std::chrono::milliseconds(2000);
+// Of a question to another VM, beyond the time that it may be held: a round
+// trip between regions and one packet that is lost on a new connection.
+constexpr duration kRelayLimit = std::chrono::milliseconds(450);
 
 }  // namespace
 
 store_sync::store_sync(node_context& context, platform_store& store,
-                       const fleet_codec& codec)
+                       const fleet_codec& codec, std::string secret)
     : context_(context),
       store_(store),
       codec_(codec),
+      secret_(std::move(secret)),
+      relays_(context.loop, context.settings.vm),
       registration_(registration_options{}) {}
 
 void store_sync::Run(monotonic_time now) {
@@ -29,9 +34,38 @@
   if (!leaving_) RunRegistration(now);
 }
 
+vm_listing store_sync::OwnListing() const {
+  const node_settings& settings = context_.settings;
+  return {settings.vm,   settings.zone,      settings.region, settings.callers,
+          settings.peer, settings.link_mbps, secret_};
+}
+
+void store_sync::PlanSources() {
+  const auto member = [](const vm_listing& listing) {
+    return feed_member{listing.vm, listing.zone, listing.region,
+                       listing.link_mbps};
+  };
+  std::vector<feed_member> members;
+  for (const auto& [vm, listing] : context_.fleet.Vms()) {
+    members.push_back(member(listing));
+  }
+  sources_.SetPlan(PlanFeed(member(OwnListing()), members));
+  const int vms = context_.fleet.FleetSize();
+  const bool reads_for_others = sources_.ReadsStore() && vms > 1;
+  context_.feed.SetShared(reads_for_others);
+  // Only few read for others. One that has lost its sources may be one of many.
+  context_.feed.SetFleetSize(reads_for_others ? 1 : vms);
+}
+
 void store_sync::RunFeed(monotonic_time now) {
-  const std::optional<fleet_feed::order> order = context_.feed.Next(now);
+  PlanSources();
+  const std::optional<vm_id> source = sources_.Next(now);
+  const std::optional<fleet_feed::order> order =
+      context_.feed.Next(now, source.has_value());
   if (!order) return;
+  if (order->relayed) {
+    return AskRelay(context_.fleet.Vms().at(*source), *order, now);
+  }
   if (order->what == fleet_feed::call::kRange) {
     store_.Range("", now + kRangeLimit,
                  [this](const result<store_range>& range) { OnRange(range); });
@@ -43,6 +77,62 @@
       [this](const result<store_events>& events) { OnEvents(events); });
 }
 
+void store_sync::AskRelay(const vm_listing& relay,
+                          const fleet_feed::order& order, monotonic_time now) {
+  const monotonic_time deadline = now + order.wait + kRelayLimit;
+  relays_.Ask(relay, order.after, order.wait, deadline,
+              [this, vm = relay.vm](const result<feed_answer>& answer) {
+                OnRelayed(vm, answer);
+              });
+}
+
+void store_sync::OnRelayed(const vm_id& relay,
+                           const result<feed_answer>& answer) {
+  const monotonic_time now = MonotonicNow();
+  const bool ok = IsOk(answer);
+  context_.stats.Count("citron_store_calls_total",
+                       {{"call", "relay"}, {"ok", ok ? "true" : "false"}});
+  if (!ok) {
+    context_.log.Write("relay", "source_failed",
+                       {{"vm", relay.Str()},
+                        {"problem", ErrorOf(answer).message},
+                        {"store_age_ms", StoreAgeMs(context_, now)}},
+                       now);
+    sources_.OnFailed(relay, now);
+    context_.feed.OnRelayFailed(now);
+    return Run(now);
+  }
+  sources_.OnAnswered(relay);
+  const feed_answer& got = ValueOf(answer);
+  if (got.history_gone) {
+    context_.log.Write(
+        "relay", "history_gone",
+        {{"vm", relay.Str()}, {"revision", context_.feed.Revision()}}, now);
+    context_.feed.OnCompacted(now);
+    return Run(now);
+  }
+  context_.feed.OnRelayed(got.revision, got.held, got.proof_age,
+                          got.lapsed_left, now);
+  for (const key_change& change : got.changes) Apply(change, now);
+  index_.OnRevision(got.revision);
+  NoteTouch(true, "", now);
+}
+
+void store_sync::Apply(const key_change& change, monotonic_time now) {
+  const monotonic_time lapsed_until = context_.feed.LapsedUntil();
+  switch (change.what) {
+    case key_change::kind::kWritten:
+      context_.fleet.ApplyEvent({change.item, false}, lapsed_until, now);
+      return index_.OnWritten(change.item);
+    case key_change::kind::kRemoved:
+      context_.fleet.ApplyEvent({change.item, true}, lapsed_until, now);
+      return index_.OnRemoved(change.item.key, change.item.revision);
+    case key_change::kind::kConfirmed:
+      context_.fleet.Confirm(change.item.key, now);
+      return index_.OnConfirmed(change.item.key, change.item.revision);
+  }
+}
+
 void store_sync::OnRange(const result<store_range>& range) {
   const monotonic_time now = MonotonicNow();
   if (!IsOk(range)) {
@@ -52,6 +142,7 @@
   context_.feed.OnRange(ValueOf(range).revision, now);
   context_.fleet.ApplyRange(ValueOf(range).items, context_.feed.LapsedUntil(),
                             now);
+  index_.OnCopy(ValueOf(range).items, ValueOf(range).revision);
   NoteTouch(true, "", now);
   Run(now);
 }
@@ -70,9 +161,19 @@
     return Run(now);
   }
   context_.feed.OnEvents(got.revision, !got.events.empty(), now);
+  const monotonic_time lapsed_until = context_.feed.LapsedUntil();
   for (const store_event& event : got.events) {
-    context_.fleet.ApplyEvent(event, context_.feed.LapsedUntil(), now);
+    const store_item& item = event.item;
+    const bool is_new = context_.fleet.ApplyEvent(event, lapsed_until, now);
+    if (event.removed) {
+      index_.OnRemoved(item.key, item.revision);
+    } else if (is_new) {
+      index_.OnWritten(item);
+    } else {
+      index_.OnConfirmed(item.key, item.revision);
+    }
   }
+  index_.OnRevision(got.revision);
   NoteTouch(true, "", now);
 }
 
@@ -108,10 +209,7 @@
     case vm_registration::call::kWrite: {
       store_write write;
       write.key = codec_.VmKey(context_.settings.vm);
-      write.value =
-          EncodeVmListing({context_.settings.vm, context_.settings.zone,
-                           context_.settings.region, context_.settings.callers,
-                           context_.settings.peer});
+      write.value = EncodeVmListing(OwnListing());
       write.lease = *registration_.Lease();
       store_.Put(write, deadline,
                  [this](const write_result& written) { OnWritten(written); });
--- a/src/node/vm_listing.cc
+++ b/src/node/vm_listing.cc
@@ -6,10 +6,10 @@
 namespace citron {
 
 std::string EncodeVmListing(const vm_listing& listing) {
-  const nlohmann::json document = {{"zone", listing.zone.Str()},
-                                   {"region", listing.region.Str()},
-                                   {"callers", listing.callers.Str()},
-                                   {"peer", listing.peer.Str()}};
+  const nlohmann::json document = {
+      {"zone", listing.zone.Str()},       {"region", listing.region.Str()},
+      {"callers", listing.callers.Str()}, {"peer", listing.peer.Str()},
+      {"link_mbps", listing.link_mbps},   {"secret", listing.secret}};
   return document.dump();
 }
 
@@ -28,6 +28,8 @@
     }
     listing.callers = *callers;
     listing.peer = *peer;
+    listing.link_mbps = document.at("link_mbps").get<double>();
+    listing.secret = document.at("secret").get<std::string>();
     return listing;
   } catch (const nlohmann::json::exception& problem) {
     return MakeError(error_code::kInvalid, problem.what());
--- a/src/protocol/fleet_feed.cc
+++ b/src/protocol/fleet_feed.cc
@@ -20,23 +20,46 @@
       std::clamp(stretched, options_.least_interval, options_.longest_interval);
 }
 
-std::optional<fleet_feed::order> fleet_feed::Next(monotonic_time now) {
+std::optional<fleet_feed::order> fleet_feed::Next(monotonic_time now,
+                                                  bool may_relay) {
   if (under_way_ || now < next_at_) return std::nullopt;
   under_way_ = true;
   sent_at_ = now;
-  if (needs_range_) return order{call::kRange, 0, {}};
+  if (may_relay && !history_gone_) {
+    return order{call::kWatch, revision_, options_.relay_wait, true};
+  }
+  if (needs_range_) return order{call::kRange, 0, {}, false};
   const duration left = options_.oldest_proof - (now - *proven_at_);
-  wait_ = std::clamp(left, options_.least_wait, options_.watch_wait);
-  return order{call::kWatch, revision_, wait_};
+  const duration longest =
+      is_shared_ ? options_.shared_watch_wait : options_.watch_wait;
+  wait_ = std::clamp(left, options_.least_wait, longest);
+  return order{call::kWatch, revision_, wait_, false};
 }
 
 void fleet_feed::OnRange(std::uint64_t revision, monotonic_time now) {
-  needs_range_ = false;
   has_copy_ = true;
+  history_gone_ = false;
   revision_ = revision;
   OnAnswer(revision, sent_at_, now);
 }
 
+// The other VM handled the question after it was sent and held it for a known
+// time, whatever happened on the way. Its own clock says how old its proof was
+// then, so that no two clocks are compared.
+void fleet_feed::OnRelayed(std::uint64_t revision, duration held,
+                           duration proof_age, duration lapsed_left,
+                           monotonic_time now) {
+  const monotonic_time answered = std::min(now, sent_at_ + held);
+  const monotonic_time proven = answered - proof_age;
+  OnAnswer(revision, std::max(proven, proven_at_.value_or(proven)), now);
+  lapsed_until_ = std::max(lapsed_until_, now + lapsed_left);
+}
+
+void fleet_feed::OnRelayFailed(monotonic_time now) {
+  under_way_ = false;
+  next_at_ = now;
+}
+
 // A watch without changes was held by the store for its whole wait, so that the
 // answer was made that long after the call was sent at the soonest; it may have
 // been read much later, by a VM that was frozen.
@@ -50,6 +73,7 @@
 void fleet_feed::OnAnswer(std::uint64_t revision, monotonic_time proven_at,
                           monotonic_time now) {
   under_way_ = false;
+  needs_range_ = false;
   revision_ = std::max(revision_, revision);
   proven_at_ = proven_at;
   if (failures_ > 0) lapsed_until_ = now + options_.lapse_grace;
@@ -60,6 +84,7 @@
 void fleet_feed::OnCompacted(monotonic_time now) {
   under_way_ = false;
   needs_range_ = true;
+  history_gone_ = true;
   next_at_ = now;
 }
 
--- a/tests/node/node_fixture.h
+++ b/tests/node/node_fixture.h
@@ -49,11 +49,6 @@
     settings_.zone = zone_id("z1");
     settings_.region = region_id("r1");
     settings_.zones = {{zone_id("z1"), region_id("r1")}};
-    for (endpoint* address :
-         {&settings_.callers, &settings_.readiness, &settings_.lookup,
-          &settings_.peer, &settings_.metrics}) {
-      *address = {"127.0.0.1", FreePort()};
-    }
     settings_.bounds.grace_period = FromSeconds(2);
     names_.request_id = "X-Id";
     names_.deadline_ms = "X-Deadline";
@@ -108,16 +103,29 @@
     store_.Set("routing", name);
   }
 
-  void StartNode() {
+  // A VM on ports that are free. One that was given back may be taken by a
+  // connection before the VM listens there; then others are tried.
+  std::unique_ptr<node_task> MakeNode(node_settings& settings,
+                                      platform_store& store) {
     const node_platform platform{
         names_,
         {"/ready", "/lookup", "zone", "region", "addresses", "lifetime"},
         &codec_,
-        &store_};
-    auto made = node_task::Make(Loop(), settings_, platform, log_);
-    BOOST_REQUIRE(IsOk(made));
-    node_ = std::move(ValueOf(made));
+        &store};
+    constexpr int kMostTries = 10;
+    for (int i = 0; i < kMostTries; ++i) {
+      for (endpoint* address : {&settings.callers, &settings.readiness,
+                                &settings.lookup, &settings.peer}) {
+        *address = {"127.0.0.1", FreePort()};
+      }
+      settings.metrics = settings.peer;
+      auto made = node_task::Make(Loop(), settings, platform, log_);
+      if (IsOk(made)) return std::move(ValueOf(made));
+    }
+    BOOST_REQUIRE_MESSAGE(false, "no free ports");
+    return nullptr;
   }
+  void StartNode() { node_ = MakeNode(settings_, store_); }
   void Start() {
     PutRouting();
     StartNode();
--- a/tests/node/vm_listing_test.cc
+++ b/tests/node/vm_listing_test.cc
@@ -6,11 +6,9 @@
 namespace {
 
 BOOST_AUTO_TEST_CASE(AListingIsReadAsItWasWritten) {
-  const vm_listing listing{vm_id("vm1"),
-                           zone_id("z1"),
-                           region_id("r1"),
-                           {"10.0.0.1", 80},
-                           {"10.0.0.1", 81}};
+  const vm_listing listing{vm_id("vm1"),     zone_id("z1"),    region_id("r1"),
+                           {"10.0.0.1", 80}, {"10.0.0.1", 81}, 200,
+                           "s3cret"};
   const result<vm_listing> read =
       DecodeVmListing(vm_id("vm1"), EncodeVmListing(listing));
   BOOST_REQUIRE(IsOk(read));
@@ -18,6 +16,9 @@
   BOOST_TEST(ValueOf(read).zone.Str() == "z1");
   BOOST_TEST(ValueOf(read).callers.Str() == "10.0.0.1:80");
   BOOST_TEST(ValueOf(read).peer.Str() == "10.0.0.1:81");
+  BOOST_TEST(ValueOf(read).link_mbps == 200);
+  BOOST_TEST(ValueOf(read).secret == "s3cret");
+  BOOST_CHECK(ValueOf(read) == listing);
 }
 
 // Another writer used the key. Nothing of it may be taken for a VM.
--- /dev/null
+++ b/tests/protocol/change_index_test.cc
@@ -0,0 +1,160 @@
+#include "citron/protocol/change_index.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <pcg_random.hpp>
+#include <string>
+
+namespace citron {
+namespace {
+
+using kind = key_change::kind;
+
+store_item Item(const std::string& key, const std::string& value,
+                store_revision revision) {
+  return {key, value, revision, ""};
+}
+
+// The text of all changes, for comparison.
+std::string Text(const std::optional<std::vector<key_change>>& changes) {
+  if (!changes) return "gone";
+  std::string text;
+  for (const key_change& change : *changes) {
+    const char* const sign = change.what == kind::kWritten   ? "="
+                             : change.what == kind::kRemoved ? "-"
+                                                             : "~";
+    text += change.item.key + sign + change.item.value + " ";
+  }
+  return text;
+}
+
+BOOST_AUTO_TEST_SUITE(change_index_cases)
+
+BOOST_AUTO_TEST_CASE(TellsTheLastStateOfWhatChanged) {
+  change_index index;
+  index.OnCopy({Item("a", "1", 3), Item("b", "1", 4)}, 5);
+  index.OnWritten(Item("a", "2", 6));
+  index.OnWritten(Item("a", "3", 7));
+  index.OnRemoved("b", 8);
+  index.OnRevision(8);
+  BOOST_TEST(Text(index.After(5)) == "a=3 b- ");
+  BOOST_TEST(Text(index.After(7)) == "b- ");
+  BOOST_TEST(Text(index.After(8)) == "");
+  BOOST_TEST(!index.HasNewsAfter(8));
+}
+
+// An upstream writes again and again that it is there. Whoever has its entry
+// needs the word of it, not the entry.
+BOOST_AUTO_TEST_CASE(WhatSaysNothingNewIsOnlyConfirmed) {
+  change_index index;
+  index.OnCopy({Item("a", "long", 3)}, 5);
+  index.OnConfirmed("a", 6);
+  BOOST_TEST(Text(index.After(5)) == "a~ ");
+  BOOST_TEST(!index.HasNewsAfter(5));
+  index.OnWritten(Item("a", "new", 7));
+  index.OnConfirmed("a", 9);
+  BOOST_TEST(Text(index.After(5)) == "a=new ");
+  BOOST_TEST(Text(index.After(8)) == "a~ ");
+}
+
+BOOST_AUTO_TEST_CASE(BeforeTheFirstCopyNothingIsKnown) {
+  change_index index;
+  index.OnCopy({Item("a", "1", 3)}, 5);
+  BOOST_TEST(Text(index.After(4)) == "gone");
+  BOOST_TEST(index.HasNewsAfter(4));
+}
+
+// The store forgot its history, and a whole copy was read. Keys that are not in
+// it were removed at some moment before it; those who ask must hear of them.
+BOOST_AUTO_TEST_CASE(ACopyRemovesWhatIsMissing) {
+  change_index index;
+  index.OnCopy({Item("a", "1", 3), Item("b", "1", 4)}, 5);
+  index.OnCopy({Item("b", "1", 4), Item("c", "1", 8)}, 9);
+  BOOST_TEST(Text(index.After(5)) == "c=1 a- ");
+}
+
+BOOST_AUTO_TEST_CASE(AKeyThatCameBackIsThere) {
+  change_index index;
+  index.OnCopy({Item("a", "1", 3)}, 5);
+  index.OnRemoved("a", 6);
+  index.OnConfirmed("a", 7);
+  BOOST_TEST(Text(index.After(5)) == "a- ");
+  index.OnWritten(Item("a", "1", 8));
+  BOOST_TEST(Text(index.After(5)) == "a=1 ");
+  BOOST_TEST(Text(index.After(6)) == "a=1 ");
+}
+
+// Removed keys can't be kept for ever. Who stands before the one that was
+// forgotten reads a whole copy, or would keep the key for good.
+BOOST_AUTO_TEST_CASE(ForgottenRemovalsNeedAWholeCopy) {
+  change_index index(2);
+  index.OnCopy({Item("a", "1", 1), Item("b", "1", 2), Item("c", "1", 3)}, 5);
+  index.OnRemoved("a", 6);
+  index.OnRemoved("b", 7);
+  BOOST_TEST(Text(index.After(5)) == "a- b- ");
+  index.OnRemoved("c", 8);
+  BOOST_TEST(Text(index.After(5)) == "gone");
+  BOOST_TEST(Text(index.After(6)) == "b- c- ");
+}
+
+// News that come by two ways overtake each other.
+BOOST_AUTO_TEST_CASE(OlderNewsOfAKeyChangeNothing) {
+  change_index index;
+  index.OnCopy({Item("a", "1", 3)}, 5);
+  index.OnWritten(Item("a", "3", 8));
+  index.OnWritten(Item("a", "2", 7));
+  index.OnRemoved("a", 6);
+  BOOST_TEST(Text(index.After(5)) == "a=3 ");
+}
+
+// Followers that stop and ask at any moment, by any of two indexes that heard
+// of the same store at different moments, have what the store has.
+BOOST_AUTO_TEST_CASE(AFollowerEndsWithWhatTheStoreHas) {
+  pcg32 random(7);
+  std::map<std::string, store_item> store;
+  change_index indexes[2];
+  for (change_index& index : indexes) index.OnCopy({}, 1);
+  store_revision revision = 1;
+  std::map<std::string, std::string> follower;
+  store_revision follower_at = 1;
+  for (int step = 0; step < 3000; ++step) {
+    const std::string key = std::to_string(random(12));
+    ++revision;
+    if (random(3) == 0) {
+      store.erase(key);
+      for (change_index& index : indexes) index.OnRemoved(key, revision);
+    } else {
+      store[key] = Item(key, std::to_string(random(1000)), revision);
+      indexes[0].OnWritten(store[key]);
+      // The other one lags and reads whole copies.
+      if (random(4) == 0) {
+        std::vector<store_item> items;
+        for (const auto& [name, item] : store) items.push_back(item);
+        indexes[1].OnCopy(items, revision);
+      } else {
+        indexes[1].OnWritten(store[key]);
+      }
+    }
+    for (change_index& index : indexes) index.OnRevision(revision);
+    if (random(5) != 0) continue;
+    const auto changes = indexes[random(2)].After(follower_at);
+    BOOST_REQUIRE(changes);
+    for (const key_change& change : *changes) {
+      if (change.what == kind::kRemoved) {
+        follower.erase(change.item.key);
+      } else if (change.what == kind::kWritten) {
+        follower[change.item.key] = change.item.value;
+      }
+    }
+    follower_at = revision;
+    BOOST_REQUIRE(follower.size() == store.size());
+    for (const auto& [name, item] : store) {
+      BOOST_REQUIRE(follower[name] == item.value);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace citron
--- /dev/null
+++ b/tests/protocol/feed_sources_test.cc
@@ -0,0 +1,133 @@
+#include "citron/protocol/feed_sources.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <set>
+#include <string>
+
+namespace citron {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// `in_zone` VMs in each of two zones of `regions` regions; the first of each
+// zone has a wide link.
+std::vector<feed_member> Fleet(int regions, int in_zone) {
+  std::vector<feed_member> fleet;
+  for (int region = 0; region < regions; ++region) {
+    for (int zone = 0; zone < 2; ++zone) {
+      for (int i = 0; i < in_zone; ++i) {
+        const std::string name = fmt::format("r{}z{}", region, zone);
+        fleet.push_back({vm_id(fmt::format("{}v{}", name, i)), zone_id(name),
+                         region_id(fmt::format("r{}", region)),
+                         i == 0 ? 200.0 : 10.0});
+      }
+    }
+  }
+  return fleet;
+}
+
+std::map<vm_id, std::vector<vm_id>> Plans(
+    const std::vector<feed_member>& fleet) {
+  std::map<vm_id, std::vector<vm_id>> plans;
+  for (const feed_member& m : fleet) plans[m.vm] = PlanFeed(m, fleet);
+  return plans;
+}
+
+// How many VMs an answer of the store passes on its way.
+int Depth(const std::map<vm_id, std::vector<vm_id>>& plans, const vm_id& vm) {
+  const std::vector<vm_id>& plan = plans.at(vm);
+  return plan.empty() ? 0 : 1 + Depth(plans, plan.front());
+}
+
+BOOST_AUTO_TEST_SUITE(feed_sources_cases)
+
+// The store counts each call, and its rates grow more slowly than the fleet.
+// One VM a region asks it, however many there are.
+BOOST_AUTO_TEST_CASE(OneVmOfARegionAsksTheStore) {
+  for (const int in_zone : {1, 2, 10, 150}) {
+    const auto plans = Plans(Fleet(3, in_zone));
+    const auto readers =
+        std::count_if(plans.begin(), plans.end(),
+                      [](const auto& plan) { return plan.second.empty(); });
+    BOOST_TEST(readers == 3);
+    for (const auto& [vm, plan] : plans) BOOST_TEST(Depth(plans, vm) <= 2);
+  }
+}
+
+// A VM with a narrow link would be busy with telling others alone.
+BOOST_AUTO_TEST_CASE(OthersAskVmsWithWideLinks) {
+  for (const auto& [vm, plan] : Plans(Fleet(3, 10))) {
+    if (plan.empty()) continue;
+    BOOST_TEST(plan.front().Str().ends_with("v0"));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(NobodyIsAskedByMoreThanAZoneAndTheFirstOfTheOthers) {
+  std::map<vm_id, int> askers;
+  for (const auto& [vm, plan] : Plans(Fleet(2, 50))) {
+    if (!plan.empty()) ++askers[plan.front()];
+  }
+  for (const auto& [vm, count] : askers) BOOST_TEST(count <= 49 + 1);
+}
+
+// Everyone has somebody else to ask when the one that he asks is gone, or comes
+// himself to the store.
+BOOST_AUTO_TEST_CASE(NobodyDependsOnASingleOther) {
+  const std::vector<feed_member> fleet = Fleet(3, 10);
+  for (const auto& [vm, plan] : Plans(fleet)) {
+    std::set<vm_id> different(plan.begin(), plan.end());
+    BOOST_TEST(different.size() == plan.size());
+    BOOST_TEST(plan.size() <= 3u);
+  }
+}
+
+// Two VMs that asked each other would prove to each other for ever that their
+// copies are current.
+BOOST_AUTO_TEST_CASE(NoQuestionsGoRound) {
+  const auto plans = Plans(Fleet(3, 10));
+  for (const auto& [vm, plan] : plans) {
+    for (const vm_id& asked : plan) {
+      const std::vector<vm_id>& back = plans.at(asked);
+      BOOST_TEST((std::find(back.begin(), back.end(), vm) == back.end()));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(WhoGaveNoAnswerIsPassedOver) {
+  monotonic_time now{std::chrono::hours(1)};
+  feed_sources sources;
+  sources.SetPlan({vm_id("a"), vm_id("b")});
+  BOOST_CHECK(sources.Next(now) == vm_id("a"));
+  sources.OnFailed(vm_id("a"), now);
+  BOOST_CHECK(sources.Next(now) == vm_id("b"));
+  sources.OnFailed(vm_id("b"), now);
+  BOOST_CHECK(!sources.Next(now));
+  now += seconds(2);
+  BOOST_CHECK(sources.Next(now) == vm_id("a"));
+  // It fails again, and is left alone for longer.
+  sources.OnFailed(vm_id("a"), now);
+  now += seconds(2);
+  BOOST_CHECK(sources.Next(now) == vm_id("b"));
+  sources.OnAnswered(vm_id("a"));
+  BOOST_CHECK(sources.Next(now) == vm_id("a"));
+}
+
+BOOST_AUTO_TEST_CASE(AReplacedVmBeginsWithAGoodRecord) {
+  monotonic_time now{std::chrono::hours(1)};
+  feed_sources sources;
+  sources.SetPlan({vm_id("a")});
+  sources.OnFailed(vm_id("a"), now);
+  sources.SetPlan({vm_id("b")});
+  sources.SetPlan({vm_id("a")});
+  BOOST_CHECK(sources.Next(now) == vm_id("a"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace citron
--- a/tests/protocol/fleet_feed_test.cc
+++ b/tests/protocol/fleet_feed_test.cc
@@ -157,6 +157,121 @@
   BOOST_TEST(feed_.IsInTouch());
 }
 
+// Another VM held the question for half a second; its own copy was proved 300
+// ms before it answered. Whatever the answer's way took, this copy is proved
+// to that moment and no later: a withdrawn key must not live on by a slow way.
+BOOST_AUTO_TEST_CASE(ARelayedAnswerProvesWhatTheOtherVmHadProved) {
+  ReadCopy(5);
+  now_ += seconds(1);
+  const monotonic_time asked = now_;
+  const auto order = feed_.Next(now_, true);
+  BOOST_REQUIRE(order);
+  BOOST_TEST(order->relayed);
+  BOOST_TEST(order->after == 5u);
+  now_ += seconds(7);
+  feed_.OnRelayed(9, milliseconds(500), milliseconds(300), {}, now_);
+  BOOST_CHECK(feed_.ProvenAt() == asked + milliseconds(200));
+  BOOST_TEST(feed_.Revision() == 9u);
+}
+
+// An answer by an older proof than one that is at hand takes nothing back.
+BOOST_AUTO_TEST_CASE(AnOldProofDoesNotReplaceANewerOne) {
+  ReadCopy(5);
+  const monotonic_time proven = *feed_.ProvenAt();
+  now_ += milliseconds(400);
+  BOOST_REQUIRE(feed_.Next(now_, true));
+  feed_.OnRelayed(5, {}, seconds(3), {}, now_);
+  BOOST_CHECK(feed_.ProvenAt() == proven);
+}
+
+BOOST_AUTO_TEST_CASE(WithoutACopyOnlyTheStoreHelps) {
+  auto order = feed_.Next(now_, true);
+  BOOST_REQUIRE(order);
+  BOOST_TEST(!order->relayed);
+  BOOST_CHECK(order->what == fleet_feed::call::kRange);
+  feed_.OnRange(5, now_);
+  now_ += seconds(1);
+  BOOST_TEST(feed_.Next(now_, true)->relayed);
+  feed_.OnCompacted(now_);
+  order = feed_.Next(now_, true);
+  BOOST_REQUIRE(order);
+  BOOST_TEST(!order->relayed);
+}
+
+// The store can't be reached from here, but another VM reaches it. What it says
+// adds to the copy that is there.
+BOOST_AUTO_TEST_CASE(AnotherVmHelpsWhileTheStoreIsLost) {
+  ReadCopy(5);
+  now_ += seconds(1);
+  BOOST_REQUIRE(feed_.Next(now_));
+  feed_.OnFailed(now_);
+  now_ += seconds(1);
+  const auto order = feed_.Next(now_, true);
+  BOOST_REQUIRE(order);
+  BOOST_TEST(order->relayed);
+  feed_.OnRelayed(7, {}, {}, {}, now_);
+  BOOST_TEST(feed_.IsInTouch());
+  BOOST_TEST(feed_.Revision() == 7u);
+}
+
+// The next one is asked at once: the proof grows older meanwhile.
+BOOST_AUTO_TEST_CASE(AFailedRelayCostsNoWait) {
+  ReadCopy(5);
+  now_ += seconds(1);
+  BOOST_REQUIRE(feed_.Next(now_, true));
+  feed_.OnRelayFailed(now_);
+  BOOST_TEST(feed_.Next(now_, true).has_value());
+}
+
+// What the other VM holds for lapsed in an outage is kept here as long.
+BOOST_AUTO_TEST_CASE(ARelayedOutageKeepsWhatIsMissing) {
+  ReadCopy(5);
+  now_ += seconds(1);
+  BOOST_REQUIRE(feed_.Next(now_, true));
+  feed_.OnRelayed(7, {}, {}, milliseconds(1500), now_);
+  BOOST_CHECK(feed_.LapsedUntil() == now_ + milliseconds(1500));
+}
+
+// Nothing changes anywhere. The copies of VMs that ask others must be proved
+// young enough for them to be ready, through two VMs between them and the
+// store.
+BOOST_AUTO_TEST_CASE(ProofsStayYoungThroughTwoVms) {
+  fleet_feed feeds[3] = {fleet_feed(feed_options{}), fleet_feed(feed_options{}),
+                         fleet_feed(feed_options{})};
+  feeds[0].SetShared(true);
+  for (fleet_feed& feed : feeds) {
+    BOOST_REQUIRE(feed.Next(now_));
+    feed.OnRange(5, now_);
+  }
+  struct under_way {
+    bool is_there = false;
+    monotonic_time sent{};
+    duration wait{};
+  };
+  under_way calls[3];
+  duration oldest{};
+  for (int step = 0; step < 2000; ++step) {
+    now_ += milliseconds(10);
+    for (int i = 0; i < 3; ++i) {
+      under_way& call = calls[i];
+      if (call.is_there && now_ >= call.sent + call.wait) {
+        call.is_there = false;
+        if (i == 0) {
+          feeds[0].OnEvents(5, false, now_);
+        } else {
+          feeds[i].OnRelayed(5, call.wait, now_ - *feeds[i - 1].ProvenAt(), {},
+                             now_);
+        }
+      }
+      const auto order = feeds[i].Next(now_, i > 0);
+      if (order) call = {true, now_, order->wait};
+      oldest = std::max(oldest, now_ - *feeds[i].ProvenAt());
+    }
+  }
+  // A VM is ready up to three seconds; the rest is for ways and ticks.
+  BOOST_TEST(ToSeconds(oldest) < 2.5);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
