VMs tell each other the loads of upstreams; callers are sent to VMs with wide links

Cause: at 60 VMs each sends an upstream one request in eight seconds, so that it knows nothing of the queues there. And what VMs told each other of contracts was most of the bytes between regions: each told all 59 others of all 72 workspaces.

Loads go along with the counts of contracts, often between VMs that serve callers, seldom to the others; workspaces that asked nothing are left out. Look-ups name the VMs of a zone with wide links as long as there are two that aren't strained (new: processor_gauge).

--- a/include/citron/config/node_settings.h
+++ b/include/citron/config/node_settings.h
@@ -42,7 +42,8 @@
   endpoint metrics;
   endpoint store;
   int max_descriptors = 4096;
-  double link_mbps = 0;  // 0: not known.
+  double link_mbps = 0;        // 0: not known.
+  double processor_share = 0;  // Of one core; 0: not known.
   fleet_bounds bounds;
 };
 
--- a/include/citron/node/fleet_state.h
+++ b/include/citron/node/fleet_state.h
@@ -46,6 +46,11 @@
   // Null if nothing is known of it.
   affinity_selector* SelectorOf(const service_id& service);
   upstream_standing* FindUpstream(const upstream_id& id);
+  // What an upstream said of its load to this VM.
+  void OnUpstreamLoad(upstream_standing& upstream, const load_report& report,
+                      monotonic_time now);
+  // The last of them of each upstream since this was asked, for other VMs.
+  std::map<upstream_id, int> TakeHeardLoads();
   service_split& SplitOf(const route_config& route);
   retry_budget& RetriesOf(const service_id& service);
   // Null where the workspace isn't declared.
@@ -84,6 +89,7 @@
   std::map<workspace_id, workspace_quota> quotas_;
   std::set<zone_id> closed_zones_;
   std::map<vm_id, vm_listing> vms_;
+  std::map<upstream_id, int> heard_loads_;
   bool fleet_changed_ = false;  // Since the size was last told on.
   std::set<std::string> keys_;  // All that is known.
   std::map<std::string, monotonic_time> missing_;     // Key, removed then.
--- a/include/citron/node/node_context.h
+++ b/include/citron/node/node_context.h
@@ -24,6 +24,12 @@
   upstream_pool& pool;
 };
 
+// Whether callers should be sent to a VM, as it says of itself.
+struct vm_condition {
+  bool ready = false;
+  bool strained = false;  // It has little of its processor left.
+};
+
 // How old the copy of the store is proved to be, for the log; -1 without one.
 inline double StoreAgeMs(const node_context& context, monotonic_time now) {
   const auto proven = context.feed.ProvenAt();
--- a/include/citron/node/node_pages.h
+++ b/include/citron/node/node_pages.h
@@ -30,12 +30,12 @@
   static result<std::unique_ptr<node_pages>> Make(
       node_context& context, const page_paths& paths,
       const peer_exchange& peers, feed_relay& relay,
-      std::function<bool()> is_ready);
+      std::function<vm_condition()> condition);
 
  private:
   node_pages(node_context& context, const page_paths& paths,
              const peer_exchange& peers, feed_relay& relay,
-             std::function<bool()> is_ready);
+             std::function<vm_condition()> condition);
 
   void OnReadiness(http_exchange& exchange);
   void OnLookup(http_exchange& exchange);
@@ -45,7 +45,7 @@
   page_paths paths_;
   const peer_exchange& peers_;
   feed_relay& relay_;
-  std::function<bool()> is_ready_;
+  std::function<vm_condition()> condition_;
   std::unique_ptr<http_server> readiness_;
   std::unique_ptr<http_server> lookup_;
   std::unique_ptr<http_server> internal_;
--- a/include/citron/node/node_task.h
+++ b/include/citron/node/node_task.h
@@ -22,6 +22,7 @@
 #include "citron/node/store_sync.h"
 #include "citron/node/upstream_pool.h"
 #include "citron/platform/platform_store.h"
+#include "citron/policy/processor_gauge.h"
 
 struct evconnlistener;
 
@@ -61,6 +62,7 @@
   void OnAccept(int descriptor);
   std::unique_ptr<request_handler> Make(http1_head head,
                                         caller_exchange& exchange) override;
+  vm_condition Condition() const;
   void OnTick();
   void OnStopStep(monotonic_time now);
   void CloseListener();
@@ -77,12 +79,12 @@
   std::string secret_;  // Of this start, for other VMs of the fleet.
   store_sync sync_;
   feed_relay relay_;
+  processor_gauge gauge_;
   std::unique_ptr<peer_exchange> peers_;
   std::unique_ptr<node_pages> pages_;
   evconnlistener* listener_ = nullptr;
   std::vector<std::unique_ptr<caller_connection>> connections_;
   loop_timer tick_;
-  monotonic_time tell_at_{};
   monotonic_time sweep_at_{};
   bool was_ready_ = false;
 
--- a/include/citron/node/peer_exchange.h
+++ b/include/citron/node/peer_exchange.h
@@ -17,22 +17,34 @@
 
 namespace citron {
 
+// Of a workspace that asked anything of the telling VM.
 struct quota_line {
   workspace_id workspace;
-  double demand_per_s = 0;
-  double admitted_in_window = 0;
+  std::uint32_t demand_tenths_per_s = 0;
+  std::uint32_t admitted_in_window = 0;
 };
 
-// What a VM tells every other one, again and again. Any may be lost.
+// What an upstream said with an answer: the requests there, waiting ones
+// included.
+struct load_line {
+  upstream_id upstream;
+  std::uint32_t requests = 0;
+};
+
+// What a VM tells other ones, again and again. Any may be lost.
 struct peer_report {
   vm_id vm;
   std::uint64_t incarnation = 0;
   std::uint64_t sequence = 0;
   bool ready = false;
+  bool strained = false;  // It has little of its processor left.
   std::vector<quota_line> quotas;
+  std::vector<load_line> loads;
 };
 
-// Tells the other VMs by datagrams how this one stands, and hears them.
+// Tells the other VMs by datagrams how this one stands, and hears them. VMs
+// that serve callers tell each other often, and what they heard of upstreams'
+// loads; the others are told seldom.
 class peer_exchange {
  public:
   static result<std::unique_ptr<peer_exchange>> Make(node_context& context);
@@ -40,33 +52,41 @@
   peer_exchange(const peer_exchange&) = delete;
   peer_exchange& operator=(const peer_exchange&) = delete;
 
-  // Sends to all VMs that are listed.
-  void Tell(bool ready, monotonic_time now);
+  // Tells whom it is time to tell; to be called as time passes.
+  void Run(const vm_condition& own, monotonic_time now);
 
   bool IsHeard(const vm_id& vm, monotonic_time now) const;
   // What it said last; true if it was never heard.
   bool IsReady(const vm_id& vm) const;
-  // When to tell next: with more VMs less often, so that the bytes of each VM
-  // stay in bounds.
-  duration Interval() const;
+  bool IsStrained(const vm_id& vm) const;
 
  private:
   struct peer_state {
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
     bool ready = true;
+    bool strained = false;
+    bool serves = false;
     monotonic_time heard_at{};
   };
 
   peer_exchange(node_context& context, int descriptor);
   void OnReadable();
   void OnReport(const peer_report& report, monotonic_time now);
+  peer_report MakeReport(const vm_condition& own, monotonic_time now);
+  void Send(const peer_report& report, bool to_serving);
+  bool Serves(const vm_id& vm) const;
+  int ServingPeers() const;
 
   node_context& context_;
   int descriptor_;
   event* readable_ = nullptr;
   std::uint64_t incarnation_;
   std::uint64_t sequence_ = 0;
+  monotonic_time tell_serving_at_{};
+  monotonic_time tell_all_at_{};
+  bool told_ready_ = false;
+  bool told_serving_ = false;
   std::map<vm_id, peer_state> peers_;
 };
 
--- a/include/citron/policy/upstream_standing.h
+++ b/include/citron/policy/upstream_standing.h
@@ -61,6 +61,8 @@
 
   void OnSent(monotonic_time now);
   void OnReport(const load_report& report, monotonic_time now);
+  // Another VM heard that so many requests are there.
+  void OnHeardLoad(int requests, monotonic_time now);
   void OnDone(upstream_outcome outcome, monotonic_time now);
   int InFlight() const { return in_flight_; }
   // Requests there, from here and from others, by its last report.
@@ -78,6 +80,7 @@
   double FailureRate() const { return failure_rate_; }
 
  private:
+  void SetLoad(int requests, int own, int slots, monotonic_time now);
   double ColdTokens(monotonic_time now) const;
   void OnConnectFailure(monotonic_time now);
 
--- a/include/citron/policy/vm_choice.h
+++ b/include/citron/policy/vm_choice.h
@@ -16,10 +16,13 @@
   endpoint callers;
   bool ready = true;  // It says that it takes requests.
   bool heard = true;  // It was heard from lately.
+  double link_mbps = 0;
+  bool strained = false;  // It has little of its processor left.
 };
 
 // The VMs that callers of a zone are told of: of those that take requests the
-// nearest. Empty only if there is no candidate at all.
+// nearest, and of these the ones with wide links, as long as there are two of
+// them and none is strained. Empty only if there is no candidate at all.
 std::vector<vm_candidate> ChooseVms(const std::vector<vm_candidate>& all,
                                     const zone_id& zone,
                                     const region_id& region);
--- a/include/citron/policy/weight_control.h
+++ b/include/citron/policy/weight_control.h
@@ -11,9 +11,9 @@
   // it takes some back; between them nothing changes.
   double high_load = 1.5;
   double low_load = 0.6;
-  // Weight of the newest report in the mean: about the last three count, which
-  // is the last second or two of what one VM hears of one upstream.
-  double report_weight = 0.3;
+  // The mean is over about so long, and over two reports at the least.
+  duration horizon = FromMilliseconds(1000);
+  double most_report_weight = 0.5;
   // Change of the weight a second, as a part of it. Down: of a region's
   // requests at most a quarter of this part moves to other regions in a second,
   // a tenth in two. Up: the load jumps where an upstream holds more objects
--- a/src/node/fleet_state.cc
+++ b/src/node/fleet_state.cc
@@ -337,6 +337,17 @@
   return selector == nullptr ? nullptr : selector->Find(id);
 }
 
+void fleet_state::OnUpstreamLoad(upstream_standing& upstream,
+                                 const load_report& report,
+                                 monotonic_time now) {
+  upstream.OnReport(report, now);
+  heard_loads_[upstream.Record().id] = report.running + report.waiting;
+}
+
+std::map<upstream_id, int> fleet_state::TakeHeardLoads() {
+  return std::exchange(heard_loads_, {});
+}
+
 service_split& fleet_state::SplitOf(const route_config& route) {
   return splits_[route.id];
 }
--- a/src/node/node_pages.cc
+++ b/src/node/node_pages.cc
@@ -25,9 +25,9 @@
 
 result<std::unique_ptr<node_pages>> node_pages::Make(
     node_context& context, const page_paths& paths, const peer_exchange& peers,
-    feed_relay& relay, std::function<bool()> is_ready) {
+    feed_relay& relay, std::function<vm_condition()> condition) {
   std::unique_ptr<node_pages> pages(
-      new node_pages(context, paths, peers, relay, std::move(is_ready)));
+      new node_pages(context, paths, peers, relay, std::move(condition)));
   struct page {
     const endpoint& address;
     void (node_pages::*answer)(http_exchange&);
@@ -51,18 +51,18 @@
 
 node_pages::node_pages(node_context& context, const page_paths& paths,
                        const peer_exchange& peers, feed_relay& relay,
-                       std::function<bool()> is_ready)
+                       std::function<vm_condition()> condition)
     : context_(context),
       paths_(paths),
       peers_(peers),
       relay_(relay),
-      is_ready_(std::move(is_ready)) {}
+      condition_(std::move(condition)) {}
 
 void node_pages::OnReadiness(http_exchange& exchange) {
   if (exchange.Request().Path() != paths_.ready) {
     return exchange.Reply(JsonResponse(404, {{"error", "no_such_page"}}));
   }
-  const bool ready = is_ready_();
+  const bool ready = condition_().ready;
   exchange.Reply(JsonResponse(ready ? 200 : 503, {{"ready", ready}}));
 }
 
@@ -79,8 +79,9 @@
   for (const auto& [vm, listing] : context_.fleet.Vms()) {
     const bool own = vm == context_.settings.vm;
     candidates.push_back({vm, listing.zone, listing.region, listing.callers,
-                          own ? is_ready_() : peers_.IsReady(vm),
-                          own || peers_.IsHeard(vm, now)});
+                          own ? condition_().ready : peers_.IsReady(vm),
+                          own || peers_.IsHeard(vm, now), listing.link_mbps,
+                          own ? condition_().strained : peers_.IsStrained(vm)});
   }
   nlohmann::json addresses = nlohmann::json::array();
   for (const vm_candidate& vm : ChooseVms(candidates, zone, region)) {
--- a/src/node/node_task.cc
+++ b/src/node/node_task.cc
@@ -21,6 +21,15 @@
 constexpr duration kSweepInterval = std::chrono::seconds(1);
 constexpr int kBacklog = 1024;
 constexpr std::size_t kSecretBytes = 16;
+
+// Of this process, since its start.
+duration ProcessorTime() {
+  timespec used{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+  return std::chrono::seconds(used.tv_sec) +
+         std::chrono::nanoseconds(used.tv_nsec);
+}
+
 // Descriptors for upstreams, the store, pages and files.
 constexpr int kKeptDescriptors = 1200;
 // Of the grace period: callers use what they were told for three times the
@@ -40,7 +49,7 @@
   task->peers_ = std::move(ValueOf(peers));
   result<std::unique_ptr<node_pages>> pages = node_pages::Make(
       task->context_, platform.pages, *task->peers_, task->relay_,
-      [self = task.get()] { return self->IsReady(); });
+      [self = task.get()] { return self->Condition(); });
   if (!IsOk(pages)) return ErrorOf(pages);
   task->pages_ = std::move(ValueOf(pages));
   const status listening = task->Listen();
@@ -62,6 +71,7 @@
       secret_(RandomHex(kSecretBytes)),
       sync_(context_, *platform.store, *platform.codec, secret_),
       relay_(context_, sync_.Index(), secret_),
+      gauge_(settings_.processor_share),
       tick_(loop, [this] { OnTick(); }) {}
 
 node_task::~node_task() {
@@ -155,16 +165,18 @@
   return IsCurrentWithin(kReadyPart, context_, MonotonicNow());
 }
 
+vm_condition node_task::Condition() const {
+  return {IsReady(), gauge_.IsStrained()};
+}
+
 void node_task::OnTick() {
   const monotonic_time now = MonotonicNow();
   sync_.Run(now);
   relay_.Run(now);
   fleet_.RemoveMissing(now);
   const bool ready = IsReady();
-  if (now >= tell_at_ || ready != was_ready_) {
-    peers_->Tell(ready, now);
-    tell_at_ = now + peers_->Interval();
-  }
+  gauge_.OnSample(ProcessorTime(), now);
+  peers_->Run(Condition(), now);
   if (ready != was_ready_) {
     log_.Write("node", ready ? "ready" : "not_ready",
                {{"vm", settings_.vm.Str()}, {"stopping", bool(stopped_)}}, now);
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <cmath>
 #include <cstring>
 #include <tuple>
 #include <utility>
@@ -20,23 +21,39 @@
 namespace citron {
 
 auto WireFields(quota_line& line) {
-  return std::tie(line.workspace, line.demand_per_s, line.admitted_in_window);
+  return std::tie(line.workspace, line.demand_tenths_per_s,
+                  line.admitted_in_window);
+}
+
+auto WireFields(load_line& line) {
+  return std::tie(line.upstream, line.requests);
 }
 
 auto WireFields(peer_report& report) {
   return std::tie(report.vm, report.incarnation, report.sequence, report.ready,
-                  report.quotas);
+                  report.strained, report.quotas, report.loads);
 }
 
 namespace {
 
 constexpr std::size_t kMaxDatagram = std::size_t{60} << 10;
 constexpr duration kInterval = std::chrono::milliseconds(400);
-// VMs up to which the interval holds.
+// VMs up to which the interval holds: with more it grows as their number, so
+// that the bytes that each VM sends stay the same.
 constexpr int kSmallFleet = 12;
+// Requests a second below which a workspace counts as asking nothing.
+constexpr double kLeastDemand = 0.05;
 // Reports that may be lost in a row before a VM counts as not heard.
 constexpr int kLostReports = 4;
 
+duration IntervalFor(int vms) {
+  return kInterval * std::max(kSmallFleet, vms) / kSmallFleet;
+}
+
+std::uint32_t RoundedUp(double value) {
+  return static_cast<std::uint32_t>(std::ceil(std::max(0.0, value)));
+}
+
 }  // namespace
 
 result<std::unique_ptr<peer_exchange>> peer_exchange::Make(
@@ -78,22 +95,63 @@
   close(descriptor_);
 }
 
-duration peer_exchange::Interval() const {
-  const int vms = context_.fleet.FleetSize();
-  return kInterval * std::max(1, vms / kSmallFleet);
+void peer_exchange::Run(const vm_condition& own, monotonic_time now) {
+  const bool for_all = now >= tell_all_at_;
+  const bool for_serving = now >= tell_serving_at_;
+  if (!for_all && !for_serving && own.ready == told_ready_) return;
+  const peer_report report = MakeReport(own, now);
+  const bool serves = !report.quotas.empty();
+  // Whoever hears late that callers come here would share a contract wrongly,
+  // or go on sending them to a VM that turns them away.
+  const bool urgent = own.ready != told_ready_ || serves != told_serving_;
+  told_ready_ = own.ready;
+  told_serving_ = serves;
+  tell_serving_at_ = now + IntervalFor(ServingPeers());
+  Send(report, true);
+  if (!for_all && !urgent) return;
+  tell_all_at_ = now + IntervalFor(context_.fleet.FleetSize());
+  Send(report, false);
 }
 
-void peer_exchange::Tell(bool ready, monotonic_time now) {
-  peer_report report{
-      context_.settings.vm, incarnation_, ++sequence_, ready, {}};
+peer_report peer_exchange::MakeReport(const vm_condition& own,
+                                      monotonic_time now) {
+  peer_report report;
+  report.vm = context_.settings.vm;
+  report.incarnation = incarnation_;
+  report.sequence = ++sequence_;
+  report.ready = own.ready;
+  report.strained = own.strained;
   for (auto& [workspace, quota] : context_.fleet.Quotas()) {
     const quota_report told = quota.Report(now);
-    report.quotas.push_back(
-        {workspace, told.demand_per_s, told.admitted_in_window});
+    const quota_line line{workspace, RoundedUp(10 * told.demand_per_s),
+                          RoundedUp(told.admitted_in_window)};
+    const bool asked = told.demand_per_s >= kLeastDemand;
+    if (asked || line.admitted_in_window > 0) report.quotas.push_back(line);
+  }
+  for (const auto& [upstream, requests] : context_.fleet.TakeHeardLoads()) {
+    report.loads.push_back({upstream, static_cast<std::uint32_t>(requests)});
   }
-  const std::string bytes = EncodeWire(report);
+  return report;
+}
+
+bool peer_exchange::Serves(const vm_id& vm) const {
+  const auto peer = peers_.find(vm);
+  return peer != peers_.end() && peer->second.serves;
+}
+
+int peer_exchange::ServingPeers() const {
+  return static_cast<int>(
+      std::count_if(peers_.begin(), peers_.end(),
+                    [](const auto& peer) { return peer.second.serves; }));
+}
+
+void peer_exchange::Send(const peer_report& report, bool to_serving) {
+  peer_report told = report;
+  // Loads are of use to those who send requests.
+  if (!to_serving) told.loads.clear();
+  const std::string bytes = EncodeWire(told);
   for (const auto& [vm, listing] : context_.fleet.Vms()) {
-    if (vm == context_.settings.vm) continue;
+    if (vm == context_.settings.vm || Serves(vm) != to_serving) continue;
     const sockaddr_in to = SocketAddress(listing.peer);
     // One that can't be sent is a lost one; the next follows.
     sendto(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL,
@@ -124,19 +182,32 @@
       std::tie(peer.incarnation, peer.sequence)) {
     return;
   }
-  peer = {report.incarnation, report.sequence, report.ready, now};
+  const bool serves = !report.quotas.empty();
+  peer = {report.incarnation, report.sequence, report.ready,
+          report.strained,    serves,          now};
+  std::map<workspace_id, quota_report> told;
   for (const quota_line& line : report.quotas) {
-    workspace_quota* quota = context_.fleet.QuotaOf(line.workspace);
-    if (quota == nullptr) continue;
-    quota->OnReport(report.vm, {line.demand_per_s, line.admitted_in_window},
-                    now);
+    told[line.workspace] = {line.demand_tenths_per_s / 10.0,
+                            static_cast<double>(line.admitted_in_window)};
+  }
+  // What isn't told of was asked nothing.
+  for (auto& [workspace, quota] : context_.fleet.Quotas()) {
+    const auto line = told.find(workspace);
+    quota.OnReport(report.vm,
+                   line == told.end() ? quota_report{} : line->second, now);
+  }
+  for (const load_line& line : report.loads) {
+    upstream_standing* upstream = context_.fleet.FindUpstream(line.upstream);
+    if (upstream == nullptr) continue;
+    upstream->OnHeardLoad(static_cast<int>(line.requests), now);
   }
 }
 
 bool peer_exchange::IsHeard(const vm_id& vm, monotonic_time now) const {
   const auto peer = peers_.find(vm);
   return peer != peers_.end() &&
-         now - peer->second.heard_at < Interval() * kLostReports;
+         now - peer->second.heard_at <
+             IntervalFor(context_.fleet.FleetSize()) * kLostReports;
 }
 
 bool peer_exchange::IsReady(const vm_id& vm) const {
@@ -144,4 +215,9 @@
   return peer == peers_.end() || peer->second.ready;
 }
 
+bool peer_exchange::IsStrained(const vm_id& vm) const {
+  const auto peer = peers_.find(vm);
+  return peer != peers_.end() && peer->second.strained;
+}
+
 }  // namespace citron
--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -243,7 +243,7 @@
   if (standing == nullptr) return;
   const auto text = FindHeader(head.headers, context_.names.load);
   const auto report = text ? ReadLoad(*text) : std::nullopt;
-  if (report) standing->OnReport(*report, MonotonicNow());
+  if (report) context_.fleet.OnUpstreamLoad(*standing, *report, MonotonicNow());
 }
 
 void proxied_request::OnAnswerHead(http1_head head) {
--- a/src/policy/upstream_standing.cc
+++ b/src/policy/upstream_standing.cc
@@ -75,11 +75,18 @@
                                  monotonic_time now) {
   // The request whose answer brings the report isn't in it any more, nor in
   // the count of this VM once it is done.
-  foreign_load_ = std::max(0, report.running + report.waiting - in_flight_ + 1);
+  SetLoad(report.running + report.waiting, in_flight_ - 1, report.slots, now);
+}
+
+void upstream_standing::OnHeardLoad(int requests, monotonic_time now) {
+  SetLoad(requests, in_flight_, record_.slots, now);
+}
+
+void upstream_standing::SetLoad(int requests, int own, int slots,
+                                monotonic_time now) {
+  foreign_load_ = std::max(0, requests - own);
   reported_at_ = now;
-  weight_.OnLoad(static_cast<double>(report.running + report.waiting) /
-                     std::max(1, report.slots),
-                 now);
+  weight_.OnLoad(static_cast<double>(requests) / std::max(1, slots), now);
 }
 
 int upstream_standing::Load(monotonic_time now) const {
--- a/src/policy/vm_choice.cc
+++ b/src/policy/vm_choice.cc
@@ -4,9 +4,36 @@
 #include <array>
 #include <functional>
 #include <iterator>
+#include <utility>
 
 namespace citron {
 
+namespace {
+
+// Of the widest link, what counts as wide.
+constexpr double kWidePart = 0.5;
+// One alone would be missed by all callers of its zone at once.
+constexpr std::size_t kLeastWide = 2;
+
+// Answers: VMs of two sizes in one zone. Callers spread evenly, so that a small
+// VM gets as many large answers as its link holds in a second, and each VM sees
+// so small a part of the load that none knows what upstreams carry. Fewer VMs
+// also keep fewer connections.
+std::vector<vm_candidate> KeepWide(std::vector<vm_candidate> vms) {
+  double widest = 0;
+  for (const vm_candidate& vm : vms) widest = std::max(widest, vm.link_mbps);
+  std::vector<vm_candidate> wide;
+  std::copy_if(vms.begin(), vms.end(), std::back_inserter(wide),
+               [widest](const vm_candidate& vm) {
+                 return vm.link_mbps >= kWidePart * widest;
+               });
+  const bool strained = std::any_of(wide.begin(), wide.end(),
+                                    [](const auto& vm) { return vm.strained; });
+  return strained || wide.size() < kLeastWide ? std::move(vms) : wide;
+}
+
+}  // namespace
+
 // Answers: zones whose VMs die, freeze or lose the store. Callers spread over
 // all that they are told of, so that one dead VM among two costs half of them a
 // second each. What is known to fail is left out as long as anything else is
@@ -33,7 +60,7 @@
       std::copy_if(
           all.begin(), all.end(), std::back_inserter(chosen),
           [&](const vm_candidate& vm) { return health(vm) && place(vm); });
-      if (!chosen.empty()) return chosen;
+      if (!chosen.empty()) return KeepWide(std::move(chosen));
     }
   }
   return {};
--- a/src/policy/weight_control.cc
+++ b/src/policy/weight_control.cc
@@ -22,10 +22,13 @@
     : options_(options) {}
 
 void weight_control::OnLoad(double load, monotonic_time now) {
-  mean_load_ += options_.report_weight * (load - mean_load_);
-  const double step =
-      ToSeconds(std::min(now - stepped_at_, options_.longest_step));
+  const duration passed = now - stepped_at_;
   stepped_at_ = now;
+  const double weight =
+      1 - std::exp(-ToSeconds(passed) / ToSeconds(options_.horizon));
+  mean_load_ +=
+      std::min(weight, options_.most_report_weight) * (load - mean_load_);
+  const double step = ToSeconds(std::min(passed, options_.longest_step));
   if (mean_load_ > options_.high_load) {
     weight_ *= std::exp(-options_.down_per_s * step);
   } else if (mean_load_ < options_.low_load) {
--- a/tests/node/feed_relay_test.cc
+++ b/tests/node/feed_relay_test.cc
@@ -107,12 +107,13 @@
                  .find("citron_feed_answers_total") != std::string::npos;
     }));
   }
-  std::string StatusAt(int i, const std::string& key) {
+  std::string StatusAt(int i, const std::string& key,
+                       const std::string& path = "/look/1") {
     raw_caller caller(vm_settings_[i].callers);
-    caller.Send("GET /look/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: " +
-                std::to_string(++last_id_) +
-                "\r\nX-Deadline: 4000\r\nAuthorization: Bearer " + key +
-                "\r\n\r\n");
+    caller.Send(
+        "GET " + path +
+        " HTTP/1.1\r\nHost: a.example\r\nX-Id: " + std::to_string(++last_id_) +
+        "\r\nX-Deadline: 4000\r\nAuthorization: Bearer " + key + "\r\n\r\n");
     return StatusOf(Wait(caller));
   }
 
@@ -182,6 +183,24 @@
   BOOST_TEST(RunUntil([this] { return vms_[1]->IsReady(); }));
 }
 
+// An upstream tells the first VM that eight requests are there. The other VM,
+// to which it tells nothing, must know when it chooses.
+BOOST_AUTO_TEST_CASE(VmsHearFromEachOtherWhatUpstreamsCarry) {
+  AddUpstream("u1", [](const std::string& request) {
+    const bool tells = request.starts_with("GET /look/busy");
+    return scripted_answer{
+        GoodAnswer(request, "x", tells ? "X-Load: 4,4,4\r\n" : ""), false};
+  });
+  BOOST_REQUIRE(RunUntil([this] { return StatusAt(1, "key1") == "200"; }));
+  // The first VM tells it once it has heard that the other serves callers, too.
+  BOOST_TEST(RunUntil([this] {
+    StatusAt(0, "key1", "/look/busy");
+    lines_.clear();
+    StatusAt(1, "key1");
+    return HasLine("load=8 slots=4");
+  }));
+}
+
 // Whoever reaches the port for the inside could ask for all keys.
 BOOST_AUTO_TEST_CASE(AStrangersQuestionIsRefused) {
   const http_request request =
--- a/tests/policy/vm_choice_test.cc
+++ b/tests/policy/vm_choice_test.cc
@@ -47,5 +47,32 @@
   BOOST_TEST(Choose({}).empty());
 }
 
+vm_candidate Linked(const char* id, double link_mbps, bool strained = false) {
+  vm_candidate vm = Vm(id, "z1", "r1");
+  vm.link_mbps = link_mbps;
+  vm.strained = strained;
+  return vm;
+}
+
+// A large answer takes a tenth of a second of a small VM's link. Callers are
+// sent to the VMs beside it that carry a hundred of them.
+BOOST_AUTO_TEST_CASE(VmsWithWideLinksGoFirst) {
+  BOOST_TEST(Choose({Linked("a", 10), Linked("b", 200), Linked("c", 10),
+                     Linked("d", 200)}) == "b d ");
+  BOOST_TEST(Choose({Linked("a", 200), Linked("b", 120)}) == "a b ");
+}
+
+// One of the two wide VMs died. All of a zone's callers at the other one would
+// be cut together when it follows.
+BOOST_AUTO_TEST_CASE(OneWideVmIsNotEnough) {
+  BOOST_TEST(Choose({Linked("a", 10), Linked("b", 200), Linked("c", 10)}) ==
+             "a b c ");
+}
+
+BOOST_AUTO_TEST_CASE(TheOthersHelpWhereAWideOneIsStrained) {
+  BOOST_TEST(Choose({Linked("a", 10), Linked("b", 200, true),
+                     Linked("d", 200)}) == "a b d ");
+}
+
 }  // namespace
 }  // namespace citron
