The word of a crash leaves before the answer that tells of it

Cause: a request that crashes upstreams was sent again by its caller, at a VM of the other zone, before that VM's dispatch had the word of the first crash. Sent there beside other suspects, its second crash convicted nobody, and a third upstream fell (KNOWN-RED, integration_poison_test). The dispatch answered first and told the others after it.

Ruled out: a second try by the entry (a lost answer is final there); the retry inside the first zone, which is a suspect's and convicts by itself.

--- a/src/dispatch/dispatch_task.cc
+++ b/src/dispatch/dispatch_task.cc
@@ -462,6 +462,10 @@
         return (send != nullptr && send->id == id) ||
                (refuse != nullptr && refuse->id == id);
       });
+  // What was learnt of a crash goes out before the answer: a caller who sends
+  // the request again elsewhere at once would else come before the word of it,
+  // and the crash there would convict nobody.
+  Perform(*service, actions);
   if (!goes_on && !IsNotRun(outcome)) {
     const bool timed_out = outcome == upstream_outcome::kTimedOut;
     request.ReplyFailed(timed_out ? "upstream_timeout" : "upstream_lost",
@@ -475,7 +479,6 @@
                 ToMilliseconds(now - request.ArrivedAt()));
     Retire(id);
   }
-  Perform(*service, actions);
 }
 
 // The entry hung up, for its caller did or its deadline passed.
