A fault soak: real entry VMs under drawn disturbances, checked from outside

Seeds make plans of kills, pauses, planned stops, outages and lost answers of the store, crashing, leaving, failing and late upstreams, resets, closed zones, withdrawn keys, added routes and floods, in rows and at once; the last two fifths of a run are calm. The stand-ins' base64 stands once.

--- a/standins/platform/published_calls.cc
+++ b/standins/platform/published_calls.cc
@@ -1,7 +1,5 @@
 #include "standins/platform/published_calls.h"
 
-#include <openssl/evp.h>
-
 #include <charconv>
 #include <chrono>
 #include <nlohmann/json.hpp>
@@ -10,6 +8,7 @@
 #include <vector>
 
 #include "citron/config/json_reader.h"
+#include "standins/base64.h"
 #include "standins/http_json.h"
 
 namespace citron {
@@ -23,28 +22,6 @@
 constexpr std::string_view kKeepPath = "/-/kv-keep/";
 constexpr std::string_view kEndPath = "/-/kv-lease-end/";
 
-std::string ToBase64(const std::string& bytes) {
-  std::string text((bytes.size() + 2) / 3 * 4, '\0');
-  EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-                  reinterpret_cast<const unsigned char*>(bytes.data()),
-                  static_cast<int>(bytes.size()));
-  return text;
-}
-
-std::optional<std::string> FromBase64(const std::string& text) {
-  if (text.size() % 4 != 0) return std::nullopt;
-  std::string bytes(text.size() / 4 * 3, '\0');
-  if (text.empty()) return bytes;
-  const int size =
-      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
-                      reinterpret_cast<const unsigned char*>(text.data()),
-                      static_cast<int>(text.size()));
-  if (size < 0) return std::nullopt;
-  const bool two = text.ends_with("==");
-  bytes.resize(bytes.size() - (two ? 2 : (text.ends_with('=') ? 1 : 0)));
-  return bytes;
-}
-
 json ItemJson(const kv_item& item) {
   return {{"key", item.key},
           {"value", ToBase64(item.value)},
--- a/tests/integration/node_path_test.cc
+++ b/tests/integration/node_path_test.cc
@@ -1,5 +1,4 @@
 #include <fmt/format.h>
-#include <openssl/evp.h>
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
@@ -8,20 +7,13 @@
 
 #include "integration/harness.h"
 #include "node/scripted_upstream.h"
+#include "standins/base64.h"
 
 namespace citron {
 namespace {
 
 using json = nlohmann::json;
 
-std::string ToBase64(const std::string& bytes) {
-  std::string text((bytes.size() + 2) / 3 * 4, '\0');
-  EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-                  reinterpret_cast<const unsigned char*>(bytes.data()),
-                  static_cast<int>(bytes.size()));
-  return text;
-}
-
 // One VM as a real process against the stand-in's published calls: settings,
 // declaration, upstreams that announce themselves, requests.
 class node_path : public harness {
--- /dev/null
+++ b/tests/soak/soak_plan.cc
@@ -0,0 +1,107 @@
+#include "soak/soak_plan.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <pcg_random.hpp>
+#include <random>
+
+namespace citron {
+
+namespace {
+
+// How often a kind is drawn against others, and how long it lasts at the most.
+struct kind_terms {
+  disturbance_kind kind;
+  std::string_view name;
+  int weight = 1;
+  double longest_s = 3;
+};
+
+using kind = disturbance_kind;
+
+constexpr std::array kKinds = {
+    kind_terms{kind::kVmKilled, "vm_killed", 3, 2},
+    kind_terms{kind::kVmStopped, "vm_stopped", 3, 1},
+    kind_terms{kind::kVmPaused, "vm_paused", 2, 4},
+    kind_terms{kind::kVmReloaded, "vm_reloaded", 1, 0.1},
+    kind_terms{kind::kAllVmsKilled, "all_vms_killed", 1, 1},
+    kind_terms{kind::kStoreDown, "store_down", 2, 4},
+    kind_terms{kind::kStoreSlow, "store_slow", 1, 3},
+    kind_terms{kind::kStoreLosesAnswers, "store_loses_answers", 1, 2},
+    kind_terms{kind::kStoreCutFromVm, "store_cut_from_vm", 2, 6},
+    kind_terms{kind::kStoreResetForVm, "store_reset_for_vm", 1, 0.1},
+    kind_terms{kind::kUpstreamCrashed, "upstream_crashed", 3, 2},
+    kind_terms{kind::kUpstreamLeaves, "upstream_leaves", 3, 4},
+    kind_terms{kind::kUpstreamFails, "upstream_fails", 2, 3},
+    kind_terms{kind::kUpstreamSheds, "upstream_sheds", 2, 3},
+    kind_terms{kind::kUpstreamLosesAnswers, "upstream_loses_answers", 3, 3},
+    kind_terms{kind::kUpstreamAnswersLate, "upstream_answers_late", 3, 3},
+    kind_terms{kind::kUpstreamCutsAnswers, "upstream_cuts_answers", 2, 3},
+    kind_terms{kind::kUpstreamWayDelayed, "upstream_way_delayed", 1, 3},
+    kind_terms{kind::kUpstreamWayReset, "upstream_way_reset", 2, 0.1},
+    kind_terms{kind::kZoneClosed, "zone_closed", 1, 6},
+    kind_terms{kind::kRouteAdded, "route_added", 2, 0.1},
+    kind_terms{kind::kKeyWithdrawn, "key_withdrawn", 2, 0.1},
+    kind_terms{kind::kFlood, "flood", 2, 3},
+};
+
+const kind_terms& TermsOf(kind wanted) {
+  return *std::find_if(
+      kKinds.begin(), kKinds.end(),
+      [wanted](const kind_terms& terms) { return terms.kind == wanted; });
+}
+
+const kind_terms& DrawKind(pcg32& random) {
+  int all = 0;
+  for (const kind_terms& terms : kKinds) all += terms.weight;
+  int left = static_cast<int>(random(static_cast<std::uint32_t>(all)));
+  for (const kind_terms& terms : kKinds) {
+    left -= terms.weight;
+    if (left < 0) return terms;
+  }
+  return kKinds.back();
+}
+
+}  // namespace
+
+std::string_view DisturbanceName(disturbance_kind kind) {
+  return TermsOf(kind).name;
+}
+
+std::string Describe(const disturbance& what) {
+  return fmt::format("{:.2f} s to {:.2f} s {} {}", what.at_s, what.EndsAt(),
+                     DisturbanceName(what.kind), what.target);
+}
+
+soak_plan DrawPlan(std::uint64_t seed, double seconds) {
+  pcg32 random(seed);
+  const auto between = [&random](double least, double most) {
+    return std::uniform_real_distribution<double>(least, most)(random);
+  };
+  soak_plan plan;
+  plan.seed = seed;
+  plan.seconds = seconds;
+  plan.zones = 2 + static_cast<int>(random(2));
+  plan.vms_in_zone = 1 + static_cast<int>(random(2));
+  plan.upstreams_in_zone = 2 + static_cast<int>(random(3));
+  plan.calm_from_s = 0.6 * seconds;
+  double at = between(0.5, 1.5);
+  while (at < plan.calm_from_s) {
+    // A row of one kind, or a single one.
+    const kind_terms& terms = DrawKind(random);
+    const int row = random(4) == 0 ? 3 : 1;
+    for (int i = 0; i < row && at < plan.calm_from_s; ++i) {
+      const double longest = std::min(terms.longest_s, plan.calm_from_s - at);
+      plan.disturbances.push_back({terms.kind, at,
+                                   between(0.3 * longest, longest),
+                                   static_cast<int>(random(1000))});
+      at += between(0.05, 0.5);
+    }
+    at += between(0.2, 2.0);
+  }
+  return plan;
+}
+
+}  // namespace citron
