--- a/tests/soak/soak_upstream.cc
+++ b/tests/soak/soak_upstream.cc
@@ -9,7 +9,9 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <cerrno>
 #include <chrono>
+#include <cstring>
 #include <random>
 #include <utility>
 
@@ -101,13 +103,15 @@
   std::string body_;
 };
 
-soak_upstream::soak_upstream(event_loop& loop, std::string id, int zone,
+soak_upstream::soak_upstream(event_loop& loop, std::string id,
+                             const std::string& address, int zone,
                              std::uint64_t seed, soak_ledger& ledger)
     : loop_(loop),
       id_(std::move(id)),
       zone_(zone),
       random_(seed),
-      ledger_(ledger) {
+      ledger_(ledger),
+      address_{address, 0} {
   Start();
 }
 
@@ -121,16 +125,17 @@
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(address_.port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  inet_pton(AF_INET, address_.address.c_str(), &address.sin_addr);
   listener_ = evconnlistener_new_bind(
       loop_.Base(),
       [](evconnlistener*, evutil_socket_t descriptor, sockaddr*, int,
          void* self) {
         static_cast<soak_upstream*>(self)->OnAccept(descriptor);
       },
-      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 64,
-      reinterpret_cast<sockaddr*>(&address), sizeof(address));
-  BOOST_REQUIRE(listener_ != nullptr);
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+      64, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  BOOST_REQUIRE_MESSAGE(listener_ != nullptr,
+                        id_ << " can't listen: " << std::strerror(errno));
   socklen_t size = sizeof(address);
   getsockname(evconnlistener_get_fd(listener_),
               reinterpret_cast<sockaddr*>(&address), &size);
--- a/tests/soak/soak_upstream.h
+++ b/tests/soak/soak_upstream.h
@@ -29,8 +29,10 @@
 // what goes wrong with upstreams. Reports what it runs to the ledger.
 class soak_upstream {
  public:
-  soak_upstream(event_loop& loop, std::string id, int zone, std::uint64_t seed,
-                soak_ledger& ledger);
+  // `address`: of this process alone, so that no connection of another takes
+  // the port while the upstream is down.
+  soak_upstream(event_loop& loop, std::string id, const std::string& address,
+                int zone, std::uint64_t seed, soak_ledger& ledger);
   ~soak_upstream();
   soak_upstream(const soak_upstream&) = delete;
   soak_upstream& operator=(const soak_upstream&) = delete;
@@ -70,7 +72,7 @@
   pcg32 random_;
   soak_ledger& ledger_;
   upstream_behaviour behaviour_;
-  endpoint address_{"127.0.0.1", 0};
+  endpoint address_;
   evconnlistener* listener_ = nullptr;
   std::int64_t born_ms_ = 0;
   std::uint64_t start_ = 0;  // Work of an earlier start is not answered.
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -45,8 +45,8 @@
   for (int zone = 0; zone < plan_.zones; ++zone) {
     for (int i = 0; i < plan_.upstreams_in_zone; ++i) {
       upstreams_.push_back(std::make_unique<soak_upstream>(
-          Caller().Loop(), fmt::format("u{}", upstreams_.size()), zone,
-          plan_.seed + upstreams_.size(), ledger_));
+          Caller().Loop(), fmt::format("u{}", upstreams_.size()), Address(3),
+          zone, plan_.seed + upstreams_.size(), ledger_));
     }
     for (int i = 0; i < plan_.vms_in_zone; ++i) {
       vm added;
