--- a/run_local.sh
+++ b/run_local.sh
@@ -1,26 +1,31 @@
 #!/usr/bin/env bash
 # A scaled-down deployment on loopback: stand-ins, one entry VM in each zone, keys, and a mixed
-# load with one table at the end. Ends everything that it started.
+# load with one table at the end. Ends everything that it started. With --composition node the entry
+# VMs are citron_node, as on the users' platform, else the three daemons.
 set -euo pipefail
 cd "$(dirname "$0")"
 
 usage() {
   echo "usage: ./run_local.sh [--deployment tarimas|kitaboshi] [--seconds N] [--stay]"
+  echo "       ./run_local.sh --composition node [--seconds N]"
 }
 
 deployment=tarimas
 seconds=10
 stay=no
+composition=daemons
 while [ $# -gt 0 ]; do
   case "$1" in
     --deployment) deployment=${2:?}; shift 2 ;;
     --seconds) seconds=${2:?}; shift 2 ;;
     --stay) stay=yes; shift ;;
+    --composition) composition=${2:?}; shift 2 ;;
     --help | -h) usage; exit 0 ;;
     *) usage >&2; exit 2 ;;
   esac
 done
-if [ ! -f "deployments/$deployment.json" ] || [[ ! "$seconds" =~ ^[0-9]+$ ]]; then
+if [ ! -f "deployments/$deployment.json" ] || [[ ! "$seconds" =~ ^[0-9]+$ ]] ||
+  [[ ! "$composition" =~ ^(daemons|node)$ ]]; then
   usage >&2
   exit 2
 fi
@@ -29,6 +34,12 @@
 citron_install_packages
 build=${CITRON_BUILD_DIR:-build}
 cmake -S . -B "$build" -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >/dev/null
+if [ "$composition" = node ]; then
+  # The one program of the users' platform, against the stand-in of its store; one test program
+  # starts the fleet, plays upstreams and callers, checks every answer and ends what it started.
+  cmake --build "$build" -j "${CITRON_JOBS:-$(nproc)}" --target soak_test
+  exec "$build/tests/soak/soak_test" --run_test=ACalmRun -- --seconds "$seconds"
+fi
 cmake --build "$build" -j "${CITRON_JOBS:-$(nproc)}" --target control_daemon entry_daemon \
   dispatch_daemon citronctl standin_platform standin_upstream citron_load
 
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -49,5 +49,13 @@
   }
 }
 
+// The same fleet and callers without any disturbance, for a look at it by hand;
+// run_local.sh plays it.
+BOOST_AUTO_TEST_CASE(ACalmRun, *boost::unit_test::disabled()) {
+  soak_plan plan = DrawPlan(1, Argument("--seconds", kSeconds));
+  plan.disturbances.clear();
+  PlayAndReport(plan);
+}
+
 }  // namespace
 }  // namespace citron
