--- a/tools/citron_soak.sh
+++ b/tools/citron_soak.sh
@@ -42,7 +42,8 @@
 if [ -f "$logs/failed" ]; then
   failed=$(wc -l <"$logs/failed")
   while read -r one; do
-    sed -n "/^FAILED/,/^[^ F]/p" "$logs/$one.log" | head -60
+    # A report may be longer; its end is in the log.
+    sed -n "/^FAILED/,/^[^ F]/p" "$logs/$one.log" | head -60 || true
     echo "the whole log: $logs/$one.log"
   done <"$logs/failed"
 fi
