A request sent in the last moment of a handshake is answered at a planned stop

Cause: at a planned stop everything that asks for a connection was dropped, and the socket was closed at once. A caller whose side of the handshake was complete, and the server's not yet, took itself for connected; its last packet and its request were dropped and then reset. Ruled out before: idle connections, the accept queue, callers between accept and close. Now only requests for a new connection are dropped, and the socket is closed 100 ms later, after one more look at its queue. Test: CallerInTheHandshakeIsAnswered, which leaves a connection half open until its first bytes come; reset before, answered after.

--- a/include/citron/net/http_server.h
+++ b/include/citron/net/http_server.h
@@ -95,7 +95,8 @@
   // end gets the closing response as its answer. To be called again until
   // HasEnded.
   void EndIdle(const http_response& closing_response);
-  // No connection waits for a request or for the caller to close it.
+  // No connection waits for a request or for the caller to close it, and after
+  // StopAccepting none is on its way in.
   bool HasEnded() const;
   // Exchanges that were not answered yet.
   int OpenExchanges() const { return open_exchanges_; }
@@ -109,6 +110,8 @@
   void OnRequest(evhttp_request* request);
   bufferevent* OnConnection();
   void CloseSlowConnections();
+  void EndAcceptQueue();
+  void CloseSocket();
   void WatchConnection(evhttp_connection* connection);
   void StopWaiting(bufferevent* connection);
 
@@ -125,6 +128,8 @@
   // Deadlines for the next whole request; busy connections have none.
   std::unordered_map<bufferevent*, monotonic_time> waiting_;
   loop_timer sweep_;
+  std::string closing_text_;
+  loop_timer close_socket_;
 };
 
 }  // namespace citron
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -28,6 +28,9 @@
 namespace {
 
 constexpr duration kSweepInterval = std::chrono::milliseconds(100);
+// Handshakes that have begun are over within this time, unless a packet is
+// lost.
+constexpr duration kHandshakeTime = std::chrono::milliseconds(100);
 constexpr int kListenBacklog = 1024;
 constexpr std::size_t kNoReadMark = SIZE_MAX;
 // Input taken in while a request runs; more waits in the kernel.
@@ -94,13 +97,22 @@
   return fd;
 }
 
-// Between the last accept and the close of the socket more callers may come,
-// above all on a busy machine, and they would be reset with their requests
-// sent. What asks for a connection from now on is dropped; it asks again after
-// a second and finds that nobody listens.
+// Drops requests for a connection, so that their senders ask again after the
+// socket is closed and find that nobody listens. Handshakes that have begun are
+// let through: their callers take themselves for connected, and would be reset
+// with their requests sent.
 void DropNewConnections(int listening) {
-  sock_filter drop_all{BPF_RET | BPF_K, 0, 0, 0};
-  const sock_fprog program{1, &drop_all};
+  constexpr std::uint32_t kFlagsOffset = 13;  // In the TCP header.
+  constexpr std::uint32_t kSyn = 0x02;
+  constexpr std::uint32_t kAck = 0x10;
+  sock_filter drop_syn[] = {
+      BPF_STMT(BPF_LD | BPF_B | BPF_ABS, kFlagsOffset),
+      BPF_STMT(BPF_ALU | BPF_AND | BPF_K, kSyn | kAck),
+      BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, kSyn, 0, 1),
+      BPF_STMT(BPF_RET | BPF_K, 0),
+      BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+  };
+  const sock_fprog program{std::size(drop_syn), drop_syn};
   setsockopt(listening, SOL_SOCKET, SO_ATTACH_FILTER, &program,
              sizeof(program));
 }
@@ -311,7 +323,8 @@
       limits_(limits),
       handler_(std::move(handler)),
       ending_(std::make_unique<lingering_close>(loop)),
-      sweep_(loop, [this] { CloseSlowConnections(); }) {
+      sweep_(loop, [this] { CloseSlowConnections(); }),
+      close_socket_(loop, [this] { CloseSocket(); }) {
   http_ = evhttp_new(loop_.Base());
   evhttp_set_allowed_methods(http_, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
                                         EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
@@ -349,20 +362,29 @@
   }
 }
 
-// What the kernel has accepted already would be reset with the socket, its
-// requests unanswered.
 void http_server::StopAccepting(const http_response& closing_response) {
   stopping_ = true;
   if (socket_ == nullptr) return;
-  const int listening = evhttp_bound_socket_get_fd(socket_);
-  DropNewConnections(listening);
-  const std::string text = ClosingResponseText(closing_response);
+  closing_text_ = ClosingResponseText(closing_response);
+  DropNewConnections(evhttp_bound_socket_get_fd(socket_));
+  evconnlistener_disable(evhttp_bound_socket_get_listener(socket_));
+  EndAcceptQueue();
+  close_socket_.Arm(MonotonicNow() + kHandshakeTime);
+}
+
+// What the kernel has accepted already would be reset with the socket, its
+// requests unanswered.
+void http_server::EndAcceptQueue() {
   for (;;) {
-    const int fd =
-        accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd < 0) break;
-    ending_->TakeSocket(fd, text);
+    const int fd = accept4(evhttp_bound_socket_get_fd(socket_), nullptr,
+                           nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) return;
+    ending_->TakeSocket(fd, closing_text_);
   }
+}
+
+void http_server::CloseSocket() {
+  EndAcceptQueue();
   evhttp_del_accept_socket(http_, std::exchange(socket_, nullptr));
 }
 
@@ -382,7 +404,8 @@
 }
 
 bool http_server::HasEnded() const {
-  return waiting_.empty() && ending_->IsEmpty();
+  const bool accepts = stopping_ && socket_ != nullptr;
+  return !accepts && waiting_.empty() && ending_->IsEmpty();
 }
 
 void http_server::OnRequest(evhttp_request* request) {
@@ -431,7 +454,7 @@
     }
     bufferevent_decref(connection);
   }
-  if (socket_ != nullptr) {
+  if (socket_ != nullptr && !stopping_) {
     evconnlistener* listener = evhttp_bound_socket_get_listener(socket_);
     const bool full = OpenConnections() >= limits_.max_connections;
     full ? evconnlistener_disable(listener) : evconnlistener_enable(listener);
--- a/tests/net/http_server_end_test.cc
+++ b/tests/net/http_server_end_test.cc
@@ -1,3 +1,7 @@
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <string>
@@ -15,6 +19,22 @@
     "POST /book HTTP/1.1\r\nHost: a\r\n"
     "Content-Length: 4\r\n\r\nroom";
 
+// This process's socket that listens at the address.
+int ListeningSocket(const endpoint& address) {
+  for (int fd = 0; fd < 1024; ++fd) {
+    int listens = 0;
+    socklen_t size = sizeof(listens);
+    if (getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0) {
+      continue;
+    }
+    sockaddr_in bound{};
+    size = sizeof(bound);
+    getsockname(fd, reinterpret_cast<sockaddr*>(&bound), &size);
+    if (listens != 0 && ntohs(bound.sin_port) == address.port) return fd;
+  }
+  return -1;
+}
+
 class ending_server_fixture : public loop_fixture {
  public:
   ending_server_fixture() {
@@ -94,6 +114,20 @@
   BOOST_TEST(Requests() == 0);
 }
 
+// A caller's side of the handshake is complete and the server's isn't when the
+// server stops: the caller sends its request and is reset.
+BOOST_AUTO_TEST_CASE(CallerInTheHandshakeIsAnswered) {
+  // Leaves a connection half open until its first bytes come.
+  const int wait_s = 5;
+  BOOST_REQUIRE(setsockopt(ListeningSocket(Server().Address()), IPPROTO_TCP,
+                           TCP_DEFER_ACCEPT, &wait_s, sizeof(wait_s)) == 0);
+  raw_caller caller(Server().Address());
+  Server().StopAccepting(kClosingResponse);
+  caller.Send(kRequest);
+  CheckClosingResponse(caller);
+  BOOST_TEST(Requests() == 0);
+}
+
 // A request that has come in is answered as ever, and its connection ends.
 BOOST_AUTO_TEST_CASE(RequestThatIsThereIsServed) {
   const auto caller = IdleCaller();
