A workspace stays within its contract while VMs can't hear each other

Cause: a VM counts what the others told last. One that hears nobody takes a flood at itself for callers who moved there, raises its part, and fills room that the others fill as well. Ruled out: the counters of single VMs (each kept to its part and room). Now a VM that is silent for four reports keeps the part that it had, and counts as using all of it; a VM that hears fewer than half of the others keeps its own part and lends nothing.

--- a/include/citron/node/peer_exchange.h
+++ b/include/citron/node/peer_exchange.h
@@ -77,6 +77,8 @@
   void Send(const peer_report& report, bool to_serving);
   bool Serves(const vm_id& vm) const;
   int ServingPeers() const;
+  // After which a VM counts as not heard.
+  duration SilenceLimit() const;
 
   node_context& context_;
   int descriptor_;
--- a/include/citron/protocol/workspace_quota.h
+++ b/include/citron/protocol/workspace_quota.h
@@ -55,6 +55,8 @@
   void SetFleetSize(int vms) { fleet_size_ = vms; }
   // How old what other VMs told may be; requests of so long are held free.
   void SetViewLag(duration lag) { view_lag_ = lag; }
+  // A VM that was not heard for so long may be cut off from this one.
+  void SetSilenceLimit(duration limit) { silence_limit_ = limit; }
   void OnReport(const vm_id& vm, const quota_report& report,
                 monotonic_time now);
   // The VM is listed, or not any more. What it has let in counts on for the
@@ -75,6 +77,8 @@
  private:
   struct other_vm {
     quota_report report;
+    monotonic_time heard_at{};
+    double part = 0;  // Of the contract, when it was heard last.
     // What it had let in when it was last known to be up; a VM that restarts
     // forgets it, and the contract doesn't.
     double admitted_before = 0;
@@ -89,7 +93,11 @@
     std::int64_t slot = 0;
   };
 
+  bool IsSilent(const other_vm& other, monotonic_time now) const;
+  bool IsIsolated(monotonic_time now) const;
+  double PartOf(double demand_per_s, monotonic_time now) const;
   double Share(monotonic_time now) const;
+  double Admitted(const other_vm& other, monotonic_time now) const;
   double FleetAdmitted(monotonic_time now) const;
   double WindowLimit(monotonic_time now) const;
   double AdmittedBefore(const other_vm& other, monotonic_time now) const;
@@ -105,6 +113,8 @@
   double burst_ = 0;
   int fleet_size_ = 1;
   duration view_lag_ = FromMilliseconds(700);
+  duration silence_limit_ = FromMilliseconds(1600);
+  double share_in_touch_ = 0;  // The last one while others were heard.
   double tokens_ = 0;
   monotonic_time refilled_at_;
   counter admitted_;
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -125,8 +125,10 @@
   report.ready = own.ready;
   report.strained = own.strained;
   const duration view_lag = IntervalFor(ServingPeers()) + kWayAndTick;
+  const duration silence_limit = SilenceLimit();
   for (auto& [workspace, quota] : context_.fleet.Quotas()) {
     quota.SetViewLag(view_lag);
+    quota.SetSilenceLimit(silence_limit);
     const quota_report told = quota.Report(now);
     const quota_line line{workspace, RoundedUp(10 * told.demand_per_s),
                           RoundedUp(told.admitted_in_window)};
@@ -208,11 +210,13 @@
   }
 }
 
+duration peer_exchange::SilenceLimit() const {
+  return IntervalFor(context_.fleet.FleetSize()) * kLostReports;
+}
+
 bool peer_exchange::IsHeard(const vm_id& vm, monotonic_time now) const {
   const auto peer = peers_.find(vm);
-  return peer != peers_.end() &&
-         now - peer->second.heard_at <
-             IntervalFor(context_.fleet.FleetSize()) * kLostReports;
+  return peer != peers_.end() && now - peer->second.heard_at < SilenceLimit();
 }
 
 bool peer_exchange::IsReady(const vm_id& vm) const {
--- a/src/protocol/workspace_quota.cc
+++ b/src/protocol/workspace_quota.cc
@@ -60,6 +60,8 @@
     other.restarted_at = now;
   }
   other.report = report;
+  other.heard_at = now;
+  other.part = PartOf(report.demand_per_s, now);
   if (other.gone_at) other.gone_at = now + options_.orphan_time;
 }
 
@@ -86,7 +88,7 @@
     const bool told_something =
         other.report.demand_per_s > 0 || other.report.admitted_in_window > 0;
     if (told_something) {
-      other.admitted_before = other.report.admitted_in_window;
+      other.admitted_before = Admitted(other, now);
       other.restarted_at = now;
       other.report = {};
       other.gone_at = now + options_.window;
@@ -96,10 +98,27 @@
   }
 }
 
+bool workspace_quota::IsSilent(const other_vm& other,
+                               monotonic_time now) const {
+  return now - other.heard_at >= silence_limit_;
+}
+
+bool workspace_quota::IsIsolated(monotonic_time now) const {
+  int listed = 0;
+  int heard = 0;
+  for (const auto& [vm, other] : others_) {
+    if (other.gone_at) continue;
+    ++listed;
+    if (!IsSilent(other, now)) ++heard;
+  }
+  return 2 * heard < listed;
+}
+
+// The part of a VM that is heard and has that demand; silent ones keep theirs.
 // Parts add up to one as long as all have heard the same. The own demand is the
 // one that was told, not the newest: a workspace that grows everywhere at once
 // would raise every part before any VM hears of the others.
-double workspace_quota::Share(monotonic_time now) const {
+double workspace_quota::PartOf(double demand_per_s, monotonic_time now) const {
   int vms = std::max(fleet_size_, 1);
   if (now - started_at_ < options_.assume_for) {
     vms = std::max(vms, options_.assumed_vms);
@@ -107,8 +126,24 @@
   const double idle =
       kIdleShare * std::max(rate_per_s_, 1.0) / static_cast<double>(vms);
   double all = told_demand_per_s_;
-  for (const auto& [vm, other] : others_) all += other.report.demand_per_s;
-  return (told_demand_per_s_ + idle) / (all + idle * vms);
+  double kept = 0;
+  for (const auto& [vm, other] : others_) {
+    if (IsSilent(other, now)) {
+      kept += other.part;
+      --vms;
+    } else {
+      all += other.report.demand_per_s;
+    }
+  }
+  const double shared = std::max(0.0, 1 - kept);
+  return shared * (demand_per_s + idle) / (all + idle * std::max(vms, 1));
+}
+
+// A VM that hears few of the others keeps the part that they know it to have.
+double workspace_quota::Share(monotonic_time now) const {
+  const double part = PartOf(told_demand_per_s_, now);
+  if (share_in_touch_ == 0 || !IsIsolated(now)) return part;
+  return std::min(part, share_in_touch_);
 }
 
 // What is left of it in the window, as if it had come evenly.
@@ -119,12 +154,19 @@
   return other.admitted_before * std::max(0.0, 1 - passed);
 }
 
+// A silent VM may be cut off from this one, and uses its part by itself.
+double workspace_quota::Admitted(const other_vm& other,
+                                 monotonic_time now) const {
+  const double told =
+      std::max(other.report.admitted_in_window, AdmittedBefore(other, now));
+  if (!IsSilent(other, now)) return told;
+  const double whole = rate_per_s_ * ToSeconds(options_.window) + burst_;
+  return std::max(told, other.part * whole);
+}
+
 double workspace_quota::FleetAdmitted(monotonic_time now) const {
   double sum = own_admitted_;
-  for (const auto& [vm, other] : others_) {
-    sum +=
-        std::max(other.report.admitted_in_window, AdmittedBefore(other, now));
-  }
+  for (const auto& [vm, other] : others_) sum += Admitted(other, now);
   return sum;
 }
 
@@ -155,6 +197,7 @@
   const double seconds = ToSeconds(now - refilled_at_);
   refilled_at_ = now;
   const double share = Share(now);
+  if (!IsIsolated(now)) share_in_touch_ = share;
   // Capacities below one token are rounded up; what that adds over all VMs
   // stays within the slack.
   const double most_extra =
@@ -194,6 +237,7 @@
   own_admitted_ =
       std::accumulate(admitted_.counts.begin(), admitted_.counts.end(), 0.0);
   const bool fleet_has_room =
+      !IsIsolated(now) &&
       FleetAdmitted(now) + OnTheWay() + 1 <= WindowLimit(now);
   if (tokens_ < 1 && !fleet_has_room) return false;
   tokens_ -= 1;
--- a/tests/protocol/workspace_quota_test.cc
+++ b/tests/protocol/workspace_quota_test.cc
@@ -331,6 +331,26 @@
   BOOST_TEST(fleet.Refused() <= 12);
 }
 
+// VMs that can't hear the others take a flood at themselves for a shift of
+// callers, and each gives itself the part of those that it doesn't hear.
+BOOST_AUTO_TEST_CASE(AFloodStaysWithinTheContractAcrossACut) {
+  constexpr double kRate = 93;
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    for (const std::size_t cut : {1, 4, 9}) {
+      BOOST_TEST_CONTEXT("seed " << seed << ", " << cut << " cut off") {
+        quota_fleet fleet(10, kRate, kRate, seed);
+        fleet.SetEvenDemand(0.4 * kRate);
+        fleet.Run(seconds(5));
+        for (std::size_t vm = 0; vm < cut; ++vm) fleet.Cut(vm);
+        fleet.Run(seconds(4));
+        fleet.SetEvenDemand(3.2 * kRate);
+        fleet.Run(seconds(8));
+        BOOST_TEST(fleet.MostInWindow() <= fleet.Bound());
+      }
+    }
+  }
+}
+
 // One VM can't hear the others nor be heard, while the flood goes on through
 // all. What it lets in counts, too.
 BOOST_AUTO_TEST_CASE(AVmThatIsCutOffKeepsToItsPart) {
