A request that did not run leaves its place in the contract to another

Cause: a contract counts what runs, and each VM counted what it let in. While upstreams turned requests away (full, or failing in a way that says "not run"), a workspace in a flood got far less than its contract: its next requests were refused as over the rate in the place of those that had not run. Now a request that is refused as not run gives its token back and leaves the window. Tests: RequestsThatDoNotRunLeaveTheirPlace, WhatDidNotRunIsNotCountedForTheContract (429 before).

--- a/include/citron/node/proxied_request.h
+++ b/include/citron/node/proxied_request.h
@@ -67,6 +67,7 @@
   void StartStreaming();
   void DeliverWhole();
   void Refuse(int status, const char* reason, duration retry_after);
+  void ReturnToken();
   void FailMaybeRun(int status, const char* reason);
   void OnDeadline();
   void Finish(int status, const char* outcome);
--- a/include/citron/protocol/workspace_quota.h
+++ b/include/citron/protocol/workspace_quota.h
@@ -66,6 +66,8 @@
 
   // A request asks to be let in; counts it either way.
   bool TryAdmit(monotonic_time now);
+  // A request that was let in then has not run and never will.
+  void OnNotRun(monotonic_time admitted_at, monotonic_time now);
   // When a refused request may come again.
   monotonic_time NextTokenAt(monotonic_time now) const;
 
@@ -104,6 +106,7 @@
   double OnTheWay() const;
   void DropGone(monotonic_time now);
   void Refill(monotonic_time now);
+  std::int64_t SlotOf(monotonic_time at) const;
   void Advance(counter& c, monotonic_time now) const;
   void UpdateDemand(monotonic_time now);
 
--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -416,11 +416,19 @@
 
 void proxied_request::Refuse(int status, const char* reason,
                              duration retry_after) {
+  ReturnToken();
   ReplyOwn({status, reason, verdict::kNotRun, retry_after}, id_, context_.names,
            exchange_);
   Finish(status, reason);
 }
 
+// A contract counts what runs.
+void proxied_request::ReturnToken() {
+  if (admitted_.workspace == nullptr) return;
+  workspace_quota* quota = context_.fleet.QuotaOf(admitted_.workspace->id);
+  if (quota != nullptr) quota->OnNotRun(arrived_at_, MonotonicNow());
+}
+
 void proxied_request::FailMaybeRun(int status, const char* reason) {
   ReplyOwn({status, reason, verdict::kMayHaveRun, {}}, id_, context_.names,
            exchange_);
--- a/src/protocol/workspace_quota.cc
+++ b/src/protocol/workspace_quota.cc
@@ -209,9 +209,14 @@
   tokens_ = std::max(tokens_, -kMostDebtS * share * rate_per_s_ - 1);
 }
 
+std::int64_t workspace_quota::SlotOf(monotonic_time at) const {
+  const auto slots = static_cast<std::int64_t>(admitted_.counts.size());
+  return at.time_since_epoch() / (options_.window / slots);
+}
+
 void workspace_quota::Advance(counter& c, monotonic_time now) const {
   const auto slots = static_cast<std::int64_t>(c.counts.size());
-  const std::int64_t slot = now.time_since_epoch() / (options_.window / slots);
+  const std::int64_t slot = SlotOf(now);
   const std::int64_t passed = std::min(slot - c.slot, slots);
   for (std::int64_t i = 1; i <= passed; ++i) {
     c.counts[static_cast<std::size_t>((c.slot + i) % slots)] = 0;
@@ -247,6 +252,18 @@
   return true;
 }
 
+void workspace_quota::OnNotRun(monotonic_time admitted_at, monotonic_time now) {
+  if (rate_per_s_ <= 0) return;
+  Refill(now);
+  tokens_ += 1;
+  Advance(admitted_, now);
+  const auto slots = static_cast<std::int64_t>(admitted_.counts.size());
+  const std::int64_t slot = SlotOf(admitted_at);
+  if (slot <= admitted_.slot - slots) return;
+  double& count = admitted_.counts[static_cast<std::size_t>(slot % slots)];
+  count = std::max(0.0, count - 1);
+}
+
 monotonic_time workspace_quota::NextTokenAt(monotonic_time now) const {
   const double per_s = std::max(Share(now) * rate_per_s_, 0.2);
   return now + FromSeconds(std::max(0.0, 1 - tokens_) / per_s);
--- a/tests/node/proxied_request_test.cc
+++ b/tests/node/proxied_request_test.cc
@@ -117,6 +117,23 @@
   BOOST_TEST(answer.find("not_run") != std::string::npos);
 }
 
+// A request that an upstream turned away takes the place of one that would run.
+BOOST_AUTO_TEST_CASE(WhatDidNotRunIsNotCountedForTheContract) {
+  routing_.workspaces[0].rate_per_s = 0.01;
+  routing_.workspaces[0].burst = 1;
+  int seen = 0;
+  AddUpstream("u1", [&seen](const std::string& request) {
+    if (seen++ > 0) return Good(request);
+    return scripted_answer{
+        "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+        false};
+  });
+  Start();
+  BOOST_TEST(StatusOf(Ask(Request("POST", "/book/1", "", "order"))) == "503");
+  BOOST_TEST(StatusOf(Ask(Request("POST", "/book/2", "", "order"))) == "200");
+  BOOST_TEST(StatusOf(Ask(Request("POST", "/book/3", "", "order"))) == "429");
+}
+
 // An upstream's own 503 without its word that nothing ran. Passed on it would
 // promise the caller that the booking may be sent again.
 BOOST_AUTO_TEST_CASE(AnUnprovedPromiseIsNotPassedOn) {
--- a/tests/protocol/workspace_quota_test.cc
+++ b/tests/protocol/workspace_quota_test.cc
@@ -18,6 +18,7 @@
 
 constexpr duration kReportInterval = milliseconds(400);
 constexpr duration kReportDelay = milliseconds(60);
+constexpr duration kShedDelay = milliseconds(20);
 
 // VMs that tell each other of one workspace, with arrivals drawn at random.
 class quota_fleet {
@@ -52,6 +53,8 @@
   }
   // This VM hears nothing and isn't heard.
   void Cut(std::size_t vm) { cut_.insert(vm); }
+  // So much of what is let in is turned away by upstreams a moment later.
+  void SetNotRun(double part) { not_run_ = part; }
   // The others take these for gone, as their records have lapsed.
   void Remove(std::size_t first, std::size_t last) {
     for (std::size_t vm = 0; vm < quotas_.size(); ++vm) {
@@ -67,6 +70,7 @@
     for (const monotonic_time end = now_ + length; now_ < end; now_ += step) {
       if (now_ >= tell_at_) Tell();
       Deliver();
+      TurnAway();
       for (std::size_t vm = 0; vm < quotas_.size(); ++vm) {
         std::poisson_distribution<int> arrivals(demand_[vm] * ToSeconds(step));
         for (int n = demand_[vm] > 0 ? arrivals(random_) : 0; n > 0; --n) {
@@ -76,6 +80,7 @@
     }
   }
 
+  // Requests that ran.
   int Admitted() const { return admitted_; }
   int Refused() const { return refused_; }
   double MostInWindow() const { return most_in_window_; }
@@ -83,6 +88,11 @@
   double Bound() const { return (rate_ * 5 + burst_) * 1.1 + 20; }
 
  private:
+  // A request that an upstream is to turn away.
+  struct turned_away {
+    std::size_t vm = 0;
+    monotonic_time admitted_at{};
+  };
   struct message {
     std::size_t from = 0;
     quota_report report;
@@ -110,11 +120,24 @@
     }
   }
 
+  void TurnAway() {
+    while (!turned_away_.empty() &&
+           turned_away_.front().admitted_at + kShedDelay <= now_) {
+      const turned_away& request = turned_away_.front();
+      quotas_[request.vm].OnNotRun(request.admitted_at, now_);
+      turned_away_.pop_front();
+    }
+  }
+
   void Ask(std::size_t vm) {
     if (!quotas_[vm].TryAdmit(now_)) {
       ++refused_;
       return;
     }
+    if (not_run_ > 0 && std::bernoulli_distribution(not_run_)(random_)) {
+      turned_away_.push_back({vm, now_});
+      return;
+    }
     ++admitted_;
     window_.push_back(now_);
     while (window_.front() <= now_ - seconds(5)) window_.pop_front();
@@ -133,6 +156,8 @@
   std::deque<message> messages_;
   std::deque<monotonic_time> window_;
   std::set<std::size_t> cut_;
+  double not_run_ = 0;
+  std::deque<turned_away> turned_away_;
   int admitted_ = 0;
   int refused_ = 0;
   double most_in_window_ = 0;
@@ -351,6 +376,26 @@
   }
 }
 
+// Upstreams turn away half of a flood that the contract lets in. What has not
+// run must leave its place to another request, and what runs stays within the
+// contract.
+BOOST_AUTO_TEST_CASE(RequestsThatDoNotRunLeaveTheirPlace) {
+  constexpr double kRate = 140;
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      quota_fleet fleet(10, kRate, kRate, seed);
+      fleet.SetEvenDemand(0.4 * kRate);
+      fleet.Run(seconds(8));
+      fleet.SetNotRun(0.5);
+      fleet.SetEvenDemand(3.2 * kRate);
+      const int before = fleet.Admitted();
+      fleet.Run(seconds(10));
+      BOOST_TEST(fleet.Admitted() - before >= 0.9 * kRate * 10);
+      BOOST_TEST(fleet.MostInWindow() <= fleet.Bound());
+    }
+  }
+}
+
 // One VM can't hear the others nor be heard, while the flood goes on through
 // all. What it lets in counts, too.
 BOOST_AUTO_TEST_CASE(AVmThatIsCutOffKeepsToItsPart) {
