Far upstreams in steady use have a spare connection

Ruled out: upstreams near by, where new connections are late no more often than the load there explains. Now a VM that uses an upstream at least every two seconds, and whose last handshake there took 10 ms or more, opens one connection ahead; idle ones are used in turn, or the spare one would reach its idle limit. Not done: connections ahead of the first request; on fleets of many VMs most of them would not be used.

--- a/include/citron/node/upstream_connection.h
+++ b/include/citron/node/upstream_connection.h
@@ -43,7 +43,7 @@
 // A connection to one upstream, for one request at a time.
 class upstream_connection : private http1_listener {
  public:
-  // Told when a connection that waited for work is of no more use.
+  // Told when a connection that no request uses is of no more use.
   using on_idle_end = std::function<void(upstream_connection&)>;
 
   // `id_header` names the header in which an answer carries its request's id:
@@ -69,6 +69,10 @@
   // Whether it can carry another request now: it is idle, and the upstream
   // won't close it within `margin`.
   bool IsReusable(duration margin, monotonic_time now) const;
+  // Not connected yet; a request that is started now is sent once it is.
+  bool IsConnecting() const { return state_ == state::kConnecting; }
+  // Zero until it is connected.
+  duration ConnectTime() const { return connect_time_; }
   std::size_t PendingBytes() const;
 
  private:
@@ -99,6 +103,8 @@
   bool skipping_ = false;  // The answer of an earlier request.
   bool stays_open_ = true;
   bool paused_ = false;
+  monotonic_time created_at_;
+  duration connect_time_{};
   monotonic_time idle_since_{};
   duration keep_alive_limit_;
 };
--- a/include/citron/node/upstream_pool.h
+++ b/include/citron/node/upstream_pool.h
@@ -15,14 +15,25 @@
 
 namespace citron {
 
+struct upstream_pool_options {
+  // A handshake that takes less isn't worth a spare connection.
+  duration slow_handshake = FromMilliseconds(10);
+  // Requests that are further apart than this seldom overlap, and a spare
+  // connection would reach its idle limit before it is used.
+  duration steady_use = std::chrono::seconds(2);
+};
+
 // Idle connections to upstreams. An address that went to another upstream
-// begins with connections of its own.
+// begins with connections of its own. Upstreams that are far away and in steady
+// use have a spare connection, so that concurrent requests don't wait for a
+// handshake.
 class upstream_pool {
  public:
-  upstream_pool(event_loop& loop, std::string id_header);
+  upstream_pool(event_loop& loop, std::string id_header,
+                const upstream_pool_options& options = {});
 
-  // An idle connection that the upstream keeps for `margin` at the least, or a
-  // new one.
+  // An idle connection that the upstream keeps for `margin` at the least, or
+  // one that is being opened.
   std::unique_ptr<upstream_connection> Take(const upstream_id& upstream,
                                             const endpoint& address,
                                             duration connect_limit,
@@ -39,14 +50,26 @@
   int IdleConnections() const;
 
  private:
-  using idle_list = std::vector<std::unique_ptr<upstream_connection>>;
+  struct upstream_state {
+    // Those that were given back last stand at the end.
+    std::vector<std::unique_ptr<upstream_connection>> unused;
+    duration connect_time{};  // Of the connection that was given back last.
+    monotonic_time taken_at{};
+  };
 
+  std::unique_ptr<upstream_connection> TakeUnused(upstream_state& state,
+                                                  duration margin,
+                                                  monotonic_time now);
+  std::unique_ptr<upstream_connection> Open(const upstream_id& upstream,
+                                            const endpoint& address,
+                                            duration connect_limit);
   void OnIdleEnd(const upstream_id& upstream, upstream_connection& connection);
   void CloseLater(std::unique_ptr<upstream_connection> connection);
 
   event_loop& loop_;
   std::string id_header_;
-  std::map<upstream_id, idle_list> idle_;
+  upstream_pool_options options_;
+  std::map<upstream_id, upstream_state> upstreams_;
 };
 
 }  // namespace citron
--- a/src/node/upstream_connection.cc
+++ b/src/node/upstream_connection.cc
@@ -81,13 +81,14 @@
       idle_ended_(std::move(idle_ended)),
       reader_(http1_reader::direction::kAnswers, kMaxAnswerHeadBytes, *this),
       connect_timer_(loop, [this] { Fail(upstream_fault::kConnectTimeout); }),
+      created_at_(MonotonicNow()),
       keep_alive_limit_(kUnstatedKeepAlive) {
   sockaddr_in to = SocketAddress(address);
   bytes_ = bufferevent_socket_new(
       loop.Base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   bufferevent_setcb(bytes_, callbacks::Readable, callbacks::Written,
                     callbacks::Event, this);
-  connect_timer_.Arm(MonotonicNow() + connect_limit);
+  connect_timer_.Arm(created_at_ + connect_limit);
   // A failure at once is reported as an event all the same.
   bufferevent_socket_connect(bytes_, reinterpret_cast<sockaddr*>(&to),
                              sizeof(to));
@@ -153,12 +154,19 @@
   if (state_ != state::kConnecting) return;
   connect_timer_.Disarm();
   SetSocketOptions(bufferevent_getfd(bytes_));
+  idle_since_ = MonotonicNow();
+  connect_time_ = idle_since_ - created_at_;
+  if (listener_ == nullptr) {
+    state_ = state::kIdle;
+    bufferevent_enable(bytes_, EV_READ | EV_WRITE);
+    return;
+  }
   state_ = state::kBusy;
   if (!expects_body_) reader_.ExpectNoBody();
   bufferevent_write(bytes_, unsent_.data(), unsent_.size());
   unsent_.clear();
   bufferevent_enable(bytes_, EV_READ | EV_WRITE);
-  if (listener_ != nullptr) listener_->OnConnected();
+  listener_->OnConnected();
 }
 
 void upstream_connection::OnReadable() {
@@ -231,7 +239,8 @@
   connect_timer_.Disarm();
   bufferevent_disable(bytes_, EV_READ | EV_WRITE);
   upstream_call_listener* listener = std::exchange(listener_, nullptr);
-  if (listener != nullptr) listener->OnCallFailed(fault);
+  if (listener == nullptr) return idle_ended_(*this);
+  listener->OnCallFailed(fault);
 }
 
 // Closed, or bytes that belong to no request.
--- a/src/node/upstream_pool.cc
+++ b/src/node/upstream_pool.cc
@@ -12,20 +12,50 @@
 
 }  // namespace
 
-upstream_pool::upstream_pool(event_loop& loop, std::string id_header)
-    : loop_(loop), id_header_(std::move(id_header)) {}
+upstream_pool::upstream_pool(event_loop& loop, std::string id_header,
+                             const upstream_pool_options& options)
+    : loop_(loop), id_header_(std::move(id_header)), options_(options) {}
 
 std::unique_ptr<upstream_connection> upstream_pool::Take(
     const upstream_id& upstream, const endpoint& address,
     duration connect_limit, duration margin, monotonic_time now) {
-  idle_list& idle = idle_[upstream];
-  // The one that was used last has the longest left.
-  while (!idle.empty()) {
-    std::unique_ptr<upstream_connection> connection = std::move(idle.back());
-    idle.pop_back();
-    if (connection->IsReusable(margin, now)) return connection;
+  upstream_state& state = upstreams_[upstream];
+  const bool steady = now - state.taken_at < options_.steady_use;
+  state.taken_at = now;
+  std::unique_ptr<upstream_connection> taken = TakeUnused(state, margin, now);
+  if (taken == nullptr) taken = Open(upstream, address, connect_limit);
+  const bool is_far = state.connect_time >= options_.slow_handshake;
+  if (state.unused.empty() && is_far && steady) {
+    state.unused.push_back(Open(upstream, address, connect_limit));
+  }
+  return taken;
+}
+
+// The idle one that was used first, so that all are used before the upstream
+// closes them; else one that is being opened. Null if there is neither.
+std::unique_ptr<upstream_connection> upstream_pool::TakeUnused(
+    upstream_state& state, duration margin, monotonic_time now) {
+  auto& unused = state.unused;
+  for (auto& connection : unused) {
+    if (connection->IsConnecting() || connection->IsReusable(margin, now)) {
+      continue;
+    }
     CloseLater(std::move(connection));
   }
+  std::erase(unused, nullptr);
+  auto taken = std::find_if(unused.begin(), unused.end(), [](const auto& held) {
+    return !held->IsConnecting();
+  });
+  if (taken == unused.end()) taken = unused.begin();
+  if (taken == unused.end()) return nullptr;
+  std::unique_ptr<upstream_connection> connection = std::move(*taken);
+  unused.erase(taken);
+  return connection;
+}
+
+std::unique_ptr<upstream_connection> upstream_pool::Open(
+    const upstream_id& upstream, const endpoint& address,
+    duration connect_limit) {
   return std::make_unique<upstream_connection>(
       loop_, address, connect_limit, id_header_,
       [this, upstream](upstream_connection& ended) {
@@ -36,43 +66,48 @@
 void upstream_pool::Give(const upstream_id& upstream,
                          std::unique_ptr<upstream_connection> connection,
                          monotonic_time now) {
+  upstream_state& state = upstreams_[upstream];
+  state.connect_time = connection->ConnectTime();
   if (!connection->IsReusable(kLeastLeft, now)) {
     return CloseLater(std::move(connection));
   }
-  idle_[upstream].push_back(std::move(connection));
+  state.unused.push_back(std::move(connection));
 }
 
 void upstream_pool::Sweep(
     const std::function<bool(const upstream_id&)>& is_known,
     monotonic_time now) {
-  for (auto it = idle_.begin(); it != idle_.end();) {
+  for (auto it = upstreams_.begin(); it != upstreams_.end();) {
     const bool known = is_known(it->first);
-    for (auto& connection : it->second) {
-      if (known && connection->IsReusable(kLeastLeft, now)) continue;
+    auto& unused = it->second.unused;
+    for (auto& connection : unused) {
+      const bool is_of_use =
+          connection->IsConnecting() || connection->IsReusable(kLeastLeft, now);
+      if (known && is_of_use) continue;
       CloseLater(std::move(connection));
     }
-    std::erase(it->second, nullptr);
-    it = it->second.empty() ? idle_.erase(it) : std::next(it);
+    std::erase(unused, nullptr);
+    it = known ? std::next(it) : upstreams_.erase(it);
   }
 }
 
 int upstream_pool::IdleConnections() const {
   int count = 0;
-  for (const auto& [upstream, idle] : idle_) {
-    count += static_cast<int>(idle.size());
+  for (const auto& [upstream, state] : upstreams_) {
+    count += static_cast<int>(state.unused.size());
   }
   return count;
 }
 
 void upstream_pool::OnIdleEnd(const upstream_id& upstream,
                               upstream_connection& connection) {
-  idle_list& idle = idle_[upstream];
+  auto& unused = upstreams_[upstream].unused;
   const auto found =
-      std::find_if(idle.begin(), idle.end(),
+      std::find_if(unused.begin(), unused.end(),
                    [&](const auto& held) { return held.get() == &connection; });
-  if (found == idle.end()) return;
+  if (found == unused.end()) return;
   CloseLater(std::move(*found));
-  idle.erase(found);
+  unused.erase(found);
 }
 
 void upstream_pool::CloseLater(
--- /dev/null
+++ b/tests/node/upstream_pool_test.cc
@@ -0,0 +1,151 @@
+#include "citron/node/upstream_pool.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "net/loop_fixture.h"
+#include "node/scripted_upstream.h"
+
+namespace citron {
+namespace {
+
+class counting_listener : public upstream_call_listener {
+ public:
+  void OnConnected() override {}
+  void OnAnswerHead(http1_head) override {}
+  void OnAnswerBody(std::string_view) override {}
+  void OnAnswerEnd() override { ++ended_; }
+  void OnCallFailed(upstream_fault) override { ++failed_; }
+  void OnRequestDrained() override {}
+
+  int Ended() const { return ended_; }
+  int Failed() const { return failed_; }
+
+ private:
+  int ended_ = 0;
+  int failed_ = 0;
+};
+
+class upstream_pool_fixture : public loop_fixture {
+ public:
+  upstream_pool_fixture()
+      : upstream_(Loop(), [](const std::string& request) {
+          return scripted_answer{GoodAnswer(request, "whole"), false};
+        }) {}
+
+  // Every handshake counts as slow, or none does.
+  upstream_pool MakePool(bool handshakes_are_slow) {
+    upstream_pool_options options;
+    options.slow_handshake =
+        handshakes_are_slow ? duration::zero() : std::chrono::hours(1);
+    return {Loop(), "X-Id", options};
+  }
+
+  std::unique_ptr<upstream_connection> Take(upstream_pool& pool,
+                                            monotonic_time now) {
+    return pool.Take(kUpstream, upstream_.Address(), std::chrono::seconds(10),
+                     duration::zero(), now);
+  }
+
+  // One request from its start to its end.
+  void Call(upstream_pool& pool, monotonic_time now) {
+    std::unique_ptr<upstream_connection> connection = Take(pool, now);
+    Start(*connection);
+    const int before = listener_.Ended();
+    BOOST_REQUIRE(RunUntil([&] { return listener_.Ended() > before; }));
+    pool.Give(kUpstream, std::move(connection), now);
+  }
+
+  void Start(upstream_connection& connection) {
+    connection.Start("GET / HTTP/1.1\r\nHost: a\r\nX-Id: 1\r\n\r\n", true, "1",
+                     listener_);
+  }
+
+  scripted_upstream& Upstream() { return upstream_; }
+  const counting_listener& Listener() const { return listener_; }
+
+  const upstream_id kUpstream{"u1"};
+
+ private:
+  scripted_upstream upstream_;
+  counting_listener listener_;
+};
+
+BOOST_FIXTURE_TEST_SUITE(upstream_pools, upstream_pool_fixture)
+
+// A second request to a far upstream waits for a handshake while the first one
+// uses the only connection.
+BOOST_AUTO_TEST_CASE(AnOverlappingRequestFindsAConnection) {
+  upstream_pool pool = MakePool(true);
+  const monotonic_time now = MonotonicNow();
+  Call(pool, now);
+  const auto first = Take(pool, now);
+  BOOST_REQUIRE(RunUntil([&] { return Upstream().Accepted() == 2; }));
+  BOOST_REQUIRE(RunUntil([&] { return pool.IdleConnections() == 1; }));
+  const auto second = Take(pool, now);
+  BOOST_REQUIRE(RunUntil([&] { return !second->IsConnecting(); }));
+  BOOST_TEST(second->IsReusable({}, now));
+  Start(*second);
+  BOOST_TEST(RunUntil([&] { return Listener().Ended() == 2; }));
+}
+
+// A request that takes a spare connection before it is connected fails.
+BOOST_AUTO_TEST_CASE(ARequestMayStartOnASpareThatIsConnecting) {
+  upstream_pool pool = MakePool(true);
+  const monotonic_time now = MonotonicNow();
+  Call(pool, now);
+  const auto first = Take(pool, now);
+  const auto second = Take(pool, now);
+  BOOST_REQUIRE(second->IsConnecting());
+  Start(*second);
+  BOOST_TEST(RunUntil([&] { return Listener().Ended() == 2; }));
+  BOOST_TEST(Listener().Failed() == 0);
+}
+
+// Connections are opened that nobody uses: to upstreams near by, and to those
+// that get a request now and then.
+BOOST_AUTO_TEST_CASE(NoSpareWhereItIsNotWorthIt) {
+  upstream_pool near_pool = MakePool(false);
+  const monotonic_time now = MonotonicNow();
+  Call(near_pool, now);
+  Call(near_pool, now);
+  BOOST_TEST(near_pool.IdleConnections() == 1);
+  upstream_pool far_pool = MakePool(true);
+  Call(far_pool, now);
+  Call(far_pool, now + std::chrono::seconds(3));
+  BOOST_TEST(far_pool.IdleConnections() == 1);
+}
+
+// A spare connection that can't be opened stays in the pool and is handed out.
+BOOST_AUTO_TEST_CASE(AFailedSpareIsDropped) {
+  upstream_pool pool = MakePool(true);
+  const monotonic_time now = MonotonicNow();
+  Call(pool, now);
+  const endpoint nobody{"127.0.0.1", 1};
+  const auto first = pool.Take(kUpstream, nobody, std::chrono::seconds(10),
+                               duration::zero(), now);
+  BOOST_TEST(RunUntil([&] { return pool.IdleConnections() == 0; }));
+}
+
+// One of two connections is used all the time, and the upstream closes the
+// other one before a request needs it.
+BOOST_AUTO_TEST_CASE(IdleConnectionsAreUsedInTurn) {
+  upstream_pool pool = MakePool(false);
+  const monotonic_time now = MonotonicNow();
+  auto first = Take(pool, now);
+  auto second = Take(pool, now);
+  Start(*first);
+  Start(*second);
+  BOOST_REQUIRE(RunUntil([&] { return Listener().Ended() == 2; }));
+  const upstream_connection* const given_first = first.get();
+  pool.Give(kUpstream, std::move(first), now);
+  pool.Give(kUpstream, std::move(second), now);
+  BOOST_TEST(Take(pool, now).get() == given_first);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace citron
