Names and comments of the selector, the quota and what stands near them

selection_error, rejection and replicas for no_selection, turned_away and copies; load patterns in two lines instead of tales; no notes on how values were chosen. No behaviour changed.

--- a/include/citron/node/request_gate.h
+++ b/include/citron/node/request_gate.h
@@ -22,7 +22,7 @@
 };
 
 // A request that is turned away before it is placed; it has not run.
-struct turned_away {
+struct rejection {
   int status = 0;
   const char* reason = "";
   duration retry_after{};  // Zero: coming back doesn't help.
@@ -37,9 +37,9 @@
                      monotonic_time now);
 
 // Host, path, key and rate, in this order.
-std::variant<admitted_request, turned_away> AdmitRequest(node_context& context,
-                                                         const http1_head& head,
-                                                         monotonic_time now);
+std::variant<admitted_request, rejection> AdmitRequest(node_context& context,
+                                                       const http1_head& head,
+                                                       monotonic_time now);
 
 }  // namespace citron
 
--- a/include/citron/policy/affinity_selector.h
+++ b/include/citron/policy/affinity_selector.h
@@ -33,7 +33,7 @@
   double least_load_limit = 2;
   double load_limit = 3.5;
   // Above that, one of so many upstreams that has less than this.
-  int copies = 2;
+  int replicas = 2;
   double spare_load = 0.5;
   // Upstreams of one zone that can't be connected to before the zone counts as
   // out of reach, and for how long.
@@ -52,14 +52,14 @@
   const std::vector<upstream_id>* tried = nullptr;
 };
 
-enum class no_selection {
+enum class selection_error {
   kNoneKnown,    // No upstream of the service is announced.
   kNotAllowed,   // None stands where the request may run.
   kUnavailable,  // All that may run it fail, are cold or were tried.
   kBusy,         // Those that it would be sent to are full.
 };
 
-std::string_view NoSelectionName(no_selection reason);
+std::string_view ToString(selection_error error);
 
 // What decided, for the log.
 struct selection {
@@ -84,8 +84,8 @@
   void ForEach(const std::function<void(upstream_standing&)>& visit);
   void SetClosedZones(const std::set<zone_id>& zones);
 
-  std::variant<selection, no_selection> Choose(const selection_request& request,
-                                               monotonic_time now) const;
+  std::variant<selection, selection_error> Choose(
+      const selection_request& request, monotonic_time now) const;
 
   // An upstream with a free slot answered after that time, the way there and
   // back not counted.
@@ -112,10 +112,10 @@
   bool IsAvailable(const upstream_standing& upstream,
                    const selection_request& request, bool spare_ejected,
                    monotonic_time now) const;
-  void KeepCopies(std::vector<candidate>& candidates) const;
+  void KeepReplicas(std::vector<candidate>& candidates) const;
   // Null if there is none.
-  const upstream_standing* SpareCopy(const std::vector<candidate>& copies,
-                                     monotonic_time now) const;
+  const upstream_standing* SpareReplica(const std::vector<candidate>& replicas,
+                                        monotonic_time now) const;
   double LoadLimit(const selection_request& request) const;
   double WeightOf(const upstream_standing& upstream, bool large_answer) const;
 
--- a/src/node/fleet_state.cc
+++ b/src/node/fleet_state.cc
@@ -289,9 +289,9 @@
   }
 }
 
-// Answers: an upstream that starts is cold and breaks when all VMs begin to
-// send to it at once. Two VMs, the same for all who know the fleet, share what
-// it bears; the others leave it alone until it is warm.
+// Load pattern: an upstream that starts and breaks if all VMs send to it at
+// once. Two VMs, the same for all who know the fleet, share what it bears while
+// it is cold.
 cold_allowance fleet_state::AllowanceFor(
     const upstream_standing& upstream) const {
   const std::uint64_t hash = upstream.Hash();
--- a/src/node/node_task.cc
+++ b/src/node/node_task.cc
@@ -128,9 +128,9 @@
 std::unique_ptr<request_handler> node_task::Make(http1_head head,
                                                  caller_exchange& exchange) {
   const monotonic_time now = MonotonicNow();
-  std::variant<admitted_request, turned_away> gate =
+  std::variant<admitted_request, rejection> gate =
       AdmitRequest(context_, head, now);
-  if (const auto* turned = std::get_if<turned_away>(&gate)) {
+  if (const auto* turned = std::get_if<rejection>(&gate)) {
     const auto id = FindHeader(head.headers, names_.request_id);
     const std::string request(id.value_or(""));
     stats_.Count("citron_turned_away_total", {{"reason", turned->reason}});
--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -152,15 +152,15 @@
     request.workspace_homes = &admitted_.workspace->homes;
   }
   request.tried = &tried_;
-  const std::variant<selection, no_selection> chosen =
-      selector == nullptr ? no_selection::kNoneKnown
+  const std::variant<selection, selection_error> chosen =
+      selector == nullptr ? selection_error::kNoneKnown
                           : selector->Choose(request, now);
-  if (const auto* none = std::get_if<no_selection>(&chosen)) {
-    last_reason_ = NoSelectionName(*none).data();
+  if (const auto* none = std::get_if<selection_error>(&chosen)) {
+    last_reason_ = ToString(*none).data();
     if (verdict_ != verdict::kNotRun) return FailMaybeRun(502, last_reason_);
-    return Refuse(
-        503, last_reason_,
-        *none == no_selection::kBusy ? kRetryWhenBusy : kRetryWhenUnavailable);
+    return Refuse(503, last_reason_,
+                  *none == selection_error::kBusy ? kRetryWhenBusy
+                                                  : kRetryWhenUnavailable);
   }
   SendTo(std::get<selection>(chosen));
 }
--- a/src/node/request_gate.cc
+++ b/src/node/request_gate.cc
@@ -57,35 +57,35 @@
       FromSeconds(revocation_part * ToSeconds(bounds.revocation)), now);
 }
 
-std::variant<admitted_request, turned_away> AdmitRequest(node_context& context,
-                                                         const http1_head& head,
-                                                         monotonic_time now) {
+std::variant<admitted_request, rejection> AdmitRequest(node_context& context,
+                                                       const http1_head& head,
+                                                       monotonic_time now) {
   if (CountOf(head.headers, "Host") != 1 || head.target.empty() ||
       head.target.front() != '/') {
-    return turned_away{400, "bad_target", {}};
+    return rejection{400, "bad_target", {}};
   }
   admitted_request admitted;
   admitted.routing = context.fleet.Routing();
   if (admitted.routing == nullptr) {
-    return turned_away{503, "no_declaration_yet", kStarting};
+    return rejection{503, "no_declaration_yet", kStarting};
   }
   const std::string host = PlainHost(*FindHeader(head.headers, "Host"));
   const std::string_view path =
       std::string_view(head.target).substr(0, head.target.find('?'));
   admitted.route = admitted.routing->MatchRoute(host, path);
-  if (admitted.route == nullptr) return turned_away{404, "no_route", {}};
+  if (admitted.route == nullptr) return rejection{404, "no_route", {}};
   if (!admitted.route->needs_key) return admitted;
 
   if (!IsCurrentWithin(kRevocationPart, context, now)) {
-    return turned_away{503, "keys_not_current", kElsewhere};
+    return rejection{503, "keys_not_current", kElsewhere};
   }
   const auto key = KeyOf(head.headers, context.names.key_scheme);
   admitted.workspace = key ? admitted.routing->FindWorkspace(*key) : nullptr;
-  if (admitted.workspace == nullptr) return turned_away{401, "unknown_key", {}};
+  if (admitted.workspace == nullptr) return rejection{401, "unknown_key", {}};
   workspace_quota* quota = context.fleet.QuotaOf(admitted.workspace->id);
   if (quota != nullptr && !quota->TryAdmit(now)) {
-    return turned_away{429, "over_rate", quota->NextTokenAt(now) - now,
-                       admitted.workspace->id, quota->State(now)};
+    return rejection{429, "over_rate", quota->NextTokenAt(now) - now,
+                     admitted.workspace->id, quota->State(now)};
   }
   return admitted;
 }
--- a/src/policy/affinity_selector.cc
+++ b/src/policy/affinity_selector.cc
@@ -26,22 +26,19 @@
 
 }  // namespace
 
-// Answers: more work than the upstreams carry cold. An upstream that had an
-// object lately serves it in about a third of the time, so that where a request
-// goes decides how much fits at all. Spread at random, every upstream meets
-// every object and none stays warm; one notices by service times that stay
-// high at any load. A rendezvous order that all VMs compute alike keeps each
-// object at a few upstreams, also while upstreams and VMs come and go.
-
-std::string_view NoSelectionName(no_selection reason) {
-  switch (reason) {
-    case no_selection::kNoneKnown:
+// Load pattern: more work than the upstreams carry cold. All VMs compute the
+// same rendezvous order, so that each object stays at an upstream that is warm
+// for it.
+
+std::string_view ToString(selection_error error) {
+  switch (error) {
+    case selection_error::kNoneKnown:
       return "none_known";
-    case no_selection::kNotAllowed:
+    case selection_error::kNotAllowed:
       return "not_allowed";
-    case no_selection::kUnavailable:
+    case selection_error::kUnavailable:
       return "unavailable";
-    case no_selection::kBusy:
+    case selection_error::kBusy:
       return "busy";
   }
   return "unknown";
@@ -79,9 +76,9 @@
 
 void affinity_selector::OnConnected(const zone_id& zone) { paths_.erase(zone); }
 
-// Answers: a cut between zones. Each upstream behind it would cost one request
-// a whole connect timeout before it is left alone; two in a row without a
-// success say that the path is at fault.
+// Load pattern: a cut between zones. Consecutive connect timeouts without a
+// success take the zone out, instead of one request for each upstream behind
+// the cut.
 void affinity_selector::OnConnectTimeout(const zone_id& zone,
                                          monotonic_time now) {
   path_state& path = paths_[zone];
@@ -122,11 +119,10 @@
   return in_zone ? weight * options_.large_zone_weight : weight;
 }
 
-// Leaves the upstreams that share the object, the first one first. Copies stand
-// in the region of the first: a flood that fills the first ones would otherwise
-// move a third of a region's requests to other regions from one second to the
-// next, and back at its end.
-void affinity_selector::KeepCopies(std::vector<candidate>& candidates) const {
+// Leaves the upstreams that share the object, the preferred one first. All
+// stand in its region, so that a flood does not move a region's requests to
+// others from one second to the next.
+void affinity_selector::KeepReplicas(std::vector<candidate>& candidates) const {
   std::sort(
       candidates.begin(), candidates.end(),
       [](const candidate& a, const candidate& b) { return a.cost < b.cost; });
@@ -134,19 +130,18 @@
   std::erase_if(candidates, [&region](const candidate& c) {
     return c.upstream->Region() != region;
   });
-  if (candidates.size() > static_cast<std::size_t>(options_.copies)) {
-    candidates.resize(static_cast<std::size_t>(options_.copies));
+  if (candidates.size() > static_cast<std::size_t>(options_.replicas)) {
+    candidates.resize(static_cast<std::size_t>(options_.replicas));
   }
 }
 
-// One that is nearly free, for an object whose first upstream is full. A copy
-// that has work of its own would serve the object cold, at the cost of three
-// requests that it has warm.
-const upstream_standing* affinity_selector::SpareCopy(
-    const std::vector<candidate>& copies, monotonic_time now) const {
-  for (std::size_t i = 1; i < copies.size(); ++i) {
-    if (LoadOf(*copies[i].upstream, now) < options_.spare_load) {
-      return copies[i].upstream;
+// Returns a nearly idle replica for an object whose preferred upstream is full.
+// A busy one would serve the object cold, in the time of several warm requests.
+const upstream_standing* affinity_selector::SpareReplica(
+    const std::vector<candidate>& replicas, monotonic_time now) const {
+  for (std::size_t i = 1; i < replicas.size(); ++i) {
+    if (LoadOf(*replicas[i].upstream, now) < options_.spare_load) {
+      return replicas[i].upstream;
     }
   }
   return nullptr;
@@ -164,9 +159,9 @@
                     options_.least_load_limit, options_.load_limit);
 }
 
-std::variant<selection, no_selection> affinity_selector::Choose(
+std::variant<selection, selection_error> affinity_selector::Choose(
     const selection_request& request, monotonic_time now) const {
-  if (upstreams_.empty()) return no_selection::kNoneKnown;
+  if (upstreams_.empty()) return selection_error::kNoneKnown;
   // Ejection must leave half of the upstreams: where more than that fail, the
   // cause lies elsewhere and the rest would be overrun.
   const auto ejected = static_cast<std::size_t>(
@@ -184,13 +179,13 @@
                        WeightOf(upstream, request.large_answer));
     best.push_back({cost, &upstream});
   }
-  if (!allowed) return no_selection::kNotAllowed;
-  if (best.empty()) return no_selection::kUnavailable;
-  KeepCopies(best);
+  if (!allowed) return selection_error::kNotAllowed;
+  if (best.empty()) return selection_error::kUnavailable;
+  KeepReplicas(best);
   const upstream_standing* upstream = best[0].upstream;
   if (LoadOf(*upstream, now) >= LoadLimit(request)) {
-    upstream = SpareCopy(best, now);
-    if (upstream == nullptr) return no_selection::kBusy;
+    upstream = SpareReplica(best, now);
+    if (upstream == nullptr) return selection_error::kBusy;
   }
   return selection{upstream->Record().id, upstream->Load(now),
                    upstream->Record().slots, upstream->IsCold(now),
--- a/src/policy/upstream_standing.cc
+++ b/src/policy/upstream_standing.cc
@@ -17,9 +17,8 @@
 
 }  // namespace
 
-// Answers: upstreams that die, come back cold, fail part of their requests or
-// are used by many VMs at once. Each VM sees a part of what happens, so that it
-// judges by its own outcomes and takes the upstream's reports for the rest.
+// Load pattern: upstreams that die, return cold, fail part of their requests or
+// are shared by many VMs. A VM judges by its own outcomes and reported loads.
 
 upstream_standing::upstream_standing(const upstream_record& record,
                                      const region_id& region,
--- a/src/policy/vm_choice.cc
+++ b/src/policy/vm_choice.cc
@@ -15,10 +15,9 @@
 // One alone would be missed by all callers of its zone at once.
 constexpr std::size_t kLeastWide = 2;
 
-// Answers: VMs of two sizes in one zone. Callers spread evenly, so that a small
-// VM gets as many large answers as its link holds in a second, and each VM sees
-// so small a part of the load that none knows what upstreams carry. Fewer VMs
-// also keep fewer connections.
+// Load pattern: VMs of different sizes in one zone. Callers go to those with
+// wide links; fewer VMs in use also see more of the load each and keep fewer
+// connections.
 std::vector<vm_candidate> KeepWide(std::vector<vm_candidate> vms) {
   double widest = 0;
   for (const vm_candidate& vm : vms) widest = std::max(widest, vm.link_mbps);
@@ -34,11 +33,9 @@
 
 }  // namespace
 
-// Answers: zones whose VMs die, freeze or lose the store. Callers spread over
-// all that they are told of, so that one dead VM among two costs half of them a
-// second each. What is known to fail is left out as long as anything else is
-// there; what is far is left out as long as something near takes requests,
-// since each answer would cross between zones.
+// Load pattern: VMs that die, freeze or lose the store. Leaves out what is
+// known to fail while anything else is there, and what is far while something
+// near is ready.
 std::vector<vm_candidate> ChooseVms(const std::vector<vm_candidate>& all,
                                     const zone_id& zone,
                                     const region_id& region) {
--- a/src/policy/weight_control.cc
+++ b/src/policy/weight_control.cc
@@ -5,18 +5,10 @@
 
 namespace citron {
 
-// Answers: demand that lies unevenly over zones whose upstreams differ in
-// number, and zones that are closed, so that few upstreams get the objects of
-// many. An upstream keeps only its latest objects warm. One that holds more of
-// them serves each one cold, in three times the time, and everything there is
-// late while others stand idle; one notices by upstreams of one zone whose
-// every answer takes the cold time. A lower weight gives a part of its objects
-// to others, always the same ones, and what is left fits again. All VMs hear
-// the same reports, so that their weights agree closely without talk.
-//
-// Measured with a closed zone, over 14 s: three upstreams with 50 to 55 objects
-// each answered in 1.2 to 1.3 s (median), while those of another region with 10
-// to 26 objects took 0.25 s.
+// Load pattern: uneven zones and closed ones, so that some upstreams get more
+// objects than they keep warm. A lower weight moves a stable part of their
+// objects to others; VMs hear the same reports and reach nearly the same
+// weights.
 
 weight_control::weight_control(const weight_control_options& options)
     : options_(options) {}
--- a/src/protocol/workspace_quota.cc
+++ b/src/protocol/workspace_quota.cc
@@ -22,18 +22,15 @@
 // Growth against what was told that is taken for one of the whole workspace.
 constexpr double kRiseThatCounts = 1.5;
 constexpr double kMostRise = 10;
-// Part of the last report below which a VM must have restarted.
-constexpr double kFallOfARestart = 0.5;
+// A count that drops below this part of the last one was reset by a restart.
+constexpr double kRestartDetectionRatio = 0.5;
 
 }  // namespace
 
-// Answers: callers of one workspace that come through any VM, move between
-// them, and now and then send many times their rate. Fixed parts refuse
-// callers who all use one VM, asking a common place costs a call a request. So
-// each VM has a bucket with its part of rate and burst, parts following the
-// demand that VMs tell each other twice a second. Where the whole fleet is far
-// below the contract, as the last reports show with room for their age, a
-// request is let in above the part and paid back from the bucket.
+// Load pattern: callers of one workspace that move between VMs and send in
+// floods. Each VM has a token bucket with its part of the contract, by demand;
+// while the fleet is far below the contract, a VM lends above its part and
+// repays later.
 
 workspace_quota::workspace_quota(const quota_options& options,
                                  monotonic_time now)
@@ -55,7 +52,7 @@
   other_vm& other = others_[vm];
   // Between two reports little leaves the window; a fall means a restart.
   if (report.admitted_in_window <
-      kFallOfARestart * other.report.admitted_in_window) {
+      kRestartDetectionRatio * other.report.admitted_in_window) {
     other.admitted_before = other.report.admitted_in_window;
     other.restarted_at = now;
   }
--- a/tests/policy/affinity_selector_test.cc
+++ b/tests/policy/affinity_selector_test.cc
@@ -30,7 +30,7 @@
     options.region_weight = 1;
     options.large_zone_weight = 1;
     options.large_region_weight = 8;
-    options.copies = 2;
+    options.replicas = 2;
     options.load_limit = 2;
     options.spare_load = 0.5;
     return options;
@@ -55,7 +55,7 @@
     const auto chosen = selector_.Choose(request, now_);
     const auto* selected = std::get_if<selection>(&chosen);
     return selected == nullptr
-               ? std::string(NoSelectionName(std::get<no_selection>(chosen)))
+               ? std::string(ToString(std::get<selection_error>(chosen)))
                : selected->upstream.Str();
   }
 
