--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -206,6 +206,7 @@
                      {{"id", id_},
                       {"route", admitted_.route->id.Str()},
                       {"workspace", workspace.Str()},
+                      {"object", fmt::format("{:016x}", object_)},
                       {"upstream", upstream_.Str()},
                       {"zone", upstream_zone_.Str()},
                       {"load", choice.load},
