Parts that silent VMs keep are noted once a report

Cause: found on reading the change: the part of a VM was worked out anew with each report of each VM for each workspace, over all VMs; at the size to design for that is far above 1% of a core. Now all parts are noted together when a VM makes its own report.

--- a/include/citron/protocol/workspace_quota.h
+++ b/include/citron/protocol/workspace_quota.h
@@ -89,6 +89,16 @@
     // tells of requests until then.
     std::optional<monotonic_time> gone_at;
   };
+  // From which the parts of VMs that are heard follow.
+  struct part_basis {
+    double shared = 0;  // What silent VMs don't keep.
+    double idle_per_s = 0;
+    double all_per_s = 0;
+
+    double PartOf(double demand_per_s) const {
+      return shared * (demand_per_s + idle_per_s) / all_per_s;
+    }
+  };
   // Counts of the last window by tenths of it.
   struct counter {
     std::array<double, 10> counts{};
@@ -97,7 +107,8 @@
 
   bool IsSilent(const other_vm& other, monotonic_time now) const;
   bool IsIsolated(monotonic_time now) const;
-  double PartOf(double demand_per_s, monotonic_time now) const;
+  part_basis Basis(monotonic_time now) const;
+  void KeepParts(monotonic_time now);
   double Share(monotonic_time now) const;
   double Admitted(const other_vm& other, monotonic_time now) const;
   double FleetAdmitted(monotonic_time now) const;
--- a/src/protocol/workspace_quota.cc
+++ b/src/protocol/workspace_quota.cc
@@ -58,7 +58,6 @@
   }
   other.report = report;
   other.heard_at = now;
-  other.part = PartOf(report.demand_per_s, now);
   if (other.gone_at) other.gone_at = now + options_.orphan_time;
 }
 
@@ -111,34 +110,46 @@
   return 2 * heard < listed;
 }
 
-// The part of a VM that is heard and has that demand; silent ones keep theirs.
-// Parts add up to one as long as all have heard the same. The own demand is the
-// one that was told, not the newest: a workspace that grows everywhere at once
-// would raise every part before any VM hears of the others.
-double workspace_quota::PartOf(double demand_per_s, monotonic_time now) const {
+// Parts add up to one as long as all have heard the same; silent VMs keep
+// theirs. The own demand is the one that was told, not the newest: a workspace
+// that grows everywhere at once would raise every part before any VM hears of
+// the others.
+workspace_quota::part_basis workspace_quota::Basis(monotonic_time now) const {
   int vms = std::max(fleet_size_, 1);
   if (now - started_at_ < options_.assume_for) {
     vms = std::max(vms, options_.assumed_vms);
   }
-  const double idle =
+  part_basis basis;
+  basis.idle_per_s =
       kIdleShare * std::max(rate_per_s_, 1.0) / static_cast<double>(vms);
-  double all = told_demand_per_s_;
+  basis.all_per_s = told_demand_per_s_;
   double kept = 0;
   for (const auto& [vm, other] : others_) {
     if (IsSilent(other, now)) {
       kept += other.part;
       --vms;
     } else {
-      all += other.report.demand_per_s;
+      basis.all_per_s += other.report.demand_per_s;
     }
   }
-  const double shared = std::max(0.0, 1 - kept);
-  return shared * (demand_per_s + idle) / (all + idle * std::max(vms, 1));
+  basis.all_per_s += basis.idle_per_s * std::max(vms, 1);
+  basis.shared = std::max(0.0, 1 - kept);
+  return basis;
 }
 
-// A VM that hears few of the others keeps the part that they know it to have.
+// Notes the parts that VMs go on with if they can't be heard any more.
+void workspace_quota::KeepParts(monotonic_time now) {
+  const part_basis basis = Basis(now);
+  for (auto& [vm, other] : others_) {
+    if (IsSilent(other, now)) continue;
+    other.part = basis.PartOf(other.report.demand_per_s);
+  }
+}
+
+// A VM that hears fewer than half of the others keeps the part that they know
+// it to have.
 double workspace_quota::Share(monotonic_time now) const {
-  const double part = PartOf(told_demand_per_s_, now);
+  const double part = Basis(now).PartOf(told_demand_per_s_);
   if (share_in_touch_ == 0 || !IsIsolated(now)) return part;
   return std::min(part, share_in_touch_);
 }
@@ -278,6 +289,7 @@
   own_admitted_ =
       std::accumulate(admitted_.counts.begin(), admitted_.counts.end(), 0.0);
   told_demand_per_s_ = demand_per_s_;
+  KeepParts(now);
   return {demand_per_s_, own_admitted_};
 }
 
