Logs tell which VMs are silent, and on how many reports a refusal over the rate rests

Now part=peers event=silent and event=heard are written once for each VM that is lost and heard again, with whether its record stands, and the line of a refusal over_rate tells vms_heard of vms_told. No decision changes.

--- a/include/citron/node/peer_exchange.h
+++ b/include/citron/node/peer_exchange.h
@@ -68,12 +68,15 @@
     bool strained = false;
     bool serves = false;
     monotonic_time heard_at{};
+    bool silent = false;  // As it was logged last.
   };
 
   peer_exchange(node_context& context, int descriptor);
   void OnReadable();
   void OnReport(const peer_report& report, monotonic_time now);
   peer_report MakeReport(const vm_condition& own, monotonic_time now);
+  // Logs which VMs were lost or are heard again.
+  void LogSilence(monotonic_time now);
   void Send(const peer_report& report, bool to_serving);
   bool Serves(const vm_id& vm) const;
   int ServingPeers() const;
--- a/include/citron/protocol/workspace_quota.h
+++ b/include/citron/protocol/workspace_quota.h
@@ -41,6 +41,8 @@
   double tokens = 0;  // In this VM's bucket; below zero what was lent.
   double fleet_admitted = 0;
   double window_limit = 0;
+  int vms_told = 0;   // Listed VMs that have told of the workspace.
+  int vms_heard = 0;  // Of them, those that aren't silent.
 };
 
 // Holds one workspace to its rate and burst over all VMs, without asking
@@ -105,7 +107,14 @@
     std::int64_t slot = 0;
   };
 
+  // Listed VMs that have told anything, and how many of them are heard.
+  struct vm_count {
+    int told = 0;
+    int heard = 0;
+  };
+
   bool IsSilent(const other_vm& other, monotonic_time now) const;
+  vm_count CountVms(monotonic_time now) const;
   bool IsIsolated(monotonic_time now) const;
   part_basis Basis(monotonic_time now) const;
   void KeepParts(monotonic_time now);
--- a/src/node/node_task.cc
+++ b/src/node/node_task.cc
@@ -148,6 +148,8 @@
          {"tokens", turned->quota.tokens},
          {"fleet_admitted", turned->quota.fleet_admitted},
          {"window_limit", turned->quota.window_limit},
+         {"vms_told", turned->quota.vms_told},
+         {"vms_heard", turned->quota.vms_heard},
          {"store_age_ms",
           feed_.ProvenAt() ? ToMilliseconds(now - *feed_.ProvenAt()) : -1.0}},
         now);
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -107,6 +107,7 @@
   // Whoever hears late that callers come here would share a contract wrongly,
   // or go on sending them to a VM that turns them away.
   const bool urgent = own.ready != told_ready_ || serves != told_serving_;
+  LogSilence(now);
   told_ready_ = own.ready;
   told_serving_ = serves;
   tell_serving_at_ = now + IntervalFor(ServingPeers());
@@ -141,6 +142,19 @@
   return report;
 }
 
+void peer_exchange::LogSilence(monotonic_time now) {
+  for (auto& [vm, peer] : peers_) {
+    const bool silent = !IsHeard(vm, now);
+    if (silent == peer.silent) continue;
+    peer.silent = silent;
+    context_.log.Write("peers", silent ? "silent" : "heard",
+                       {{"vm", vm.Str()},
+                        {"last_heard_ms", ToMilliseconds(now - peer.heard_at)},
+                        {"listed", context_.fleet.Vms().contains(vm)}},
+                       now);
+  }
+}
+
 bool peer_exchange::Serves(const vm_id& vm) const {
   const auto peer = peers_.find(vm);
   return peer != peers_.end() && peer->second.serves;
@@ -191,7 +205,8 @@
   }
   const bool serves = !report.quotas.empty();
   peer = {report.incarnation, report.sequence, report.ready,
-          report.strained,    serves,          now};
+          report.strained,    serves,          now,
+          peer.silent};
   std::map<workspace_id, quota_report> told;
   for (const quota_line& line : report.quotas) {
     told[line.workspace] = {line.demand_tenths_per_s / 10.0,
--- a/src/protocol/workspace_quota.cc
+++ b/src/protocol/workspace_quota.cc
@@ -99,15 +99,19 @@
   return now - other.heard_at >= silence_limit_;
 }
 
-bool workspace_quota::IsIsolated(monotonic_time now) const {
-  int listed = 0;
-  int heard = 0;
+workspace_quota::vm_count workspace_quota::CountVms(monotonic_time now) const {
+  vm_count count;
   for (const auto& [vm, other] : others_) {
     if (other.gone_at) continue;
-    ++listed;
-    if (!IsSilent(other, now)) ++heard;
+    ++count.told;
+    if (!IsSilent(other, now)) ++count.heard;
   }
-  return 2 * heard < listed;
+  return count;
+}
+
+bool workspace_quota::IsIsolated(monotonic_time now) const {
+  const vm_count count = CountVms(now);
+  return 2 * count.heard < count.told;
 }
 
 // Parts add up to one as long as all have heard the same; silent VMs keep
@@ -278,8 +282,9 @@
 }
 
 quota_state workspace_quota::State(monotonic_time now) const {
-  return {rate_per_s_,        burst_,          Share(now), tokens_,
-          FleetAdmitted(now), WindowLimit(now)};
+  const vm_count count = CountVms(now);
+  return {rate_per_s_,        burst_,           Share(now), tokens_,
+          FleetAdmitted(now), WindowLimit(now), count.told, count.heard};
 }
 
 quota_report workspace_quota::Report(monotonic_time now) {
