A VM takes no more of a contract than all others grant it

What callers saw: a workspace got more than its contract (QUOTA) when it flooded just as VMs were cut off from each other. Listed red until now: workspace_quota_cut_test. Cause: each VM computed its part of the contract from its own newest demand and what it had heard of the others. For 1.6 s, until silence is noticed, VMs that don't hear each other raised their parts at the same time; debts and room to lend rested on the same stale news. Now a report tells each VM what the sender has heard of it. A VM takes for itself the least demand that any VM which lets requests in may still believe of it; the others count a demand a little before its owner uses it, so that parts add up to one at most, whoever hears whom, and all move together. The part that a silent VM keeps is the one of when it was heard last. Room is lent only on news that is not older than usual, and a rise is looked for over 0.3 s besides 0.6 s. A debt is forgotten by the share that was asked for, not by the smaller one that is in force.

--- a/include/citron/node/peer_exchange.h
+++ b/include/citron/node/peer_exchange.h
@@ -40,6 +40,11 @@
   bool strained = false;  // It has little of its processor left.
   std::vector<quota_line> quotas;
   std::vector<load_line> loads;
+  // By the teller's steady clock, in nanoseconds.
+  std::int64_t told_at = 0;
+  // When the newest report was told that the teller has of the VM that gets
+  // this one, by that VM's clock; 0 if none.
+  std::int64_t has_heard = 0;
 };
 
 // Tells the other VMs by datagrams how this one stands, and hears them. VMs
@@ -67,6 +72,7 @@
     bool ready = true;
     bool strained = false;
     bool serves = false;
+    std::int64_t told_at = 0;  // By its own clock.
     monotonic_time heard_at{};
     bool silent = false;  // As it was logged last.
   };
--- a/include/citron/protocol/workspace_quota.h
+++ b/include/citron/protocol/workspace_quota.h
@@ -9,6 +9,7 @@
 
 #include "citron/base/strong_id.h"
 #include "citron/base/time.h"
+#include "citron/protocol/demand_history.h"
 
 namespace citron {
 
@@ -22,6 +23,8 @@
   // A VM whose record lapsed may let in requests for so long: until it can't
   // prove its keys any more, or until it has stopped as planned.
   duration orphan_time = FromMilliseconds(2000);
+  // What a report takes to another VM, at the most.
+  duration way = FromMilliseconds(300);
   // VMs that are assumed before they are known.
   int assumed_vms = 2;
   duration assume_for = std::chrono::seconds(2);
@@ -61,6 +64,8 @@
   void SetSilenceLimit(duration limit) { silence_limit_ = limit; }
   void OnReport(const vm_id& vm, const quota_report& report,
                 monotonic_time now);
+  // The VM has heard what this one told at that time.
+  void OnHeardBy(const vm_id& vm, monotonic_time told_at);
   // The VM is listed, or not any more. What it has let in counts on for the
   // rest of the window.
   void KeepVm(const vm_id& vm);
@@ -81,7 +86,10 @@
  private:
   struct other_vm {
     quota_report report;
+    demand_history demand;
     monotonic_time heard_at{};
+    // When the newest report was told that it has heard of this VM.
+    monotonic_time has_heard{};
     double part = 0;  // Of the contract, when it was heard last.
     // What it had let in when it was last known to be up; a VM that restarts
     // forgets it, and the contract doesn't.
@@ -107,15 +115,21 @@
     std::int64_t slot = 0;
   };
 
-  // Listed VMs that have told anything, and how many of them are heard.
+  // Listed VMs that have told anything, those of them that are heard, and those
+  // that hear this one as well.
   struct vm_count {
     int told = 0;
     int heard = 0;
+    int in_touch = 0;
   };
 
+  static bool IsIdle(const other_vm& other);
   bool IsSilent(const other_vm& other, monotonic_time now) const;
   vm_count CountVms(monotonic_time now) const;
   bool IsIsolated(monotonic_time now) const;
+  bool IsAnyLate(monotonic_time now) const;
+  double KnownDemand(monotonic_time now) const;
+  monotonic_time InForceSince(monotonic_time now) const;
   part_basis Basis(monotonic_time now) const;
   void KeepParts(monotonic_time now);
   double Share(monotonic_time now) const;
@@ -143,7 +157,9 @@
   counter admitted_;
   double own_admitted_ = 0;
   double demand_per_s_ = 0;
-  double told_demand_per_s_ = 0;
+  double recent_demand_per_s_ = 0;
+  demand_history told_;
+  monotonic_time told_at_;
   double arrivals_ = 0;
   monotonic_time demand_at_;
   std::map<vm_id, other_vm> others_;
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -31,7 +31,8 @@
 
 auto WireFields(peer_report& report) {
   return std::tie(report.vm, report.incarnation, report.sequence, report.ready,
-                  report.strained, report.quotas, report.loads);
+                  report.strained, report.quotas, report.loads, report.told_at,
+                  report.has_heard);
 }
 
 namespace {
@@ -57,6 +58,12 @@
   return static_cast<std::uint32_t>(std::ceil(std::max(0.0, value)));
 }
 
+// A time to come is one of a clock that started anew since.
+monotonic_time TimeHeardBy(const peer_report& report, monotonic_time now) {
+  const monotonic_time at{std::chrono::nanoseconds(report.has_heard)};
+  return at > now ? monotonic_time{} : at;
+}
+
 }  // namespace
 
 result<std::unique_ptr<peer_exchange>> peer_exchange::Make(
@@ -123,6 +130,7 @@
   report.vm = context_.settings.vm;
   report.incarnation = incarnation_;
   report.sequence = ++sequence_;
+  report.told_at = now.time_since_epoch().count();
   report.ready = own.ready;
   report.strained = own.strained;
   const duration view_lag = IntervalFor(ServingPeers()) + kWayAndTick;
@@ -170,9 +178,11 @@
   peer_report told = report;
   // Loads are of use to those who send requests.
   if (!to_serving) told.loads.clear();
-  const std::string bytes = EncodeWire(told);
   for (const auto& [vm, listing] : context_.fleet.Vms()) {
     if (vm == context_.settings.vm || Serves(vm) != to_serving) continue;
+    const auto peer = peers_.find(vm);
+    told.has_heard = peer == peers_.end() ? 0 : peer->second.told_at;
+    const std::string bytes = EncodeWire(told);
     const sockaddr_in to = SocketAddress(listing.peer);
     // One that can't be sent is a lost one; the next follows.
     sendto(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL,
@@ -204,19 +214,26 @@
     return;
   }
   const bool serves = !report.quotas.empty();
-  peer = {report.incarnation, report.sequence, report.ready,
-          report.strained,    serves,          now,
+  peer = {report.incarnation,
+          report.sequence,
+          report.ready,
+          report.strained,
+          serves,
+          report.told_at,
+          now,
           peer.silent};
   std::map<workspace_id, quota_report> told;
   for (const quota_line& line : report.quotas) {
     told[line.workspace] = {line.demand_tenths_per_s / 10.0,
                             static_cast<double>(line.admitted_in_window)};
   }
+  const monotonic_time has_heard = TimeHeardBy(report, now);
   // What isn't told of was asked nothing.
   for (auto& [workspace, quota] : context_.fleet.Quotas()) {
     const auto line = told.find(workspace);
     quota.OnReport(report.vm,
                    line == told.end() ? quota_report{} : line->second, now);
+    quota.OnHeardBy(report.vm, has_heard);
   }
   for (const load_line& line : report.loads) {
     upstream_standing* upstream = context_.fleet.FindUpstream(line.upstream);
--- a/src/protocol/workspace_quota.cc
+++ b/src/protocol/workspace_quota.cc
@@ -11,8 +11,13 @@
 // Weight of a demand that nobody has, for each VM: a VM that was idle has a
 // small share at once when callers come to it.
 constexpr double kIdleShare = 0.25;
-// The demand is an average over about this long.
+// The demand is an average over about this long, and over the shorter time
+// where a rise is looked for.
 constexpr double kDemandHorizonS = 0.6;
+constexpr double kRiseHorizonS = 0.3;
+// Standard deviations of random arrivals by which the shorter average must be
+// above.
+constexpr double kRiseDeviations = 1;
 // Tokens that a share holds at the least: below one it would never let a
 // request in, however small the rate.
 constexpr double kLeastCapacity = 1.5;
@@ -34,7 +39,11 @@
 
 workspace_quota::workspace_quota(const quota_options& options,
                                  monotonic_time now)
-    : options_(options), started_at_(now), refilled_at_(now), demand_at_(now) {}
+    : options_(options),
+      started_at_(now),
+      refilled_at_(now),
+      told_at_(now),
+      demand_at_(now) {}
 
 void workspace_quota::SetTerms(double rate_per_s, double burst,
                                monotonic_time now) {
@@ -57,10 +66,17 @@
     other.restarted_at = now;
   }
   other.report = report;
+  other.demand.Add(report.demand_per_s, now);
+  other.demand.Forget(InForceSince(now));
   other.heard_at = now;
   if (other.gone_at) other.gone_at = now + options_.orphan_time;
 }
 
+void workspace_quota::OnHeardBy(const vm_id& vm, monotonic_time told_at) {
+  other_vm& other = others_[vm];
+  other.has_heard = std::max(other.has_heard, told_at);
+}
+
 void workspace_quota::KeepVm(const vm_id& vm) {
   const auto found = others_.find(vm);
   if (found != others_.end()) found->second.gone_at.reset();
@@ -81,19 +97,21 @@
     const auto at = it++;
     other_vm& other = at->second;
     if (!other.gone_at || now < *other.gone_at) continue;
-    const bool told_something =
-        other.report.demand_per_s > 0 || other.report.admitted_in_window > 0;
-    if (told_something) {
-      other.admitted_before = Admitted(other, now);
-      other.restarted_at = now;
-      other.report = {};
-      other.gone_at = now + options_.window;
-    } else {
+    if (IsIdle(other)) {
       others_.erase(at);
+      continue;
     }
+    other.admitted_before = Admitted(other, now);
+    other.restarted_at = now;
+    other.report = {};
+    other.gone_at = now + options_.window;
   }
 }
 
+bool workspace_quota::IsIdle(const other_vm& other) {
+  return other.report.demand_per_s == 0 && other.report.admitted_in_window == 0;
+}
+
 bool workspace_quota::IsSilent(const other_vm& other,
                                monotonic_time now) const {
   return now - other.heard_at >= silence_limit_;
@@ -104,20 +122,47 @@
   for (const auto& [vm, other] : others_) {
     if (other.gone_at) continue;
     ++count.told;
-    if (!IsSilent(other, now)) ++count.heard;
+    if (IsSilent(other, now)) continue;
+    ++count.heard;
+    if (now - other.has_heard < silence_limit_) ++count.in_touch;
   }
   return count;
 }
 
 bool workspace_quota::IsIsolated(monotonic_time now) const {
   const vm_count count = CountVms(now);
-  return 2 * count.heard < count.told;
+  return 2 * count.in_touch < count.told;
 }
 
-// Parts add up to one as long as all have heard the same; silent VMs keep
-// theirs. The own demand is the one that was told, not the newest: a workspace
-// that grows everywhere at once would raise every part before any VM hears of
-// the others.
+// A VM that lets requests in may have been cut off, though it doesn't count as
+// silent yet.
+bool workspace_quota::IsAnyLate(monotonic_time now) const {
+  return std::any_of(others_.begin(), others_.end(), [&](const auto& entry) {
+    const other_vm& other = entry.second;
+    return !other.gone_at && !IsIdle(other) && !IsSilent(other, now) &&
+           now - other.heard_at >= view_lag_;
+  });
+}
+
+// A demand that another VM told counts from this time on: a little before that
+// VM uses it, and not at once, as its own part grows only when all know of it.
+monotonic_time workspace_quota::InForceSince(monotonic_time now) const {
+  return now - view_lag_ + options_.way;
+}
+
+// The demand that all VMs which are heard know of and have in force. Those that
+// let nothing in are told seldom, and not waited for.
+double workspace_quota::KnownDemand(monotonic_time now) const {
+  monotonic_time since = now - view_lag_;
+  for (const auto& [vm, other] : others_) {
+    if (IsIdle(other) || IsSilent(other, now)) continue;
+    since = std::min(since, other.has_heard);
+  }
+  return told_.LeastSince(since);
+}
+
+// Silent VMs keep their parts; those of the others add up to one at most,
+// whoever hears whom: no VM takes more for itself than all others grant it.
 workspace_quota::part_basis workspace_quota::Basis(monotonic_time now) const {
   int vms = std::max(fleet_size_, 1);
   if (now - started_at_ < options_.assume_for) {
@@ -126,14 +171,15 @@
   part_basis basis;
   basis.idle_per_s =
       kIdleShare * std::max(rate_per_s_, 1.0) / static_cast<double>(vms);
-  basis.all_per_s = told_demand_per_s_;
+  const monotonic_time since = InForceSince(now);
+  basis.all_per_s = told_.LeastSince(since);
   double kept = 0;
   for (const auto& [vm, other] : others_) {
     if (IsSilent(other, now)) {
       kept += other.part;
       --vms;
     } else {
-      basis.all_per_s += other.report.demand_per_s;
+      basis.all_per_s += other.demand.LeastSince(since);
     }
   }
   basis.all_per_s += basis.idle_per_s * std::max(vms, 1);
@@ -141,19 +187,20 @@
   return basis;
 }
 
-// Notes the parts that VMs go on with if they can't be heard any more.
+// Notes the parts that VMs go on with if they can't be heard any more: by what
+// was known when they were heard last.
 void workspace_quota::KeepParts(monotonic_time now) {
   const part_basis basis = Basis(now);
   for (auto& [vm, other] : others_) {
-    if (IsSilent(other, now)) continue;
-    other.part = basis.PartOf(other.report.demand_per_s);
+    if (other.heard_at < told_at_) continue;
+    other.part = basis.PartOf(other.demand.LeastSince(InForceSince(now)));
   }
 }
 
 // A VM that hears fewer than half of the others keeps the part that they know
 // it to have.
 double workspace_quota::Share(monotonic_time now) const {
-  const double part = Basis(now).PartOf(told_demand_per_s_);
+  const double part = Basis(now).PartOf(KnownDemand(now));
   if (share_in_touch_ == 0 || !IsIsolated(now)) return part;
   return std::min(part, share_in_touch_);
 }
@@ -199,7 +246,11 @@
   const double usual = sum * ToSeconds(view_lag_);
   // A rise that shows here may have come to all others too. Single requests of
   // a small workspace look like one; what those amount to is in the slack.
-  const double rise = demand_per_s_ / std::max(told_demand_per_s_, 0.5);
+  const double recent =
+      recent_demand_per_s_ -
+      kRiseDeviations * std::sqrt(recent_demand_per_s_ / (2 * kRiseHorizonS));
+  const double rise =
+      std::max(demand_per_s_, recent) / std::max(told_.Newest(), 0.5);
   if (rise < kRiseThatCounts) return usual;
   return std::max(usual,
                   usual * std::min(rise, kMostRise) - options_.unseen_rise);
@@ -218,7 +269,10 @@
   const double capacity =
       std::max(whole, std::min(kLeastCapacity, whole + most_extra));
   tokens_ = std::min(capacity, tokens_ + seconds * share * rate_per_s_);
-  tokens_ = std::max(tokens_, -kMostDebtS * share * rate_per_s_ - 1);
+  // The demand that made the debt may not be in force everywhere yet.
+  const double asked = Basis(now).PartOf(told_.Newest());
+  const double debtor_share = IsIsolated(now) ? share : std::max(share, asked);
+  tokens_ = std::max(tokens_, -kMostDebtS * debtor_share * rate_per_s_ - 1);
 }
 
 std::int64_t workspace_quota::SlotOf(monotonic_time at) const {
@@ -240,8 +294,12 @@
   const double seconds = ToSeconds(now - demand_at_);
   if (seconds < 0.1) return;
   demand_at_ = now;
-  const double weight = 1 - std::exp(-seconds / kDemandHorizonS);
-  demand_per_s_ += weight * (arrivals_ / seconds - demand_per_s_);
+  const auto follow = [&](double average, double horizon_s) {
+    const double weight = 1 - std::exp(-seconds / horizon_s);
+    return average + weight * (arrivals_ / seconds - average);
+  };
+  demand_per_s_ = follow(demand_per_s_, kDemandHorizonS);
+  recent_demand_per_s_ = follow(recent_demand_per_s_, kRiseHorizonS);
   arrivals_ = 0;
 }
 
@@ -254,7 +312,7 @@
   own_admitted_ =
       std::accumulate(admitted_.counts.begin(), admitted_.counts.end(), 0.0);
   const bool fleet_has_room =
-      !IsIsolated(now) &&
+      !IsIsolated(now) && !IsAnyLate(now) &&
       FleetAdmitted(now) + OnTheWay() + 1 <= WindowLimit(now);
   if (tokens_ < 1 && !fleet_has_room) return false;
   tokens_ -= 1;
@@ -293,8 +351,10 @@
   Advance(admitted_, now);
   own_admitted_ =
       std::accumulate(admitted_.counts.begin(), admitted_.counts.end(), 0.0);
-  told_demand_per_s_ = demand_per_s_;
   KeepParts(now);
+  told_.Add(demand_per_s_, now);
+  told_.Forget(now - silence_limit_);
+  told_at_ = now;
   return {demand_per_s_, own_admitted_};
 }
 
--- a/tests/protocol/quota_simulation.h
+++ b/tests/protocol/quota_simulation.h
@@ -10,6 +10,7 @@
 #include <pcg_random.hpp>
 #include <random>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "citron/protocol/workspace_quota.h"
@@ -30,7 +31,8 @@
       quotas_.emplace_back(quota_options{}, now_);
       quotas_.back().SetTerms(rate, burst, now_);
       quotas_.back().SetFleetSize(vms);
-      quotas_.back().SetViewLag(interval_ + std::chrono::milliseconds(300));
+      SetLimits(quotas_.back());
+      heard_.emplace_back(static_cast<std::size_t>(vms));
       demand_.push_back(0);
     }
     // All know each other before the play begins.
@@ -49,10 +51,21 @@
       quotas_[vm] = workspace_quota(quota_options{}, now_);
       quotas_[vm].SetTerms(rate_, burst_, now_);
       quotas_[vm].SetFleetSize(static_cast<int>(quotas_.size()));
+      SetLimits(quotas_[vm]);
+      heard_[vm].assign(quotas_.size(), {});
     }
   }
   // This VM hears nothing and isn't heard.
   void Cut(std::size_t vm) { cut_.insert(vm); }
+  // What this VM tells doesn't reach the other one.
+  void Block(std::size_t from, std::size_t to) { blocked_.insert({from, to}); }
+  // So much of what VMs tell is lost.
+  void SetLoss(double part) { loss_ = part; }
+  void Heal() {
+    cut_.clear();
+    blocked_.clear();
+    loss_ = 0;
+  }
   // So much of what is let in is turned away by upstreams a moment later.
   void SetNotRun(double part) { not_run_ = part; }
   // The others take these for gone, as their records have lapsed.
@@ -96,15 +109,23 @@
   struct message {
     std::size_t from = 0;
     quota_report report;
+    monotonic_time told_at{};
+    std::vector<monotonic_time> heard;  // Of each VM, the newest report's time.
     monotonic_time at{};
   };
 
   static vm_id Name(std::size_t vm) { return vm_id(fmt::format("vm{}", vm)); }
 
+  void SetLimits(workspace_quota& quota) const {
+    quota.SetViewLag(interval_ + std::chrono::milliseconds(300));
+    quota.SetSilenceLimit(4 * interval_);
+  }
+
   void Tell() {
     tell_at_ = now_ + interval_;
     for (std::size_t vm = 0; vm < quotas_.size(); ++vm) {
-      messages_.push_back({vm, quotas_[vm].Report(now_), now_ + kReportDelay});
+      messages_.push_back({vm, quotas_[vm].Report(now_), now_, heard_[vm],
+                           now_ + kReportDelay});
     }
   }
 
@@ -113,13 +134,20 @@
       const message m = messages_.front();
       messages_.pop_front();
       for (std::size_t vm = 0; vm < quotas_.size(); ++vm) {
-        if (vm == m.from || cut_.contains(vm) || cut_.contains(m.from))
-          continue;
+        if (!Reaches(m.from, vm)) continue;
         quotas_[vm].OnReport(Name(m.from), m.report, now_);
+        quotas_[vm].OnHeardBy(Name(m.from), m.heard[vm]);
+        heard_[vm][m.from] = m.told_at;
       }
     }
   }
 
+  bool Reaches(std::size_t from, std::size_t to) {
+    if (from == to || cut_.contains(from) || cut_.contains(to)) return false;
+    if (blocked_.contains({from, to})) return false;
+    return loss_ == 0 || !std::bernoulli_distribution(loss_)(random_);
+  }
+
   void TurnAway() {
     while (!turned_away_.empty() &&
            turned_away_.front().admitted_at + kShedDelay <= now_) {
@@ -153,10 +181,13 @@
   monotonic_time now_{std::chrono::hours(1)};
   monotonic_time tell_at_{};
   std::vector<workspace_quota> quotas_;
+  std::vector<std::vector<monotonic_time>> heard_;
   std::vector<double> demand_;
   std::deque<message> messages_;
   std::deque<monotonic_time> window_;
   std::set<std::size_t> cut_;
+  std::set<std::pair<std::size_t, std::size_t>> blocked_;
+  double loss_ = 0;
   double not_run_ = 0;
   std::deque<turned_away> turned_away_;
   int admitted_ = 0;
--- a/tests/protocol/workspace_quota_cut_test.cc
+++ b/tests/protocol/workspace_quota_cut_test.cc
@@ -1,4 +1,9 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <numeric>
+#include <pcg_random.hpp>
+#include <random>
+#include <vector>
 
 #include "citron/protocol/workspace_quota.h"
 #include "protocol/quota_simulation.h"
@@ -9,6 +14,85 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr std::size_t kVms = 10;
+
+enum class fault { kGroups, kBridge, kMute, kDeaf, kOneNeighbour, kLoss };
+
+// Draws who is cut off from whom, when, and where callers ask.
+class drawn_cut {
+ public:
+  explicit drawn_cut(std::uint64_t seed) : random_(seed) {}
+
+  void Begin(fault kind, quota_fleet& fleet) {
+    std::vector<int> group(kVms);
+    for (int& g : group) g = Draw(0, 2);
+    const auto drawn = static_cast<std::size_t>(Draw(0, kVms - 2));
+    for (std::size_t a = 0; a < kVms; ++a) {
+      for (std::size_t b = 0; b < kVms; ++b) {
+        const bool same = group[a] == group[b];
+        const bool bridged = group[a] == 2 || group[b] == 2;
+        const bool neighbours = a == drawn + 1 || b == drawn + 1;
+        if ((kind == fault::kGroups && !same) ||
+            (kind == fault::kBridge && !same && !bridged) ||
+            (kind == fault::kMute && a == drawn) ||
+            (kind == fault::kDeaf && b == drawn) ||
+            (kind == fault::kOneNeighbour && (a == drawn || b == drawn) &&
+             !neighbours)) {
+          fleet.Block(a, b);
+        }
+      }
+    }
+    if (kind == fault::kLoss) fleet.SetLoss(0.3);
+  }
+
+  std::vector<double> Demand(double per_s) {
+    std::vector<double> demand(kVms);
+    for (double& d : demand) {
+      d = std::uniform_real_distribution<double>(0.02, 1)(random_);
+    }
+    const double sum = std::accumulate(demand.begin(), demand.end(), 0.0);
+    for (double& d : demand) d *= per_s / sum;
+    return demand;
+  }
+
+  int Draw(int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(random_);
+  }
+
+ private:
+  pcg32 random_;
+};
+
+// Parts of the contract add up to more than all of it where VMs don't believe
+// the same of each other.
+BOOST_AUTO_TEST_CASE(AFloodStaysWithinTheContractWhoeverHearsWhom) {
+  constexpr double kRate = 163;
+  for (const fault kind : {fault::kGroups, fault::kBridge, fault::kMute,
+                           fault::kDeaf, fault::kOneNeighbour, fault::kLoss}) {
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+      BOOST_TEST_CONTEXT("kind " << static_cast<int>(kind) << ", seed "
+                                 << seed) {
+        drawn_cut draw(seed);
+        quota_fleet fleet(kVms, 1.05 * kRate, kRate, seed);
+        fleet.SetDemand(draw.Demand(0.6 * kRate));
+        fleet.Run(seconds(6));
+        const bool flood_first = draw.Draw(0, 1) == 1;
+        if (!flood_first) draw.Begin(kind, fleet);
+        fleet.Run(milliseconds(draw.Draw(0, 2000)));
+        fleet.SetDemand(draw.Demand(5 * kRate));
+        fleet.Run(milliseconds(draw.Draw(0, 2000)));
+        if (flood_first) draw.Begin(kind, fleet);
+        fleet.Run(seconds(4));
+        fleet.SetDemand(draw.Demand(5 * kRate));
+        fleet.Run(seconds(3));
+        fleet.Heal();
+        fleet.Run(seconds(5));
+        BOOST_TEST(fleet.MostInWindow() <= (kRate * 6) * 1.1 + 20);
+      }
+    }
+  }
+}
+
 // A workspace floods before anybody notices that VMs are cut off.
 BOOST_AUTO_TEST_CASE(AFloodStaysWithinTheContractAsACutBegins) {
   constexpr double kRate = 358;
