A VM whose record lapsed is told what the others let in, as long as it is heard

Cause: reports go to the VMs that are listed in the store. A VM that is cut off from the store alone loses its record, goes on serving when a neighbour proves its keys, and tells the others; they tell it nothing any more. With the last that it had heard it took a flood at itself for callers who moved there. Now VMs that were listed are told on while they are heard. What was never listed is told nothing. Test: peer_exchange_test, AVmThatTellsIsToldAfterItsRecordLapsed, red before, green now; besides, that a report tells what was heard of its reader, and that a stranger gets no answer. The report moves to a header of its own.

--- a/include/citron/node/peer_exchange.h
+++ b/include/citron/node/peer_exchange.h
@@ -12,41 +12,12 @@
 #include "citron/base/strong_id.h"
 #include "citron/base/time.h"
 #include "citron/node/node_context.h"
+#include "citron/node/peer_report.h"
 
 struct event;
 
 namespace citron {
 
-// Of a workspace that asked anything of the telling VM.
-struct quota_line {
-  workspace_id workspace;
-  std::uint32_t demand_tenths_per_s = 0;
-  std::uint32_t admitted_in_window = 0;
-};
-
-// What an upstream said with an answer: the requests there, waiting ones
-// included.
-struct load_line {
-  upstream_id upstream;
-  std::uint32_t requests = 0;
-};
-
-// What a VM tells other ones, again and again. Any may be lost.
-struct peer_report {
-  vm_id vm;
-  std::uint64_t incarnation = 0;
-  std::uint64_t sequence = 0;
-  bool ready = false;
-  bool strained = false;  // It has little of its processor left.
-  std::vector<quota_line> quotas;
-  std::vector<load_line> loads;
-  // By the teller's steady clock, in nanoseconds.
-  std::int64_t told_at = 0;
-  // When the newest report was told that the teller has of the VM that gets
-  // this one, by that VM's clock; 0 if none.
-  std::int64_t has_heard = 0;
-};
-
 // Tells the other VMs by datagrams how this one stands, and hears them. VMs
 // that serve callers tell each other often, and what they heard of upstreams'
 // loads; the others are told seldom.
@@ -83,6 +54,7 @@
   peer_report MakeReport(const vm_condition& own, monotonic_time now);
   // Logs which VMs were lost or are heard again.
   void LogSilence(monotonic_time now);
+  void UpdateReaders(monotonic_time now);
   void Send(const peer_report& report, bool to_serving);
   bool Serves(const vm_id& vm) const;
   int ServingPeers() const;
@@ -99,6 +71,7 @@
   bool told_ready_ = false;
   bool told_serving_ = false;
   std::map<vm_id, peer_state> peers_;
+  std::map<vm_id, endpoint> readers_;  // Who is told, and where.
 };
 
 }  // namespace citron
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -20,21 +20,6 @@
 
 namespace citron {
 
-auto WireFields(quota_line& line) {
-  return std::tie(line.workspace, line.demand_tenths_per_s,
-                  line.admitted_in_window);
-}
-
-auto WireFields(load_line& line) {
-  return std::tie(line.upstream, line.requests);
-}
-
-auto WireFields(peer_report& report) {
-  return std::tie(report.vm, report.incarnation, report.sequence, report.ready,
-                  report.strained, report.quotas, report.loads, report.told_at,
-                  report.has_heard);
-}
-
 namespace {
 
 constexpr std::size_t kMaxDatagram = std::size_t{60} << 10;
@@ -115,6 +100,7 @@
   // or go on sending them to a VM that turns them away.
   const bool urgent = own.ready != told_ready_ || serves != told_serving_;
   LogSilence(now);
+  UpdateReaders(now);
   told_ready_ = own.ready;
   told_serving_ = serves;
   tell_serving_at_ = now + IntervalFor(ServingPeers());
@@ -174,16 +160,28 @@
                     [](const auto& peer) { return peer.second.serves; }));
 }
 
+// A VM whose record has lapsed may have lost only the store. As long as it is
+// heard it lets requests in, and has to know what the others let in.
+void peer_exchange::UpdateReaders(monotonic_time now) {
+  const std::map<vm_id, vm_listing>& listed = context_.fleet.Vms();
+  std::erase_if(readers_, [&](const auto& reader) {
+    return !listed.contains(reader.first) && !IsHeard(reader.first, now);
+  });
+  for (const auto& [vm, listing] : listed) {
+    if (vm != context_.settings.vm) readers_[vm] = listing.peer;
+  }
+}
+
 void peer_exchange::Send(const peer_report& report, bool to_serving) {
   peer_report told = report;
   // Loads are of use to those who send requests.
   if (!to_serving) told.loads.clear();
-  for (const auto& [vm, listing] : context_.fleet.Vms()) {
-    if (vm == context_.settings.vm || Serves(vm) != to_serving) continue;
+  for (const auto& [vm, address] : readers_) {
+    if (Serves(vm) != to_serving) continue;
     const auto peer = peers_.find(vm);
     told.has_heard = peer == peers_.end() ? 0 : peer->second.told_at;
     const std::string bytes = EncodeWire(told);
-    const sockaddr_in to = SocketAddress(listing.peer);
+    const sockaddr_in to = SocketAddress(address);
     // One that can't be sent is a lost one; the next follows.
     sendto(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL,
            reinterpret_cast<const sockaddr*>(&to), sizeof(to));
--- /dev/null
+++ b/tests/node/peer_exchange_test.cc
@@ -0,0 +1,129 @@
+#include "citron/node/peer_exchange.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <optional>
+
+#include "citron/node/peer_report.h"
+#include "citron/node/vm_listing.h"
+#include "citron/wire/codec.h"
+#include "node/node_fixture.h"
+#include "node/socket_address.h"
+
+namespace citron {
+namespace {
+
+// The place of another VM, which the test plays.
+class peer_socket_of_test {
+ public:
+  peer_socket_of_test()
+      : descriptor_(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0)) {
+    const sockaddr_in any = SocketAddress({"127.0.0.1", 0});
+    BOOST_REQUIRE(bind(descriptor_, reinterpret_cast<const sockaddr*>(&any),
+                       sizeof(any)) == 0);
+  }
+  ~peer_socket_of_test() { close(descriptor_); }
+  peer_socket_of_test(const peer_socket_of_test&) = delete;
+  peer_socket_of_test& operator=(const peer_socket_of_test&) = delete;
+
+  endpoint Address() const {
+    sockaddr_in address{};
+    socklen_t size = sizeof(address);
+    getsockname(descriptor_, reinterpret_cast<sockaddr*>(&address), &size);
+    return {"127.0.0.1", ntohs(address.sin_port)};
+  }
+  void Tell(const endpoint& to, const peer_report& report) {
+    const std::string bytes = EncodeWire(report);
+    const sockaddr_in address = SocketAddress(to);
+    sendto(descriptor_, bytes.data(), bytes.size(), 0,
+           reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  }
+  // The next report that has come; none if there is none.
+  std::optional<peer_report> Take() {
+    std::array<char, 4096> buffer{};
+    const ssize_t got = recv(descriptor_, buffer.data(), buffer.size(), 0);
+    if (got <= 0) return std::nullopt;
+    const result<peer_report> report =
+        DecodeWire<peer_report>({buffer.data(), static_cast<std::size_t>(got)});
+    BOOST_REQUIRE(IsOk(report));
+    return ValueOf(report);
+  }
+
+ private:
+  int descriptor_;
+};
+
+class peer_fixture : public node_fixture {
+ public:
+  peer_fixture() {
+    Start();
+    store_.Set("vms/vm2", EncodeVmListing({vm_id("vm2"), zone_id("z1"),
+                                           region_id("r1"), peer_.Address(),
+                                           peer_.Address(), 10, "secret"}));
+    report_.vm = vm_id("vm2");
+    report_.incarnation = 1;
+  }
+
+  void Tell() {
+    ++report_.sequence;
+    report_.told_at = static_cast<std::int64_t>(report_.sequence);
+    peer_.Tell(settings_.peer, report_);
+  }
+  // The VM has heard what was told last.
+  bool IsHeard() {
+    while (const auto report = peer_.Take()) {
+      if (report->has_heard == report_.told_at) return true;
+    }
+    return false;
+  }
+
+  peer_socket_of_test peer_;
+  peer_report report_;
+};
+
+BOOST_FIXTURE_TEST_SUITE(peer_exchange_of_a_vm, peer_fixture)
+
+BOOST_AUTO_TEST_CASE(AReportTellsWhatWasHeardOfItsReader) {
+  BOOST_REQUIRE(RunUntil([this] { return peer_.Take().has_value(); }));
+  Tell();
+  BOOST_TEST(RunUntil([this] { return IsHeard(); }));
+  Tell();
+  BOOST_TEST(RunUntil([this] { return IsHeard(); }));
+}
+
+// A VM that the others don't tell any more takes a flood at itself for callers
+// who moved there, since it knows nothing of the rest.
+BOOST_AUTO_TEST_CASE(AVmThatTellsIsToldAfterItsRecordLapsed) {
+  BOOST_REQUIRE(RunUntil([this] { return peer_.Take().has_value(); }));
+  Tell();
+  BOOST_REQUIRE(RunUntil([this] { return IsHeard(); }));
+  store_.Erase("vms/vm2");
+  BOOST_REQUIRE(RunUntil([this] { return HasLine("event=vm_gone vm=vm2"); }));
+  Tell();
+  BOOST_TEST(RunUntil([this] { return IsHeard(); }));
+}
+
+// Anybody can write a datagram; only VMs that were listed get an answer.
+BOOST_AUTO_TEST_CASE(AVmThatWasNeverListedIsToldNothing) {
+  BOOST_REQUIRE(RunUntil([this] { return peer_.Take().has_value(); }));
+  peer_socket_of_test stranger;
+  peer_report report = report_;
+  report.vm = vm_id("vm3");
+  report.sequence = 1;
+  stranger.Tell(settings_.peer, report);
+  Tell();
+  BOOST_REQUIRE(RunUntil([this] { return IsHeard(); }));
+  Tell();
+  BOOST_REQUIRE(RunUntil([this] { return IsHeard(); }));
+  BOOST_TEST(!stranger.Take().has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace citron
