--- a/include/citron/protocol/workspace_quota.h
+++ b/include/citron/protocol/workspace_quota.h
@@ -115,6 +115,12 @@
     std::int64_t slot = 0;
   };
 
+  // Of the contract, for this VM: what all others grant it, and what its newest
+  // demand asks for.
+  struct own_parts {
+    double in_force = 0;
+    double asked = 0;
+  };
   // Listed VMs that have told anything, those of them that are heard, and those
   // that hear this one as well.
   struct vm_count {
@@ -132,7 +138,7 @@
   monotonic_time InForceSince(monotonic_time now) const;
   part_basis Basis(monotonic_time now) const;
   void KeepParts(monotonic_time now);
-  double Share(monotonic_time now) const;
+  own_parts Parts(monotonic_time now) const;
   double Admitted(const other_vm& other, monotonic_time now) const;
   double FleetAdmitted(monotonic_time now) const;
   double WindowLimit(monotonic_time now) const;
--- a/src/protocol/workspace_quota.cc
+++ b/src/protocol/workspace_quota.cc
@@ -197,12 +197,17 @@
   }
 }
 
-// A VM that hears fewer than half of the others keeps the part that they know
-// it to have.
-double workspace_quota::Share(monotonic_time now) const {
-  const double part = Basis(now).PartOf(KnownDemand(now));
-  if (share_in_touch_ == 0 || !IsIsolated(now)) return part;
-  return std::min(part, share_in_touch_);
+// A VM that is in touch with fewer than half of the others keeps the part that
+// they know it to have.
+workspace_quota::own_parts workspace_quota::Parts(monotonic_time now) const {
+  const part_basis basis = Basis(now);
+  const double in_force = basis.PartOf(KnownDemand(now));
+  if (!IsIsolated(now)) {
+    return {in_force, std::max(in_force, basis.PartOf(told_.Newest()))};
+  }
+  const double kept =
+      share_in_touch_ == 0 ? in_force : std::min(in_force, share_in_touch_);
+  return {kept, kept};
 }
 
 // What is left of it in the window, as if it had come evenly.
@@ -259,7 +264,8 @@
 void workspace_quota::Refill(monotonic_time now) {
   const double seconds = ToSeconds(now - refilled_at_);
   refilled_at_ = now;
-  const double share = Share(now);
+  const own_parts parts = Parts(now);
+  const double share = parts.in_force;
   if (!IsIsolated(now)) share_in_touch_ = share;
   // Capacities below one token are rounded up; what that adds over all VMs
   // stays within the slack.
@@ -270,9 +276,7 @@
       std::max(whole, std::min(kLeastCapacity, whole + most_extra));
   tokens_ = std::min(capacity, tokens_ + seconds * share * rate_per_s_);
   // The demand that made the debt may not be in force everywhere yet.
-  const double asked = Basis(now).PartOf(told_.Newest());
-  const double debtor_share = IsIsolated(now) ? share : std::max(share, asked);
-  tokens_ = std::max(tokens_, -kMostDebtS * debtor_share * rate_per_s_ - 1);
+  tokens_ = std::max(tokens_, -kMostDebtS * parts.asked * rate_per_s_ - 1);
 }
 
 std::int64_t workspace_quota::SlotOf(monotonic_time at) const {
@@ -335,14 +339,15 @@
 }
 
 monotonic_time workspace_quota::NextTokenAt(monotonic_time now) const {
-  const double per_s = std::max(Share(now) * rate_per_s_, 0.2);
+  const double per_s = std::max(Parts(now).in_force * rate_per_s_, 0.2);
   return now + FromSeconds(std::max(0.0, 1 - tokens_) / per_s);
 }
 
 quota_state workspace_quota::State(monotonic_time now) const {
   const vm_count count = CountVms(now);
-  return {rate_per_s_,        burst_,           Share(now), tokens_,
-          FleetAdmitted(now), WindowLimit(now), count.told, count.heard};
+  return {
+      rate_per_s_,        burst_,           Parts(now).in_force, tokens_,
+      FleetAdmitted(now), WindowLimit(now), count.told,          count.heard};
 }
 
 quota_report workspace_quota::Report(monotonic_time now) {
