VMs that reach only a neighbour keep their parts of a contract

What callers would see: a workspace beyond its contract when VMs are cut off from the store and all but a neighbour for more than nine seconds and it floods then. Cause: two seconds after a record has lapsed, and one window more, the others give the part of a VM that they don't hear away; by then it can't prove its keys any more. One whose neighbour proves them serves on. Now a report names the VMs that its sender hears though they aren't listed, and their parts stay. The list is empty in calm times and costs a byte a report.

--- a/include/citron/node/peer_report.h
+++ b/include/citron/node/peer_report.h
@@ -39,6 +39,8 @@
   // this one, by that VM's clock; 0 if none.
   std::int64_t has_heard = 0;
   std::uint32_t tells_again_ms = 0;  // At the most.
+  // VMs that the teller hears though their records lapsed.
+  std::vector<vm_id> heard_unlisted;
 };
 
 inline auto WireFields(quota_line& line) {
@@ -53,7 +55,8 @@
 inline auto WireFields(peer_report& report) {
   return std::tie(report.vm, report.incarnation, report.sequence, report.ready,
                   report.strained, report.quotas, report.loads, report.told_at,
-                  report.has_heard, report.tells_again_ms);
+                  report.has_heard, report.tells_again_ms,
+                  report.heard_unlisted);
 }
 
 }  // namespace citron
--- a/include/citron/protocol/workspace_quota.h
+++ b/include/citron/protocol/workspace_quota.h
@@ -76,6 +76,8 @@
   // The VM is listed, or not any more. What it has let in counts on for the
   // rest of the window.
   void KeepVm(const vm_id& vm);
+  // A VM that isn't listed any more is heard by another one.
+  void OnHeardElsewhere(const vm_id& vm, monotonic_time now);
   void RemoveVm(const vm_id& vm, monotonic_time now);
 
   // A request asks to be let in; counts it either way.
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -95,13 +95,13 @@
   const bool for_all = now >= tell_all_at_;
   const bool for_serving = now >= tell_serving_at_;
   if (!for_all && !for_serving && own.ready == told_ready_) return;
+  LogSilence(now);
+  UpdateReaders(now);
   const peer_report report = MakeReport(own, now);
   const bool serves = !report.quotas.empty();
   // Whoever hears late that callers come here would share a contract wrongly,
   // or go on sending them to a VM that turns them away.
   const bool urgent = own.ready != told_ready_ || serves != told_serving_;
-  LogSilence(now);
-  UpdateReaders(now);
   told_ready_ = own.ready;
   told_serving_ = serves;
   const duration serving_interval = IntervalFor(ServingPeers());
@@ -133,6 +133,9 @@
     const bool asked = told.demand_per_s >= kLeastDemand;
     if (asked || line.admitted_in_window > 0) report.quotas.push_back(line);
   }
+  for (const auto& [vm, address] : readers_) {
+    if (!context_.fleet.Vms().contains(vm)) report.heard_unlisted.push_back(vm);
+  }
   for (const auto& [upstream, requests] : context_.fleet.TakeHeardLoads()) {
     report.loads.push_back({upstream, static_cast<std::uint32_t>(requests)});
   }
@@ -237,6 +240,9 @@
     quota.OnReport(report.vm,
                    line == told.end() ? quota_report{} : line->second, now);
     quota.OnContact(report.vm, contact);
+    for (const vm_id& vm : report.heard_unlisted) {
+      quota.OnHeardElsewhere(vm, now);
+    }
   }
   for (const load_line& line : report.loads) {
     upstream_standing* upstream = context_.fleet.FindUpstream(line.upstream);
--- a/src/protocol/workspace_quota.cc
+++ b/src/protocol/workspace_quota.cc
@@ -83,6 +83,12 @@
   if (found != others_.end()) found->second.gone_at.reset();
 }
 
+void workspace_quota::OnHeardElsewhere(const vm_id& vm, monotonic_time now) {
+  const auto found = others_.find(vm);
+  if (found == others_.end() || !found->second.gone_at) return;
+  found->second.gone_at = now + options_.orphan_time;
+}
+
 void workspace_quota::RemoveVm(const vm_id& vm, monotonic_time now) {
   const auto found = others_.find(vm);
   if (found == others_.end()) return;
--- a/tests/protocol/quota_simulation.h
+++ b/tests/protocol/quota_simulation.h
@@ -70,6 +70,7 @@
   void SetNotRun(double part) { not_run_ = part; }
   // The others take these for gone, as their records have lapsed.
   void Remove(std::size_t first, std::size_t last) {
+    for (std::size_t gone = first; gone < last; ++gone) unlisted_.insert(gone);
     for (std::size_t vm = 0; vm < quotas_.size(); ++vm) {
       for (std::size_t gone = first; gone < last; ++gone) {
         if (vm >= first && vm < last) continue;
@@ -111,6 +112,7 @@
     quota_report report;
     monotonic_time told_at{};
     std::vector<monotonic_time> heard;  // Of each VM, the newest report's time.
+    std::vector<std::size_t> heard_unlisted;
     monotonic_time at{};
   };
 
@@ -124,8 +126,14 @@
   void Tell() {
     tell_at_ = now_ + interval_;
     for (std::size_t vm = 0; vm < quotas_.size(); ++vm) {
-      messages_.push_back({vm, quotas_[vm].Report(now_), now_, heard_[vm],
-                           now_ + kReportDelay});
+      message m{vm, quotas_[vm].Report(now_), now_, heard_[vm],
+                {}, now_ + kReportDelay};
+      for (const std::size_t other : unlisted_) {
+        if (now_ - heard_[vm][other] < 4 * interval_) {
+          m.heard_unlisted.push_back(other);
+        }
+      }
+      messages_.push_back(std::move(m));
     }
   }
 
@@ -138,6 +146,9 @@
         quotas_[vm].OnReport(Name(m.from), m.report, now_);
         quotas_[vm].OnContact(Name(m.from), {m.heard[vm], now_ + interval_});
         heard_[vm][m.from] = m.told_at;
+        for (const std::size_t unlisted : m.heard_unlisted) {
+          quotas_[vm].OnHeardElsewhere(Name(unlisted), now_);
+        }
       }
     }
   }
@@ -186,6 +197,7 @@
   std::deque<message> messages_;
   std::deque<monotonic_time> window_;
   std::set<std::size_t> cut_;
+  std::set<std::size_t> unlisted_;
   std::set<std::pair<std::size_t, std::size_t>> blocked_;
   double loss_ = 0;
   double not_run_ = 0;
--- a/tests/protocol/workspace_quota_cut_test.cc
+++ b/tests/protocol/workspace_quota_cut_test.cc
@@ -93,6 +93,32 @@
   }
 }
 
+// VMs that reach only a neighbour serve on while it proves their keys. The
+// others give their parts away when their records have lapsed for long.
+BOOST_AUTO_TEST_CASE(VmsThatReachOnlyANeighbourKeepTheirParts) {
+  constexpr double kRate = 358;
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      quota_fleet fleet(kVms, 1.05 * kRate, kRate, seed);
+      fleet.SetEvenDemand(0.5 * kRate);
+      fleet.Run(seconds(6));
+      for (const std::size_t vm : {0, 3, 6}) {
+        for (std::size_t other = 0; other < kVms; ++other) {
+          if (other == vm + 1) continue;
+          fleet.Block(vm, other);
+          fleet.Block(other, vm);
+        }
+      }
+      fleet.Run(milliseconds(2600));
+      for (const std::size_t vm : {0, 3, 6}) fleet.Remove(vm, vm + 1);
+      fleet.Run(seconds(11));
+      fleet.SetEvenDemand(4 * kRate);
+      fleet.Run(seconds(8));
+      BOOST_TEST(fleet.MostInWindow() <= (kRate * 6) * 1.1 + 20);
+    }
+  }
+}
+
 // A workspace floods before anybody notices that VMs are cut off.
 BOOST_AUTO_TEST_CASE(AFloodStaysWithinTheContractAsACutBegins) {
   constexpr double kRate = 358;
