Log lines of the daemons have a time; a test that fails keeps all they wrote

Lines of citron_control, citron_entry and citron_dispatch had no time, so that lines of two processes could not be put in order: whether the word of a crash came before or after a second crash, and at which moment of a stop a connection was lost, could not be told. Each begins with the time of day now. With CITRON_TEST_LOGS set to a directory a failing integration test leaves there the whole of what its processes wrote (it prints the last 20 KB), and the test of planned stops prints each cut request with its time and how long it was under way. No check or bound changed.

--- a/include/citron/base/log.h
+++ b/include/citron/base/log.h
@@ -3,12 +3,16 @@
 
 #include <fmt/format.h>
 
+#include <string>
 #include <string_view>
 #include <utility>
 
 namespace citron {
 
-// Writes "part: sentence" as one line to standard error, in one write.
+// The time of day for log lines, in seconds with three decimals.
+std::string UnixTimestamp();
+
+// Writes "time part: sentence" as one line to standard error, in one write.
 void WriteLogLine(std::string_view part, std::string_view sentence);
 
 template <class... Args>
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 
+#include "citron/base/log.h"
+
 namespace citron {
 
 namespace {
@@ -30,13 +32,6 @@
   if (quoted) line.push_back('"');
 }
 
-std::string Timestamp() {
-  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-  const auto ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch);
-  return fmt::format("{}.{:03}", ms.count() / 1000, ms.count() % 1000);
-}
-
 }  // namespace
 
 std::string log_value::Number(double value) {
@@ -88,7 +83,7 @@
 void event_log::WriteLine(std::string_view part, std::string_view event,
                           log_fields fields) {
   std::string line =
-      fmt::format("ts={} part={} event={}", Timestamp(), part, event);
+      fmt::format("ts={} part={} event={}", UnixTimestamp(), part, event);
   for (const auto& [name, value] : fields) {
     line.append(" ").append(name).append("=");
     AppendValue(line, value.Text());
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <chrono>
 #include <string>
 
 namespace citron {
@@ -13,10 +14,17 @@
 
 }  // namespace
 
+std::string UnixTimestamp() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch);
+  return fmt::format("{}.{:03}", ms.count() / 1000, ms.count() % 1000);
+}
+
 void WriteLogLine(std::string_view part, std::string_view sentence) {
-  std::string line;
-  line.reserve(part.size() + sentence.size() + 3);
-  line.append(part).append(": ");
+  std::string line = UnixTimestamp();
+  line.reserve(line.size() + part.size() + sentence.size() + 4);
+  line.append(" ").append(part).append(": ");
   // A caller's bytes may stand in a sentence; a line break among them would
   // forge a second line.
   for (char c : sentence) {
--- a/tests/integration/harness.cc
+++ b/tests/integration/harness.cc
@@ -21,6 +21,18 @@
   return !unit_test::results_collector.results(test).passed();
 }
 
+// Keeps the whole of it where CITRON_TEST_LOGS names a directory.
+void KeepOutput(const child_process& process) {
+  const char* directory = std::getenv("CITRON_TEST_LOGS");
+  if (directory == nullptr) return;
+  const std::string test =
+      boost::unit_test::framework::current_test_case().p_name;
+  const std::filesystem::path path =
+      std::filesystem::path(directory) /
+      fmt::format("{}.{}.{}.log", test, getpid(), process.Name());
+  std::ofstream(path, std::ios::binary | std::ios::app) << process.Output();
+}
+
 // The end of what a program wrote, where the trouble usually stands.
 std::string LastPart(const std::string& text) {
   if (text.size() <= kPrintedOutput) return text;
@@ -41,6 +53,7 @@
   for (const auto& process : processes_) {
     process->Kill();
     if (!failed) continue;
+    KeepOutput(*process);
     fmt::print(stderr, "---- {} wrote:\n{}\n", process->Name(),
                LastPart(process->Output()));
   }
--- a/tests/integration/planned_stop_test.cc
+++ b/tests/integration/planned_stop_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "citron/base/digest.h"
+#include "citron/base/log.h"
 #include "integration/closed_load.h"
 #include "integration/fleet.h"
 #include "integration/harness.h"
@@ -77,7 +78,9 @@
       ++tally_.refused;
     } else {
       ++tally_.cut;
-      if (tally_.first_cut.empty()) tally_.first_cut = Describe(planned, call);
+      const std::string cut = Describe(planned, call);
+      fmt::print("{} cut: {}\n", UnixTimestamp(), cut);
+      if (tally_.first_cut.empty()) tally_.first_cut = cut;
     }
   }
 
@@ -114,9 +117,11 @@
   static std::string Describe(const planned_call& planned,
                               const caller_call& call) {
     return fmt::format(
-        "{} {}: {} status {}, {} bytes", planned.vm, planned.request.target,
+        "{} {}: {} status {}, {} bytes, after {:.1f} ms", planned.vm,
+        planned.request.target,
         call.failed ? CallProblemName(call.failure.problem) : "answered",
-        call.response.head.status, call.response.body.size());
+        call.response.head.status, call.response.body.size(),
+        ToMilliseconds(call.ended - call.started));
   }
 
   fleet fleet_;
