The word of a crash names it, so that one that comes late still makes two

Cause, from the times of the lines of a red run: crash at z1vm2 at .306, its word leaves; the caller's next copy runs at z2vm2 and crashes it at .322; at .407 a third one dies, at z1vm2, and only there the request is convicted. Both owners knew of one crash each. A word said only "suspect", so that one that came after the owner's own crash added nothing, and the registry kept no second crash for a request that was a suspect already.

Now a word (suspect_message) names the upstream and how long ago it was, and the registry keeps the crashes: one seen here and a different one told are two, in either order. Two words of one crash are one. Requests that were at the same two crashes are both still suspects, as either may be the cause.

Ruled out: a lost word (nng sends to all dispatches, the lines show it arriving), two copies at once (the caller sends one at a time).

Test, failing before: service_scheduler_test, WordOfAnEarlierCrashConvictsAfterACrashHere (no refusal on the code before); poison_registry_test, three new cases. OnSuspect takes the crash in place of an end, so that two older cases pass one; their checks are unchanged.

--- a/fuzz/wire_message_fuzz.cc
+++ b/fuzz/wire_message_fuzz.cc
@@ -31,6 +31,7 @@
   TryAs<loan_message<loan_grant>>(bytes);
   TryAs<loan_message<loan_return>>(bytes);
   TryAs<poison_message>(bytes);
+  TryAs<suspect_message>(bytes);
   TryAs<permit_ask>(bytes);
   TryAs<permit_grant>(bytes);
 }
--- a/include/citron/dispatch/dispatch_task.h
+++ b/include/citron/dispatch/dispatch_task.h
@@ -59,12 +59,16 @@
                const service_scheduler::actions& actions);
   void Send(service_state& service, const send_action& action);
   void Refuse(const refuse_action& action);
-  void Tell(std::uint64_t fingerprint, monotonic_time until, bool suspect);
+  void Tell(const poison_action& poison);
+  void Tell(const suspect_action& suspect);
+  template <class T>
+  void SendToDispatches(message_type type, const T& message);
   bool KeyIsGood(const forward_head& head, monotonic_time now) const;
   void Finish(const request_id& id, upstream_outcome outcome);
   void OnEntryGone(const request_id& id);
   void Retire(const request_id& id);
   void OnPoison(const poison_message& message);
+  void OnSuspect(const suspect_message& message);
   void OnPermitAsk(const permit_ask& message);
   void OnUpstreamReport(const upstream_id& id, const upstream_report& report);
 
--- a/include/citron/policy/poison_registry.h
+++ b/include/citron/policy/poison_registry.h
@@ -3,14 +3,20 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <unordered_map>
+#include <vector>
 
 #include "citron/base/strong_id.h"
 #include "citron/base/time.h"
 
 namespace citron {
 
+// A crash of an upstream, as far as one process could see it.
+struct upstream_crash {
+  upstream_id upstream;
+  monotonic_time at{};
+};
+
 // Remembers which requests were in flight when upstreams crashed.
 class poison_registry {
  public:
@@ -27,18 +33,23 @@
   // Returns the standing after it.
   standing OnCrash(std::uint64_t fingerprint, const upstream_id& upstream,
                    monotonic_time sent_at, monotonic_time now);
+  // The same, but it proves nothing beyond the suspicion.
+  void OnUnprovenCrash(std::uint64_t fingerprint, monotonic_time now);
   // A copy was answered, so it doesn't crash upstreams.
-  void OnAnswered(std::uint64_t fingerprint);
+  void OnAnswered(std::uint64_t fingerprint, monotonic_time now);
   // Some request that was sent to the upstream at `sent_at` was answered, so
   // the upstream hasn't crashed since.
   void OnAlive(const upstream_id& upstream, monotonic_time sent_at,
                monotonic_time now);
+  // Another process convicted it, or saw it in flight at a crash.
   void OnPoison(std::uint64_t fingerprint, monotonic_time until);
-  void OnSuspect(std::uint64_t fingerprint, monotonic_time until);
+  void OnSuspect(std::uint64_t fingerprint, const upstream_crash& crash,
+                 monotonic_time now);
 
   // A suspect in flight; at most one copy of it, and one suspect an upstream.
   bool MaySend(std::uint64_t fingerprint) const;
   bool HoldsSuspect(const upstream_id& upstream) const;
+  void AddUpstreamsWithSuspects(std::vector<upstream_id>& upstreams) const;
   void OnSuspectSent(std::uint64_t fingerprint, const upstream_id& upstream);
   void OnSuspectDone(std::uint64_t fingerprint, const upstream_id& upstream);
 
@@ -46,20 +57,16 @@
   void Expire(monotonic_time now);
 
  private:
-  struct crash {
-    upstream_id upstream;  // Empty if told by another owner.
-    monotonic_time at;
-
-    bool IsRefutedBy(const upstream_id& alive, monotonic_time sent_at,
-                     monotonic_time now) const;
-  };
   struct record {
-    standing state = standing::kClear;
-    crash first;
-    std::optional<crash> second;
+    std::vector<upstream_crash> crashes;
+    bool convicted = false;
     monotonic_time until;
+
+    bool Has(const upstream_crash& crash) const;
   };
 
+  bool HasRival(std::uint64_t fingerprint, const record& r) const;
+
   duration lifetime_;
   std::unordered_map<std::uint64_t, record> records_;
   std::map<std::uint64_t, int> in_flight_;
--- a/include/citron/policy/service_scheduler.h
+++ b/include/citron/policy/service_scheduler.h
@@ -72,7 +72,7 @@
 // Tell the other owners that this fingerprint was in flight at one crash.
 struct suspect_action {
   std::uint64_t fingerprint = 0;
-  monotonic_time until;
+  upstream_crash crash;
 };
 
 // So many requests of ours count as in flight at the upstream from now on; told
@@ -131,8 +131,8 @@
   // Told by another owner.
   actions OnPoison(std::uint64_t fingerprint, monotonic_time until,
                    monotonic_time now);
-  void OnSuspect(std::uint64_t fingerprint, monotonic_time until,
-                 monotonic_time now);
+  actions OnSuspect(std::uint64_t fingerprint, const upstream_crash& crash,
+                    monotonic_time now);
 
   // When to call OnTimer at the latest; nothing while nothing is queued.
   std::optional<monotonic_time> NextTimer() const;
--- a/include/citron/wire/messages.h
+++ b/include/citron/wire/messages.h
@@ -47,6 +47,7 @@
   kPoison,
   kPermitAsk,
   kPermitGrant,
+  kSuspect,
 };
 
 enum class daemon_role : std::uint8_t { kEntry = 1, kDispatch = 2 };
@@ -180,11 +181,17 @@
   T message;
 };
 
-// A fingerprint that was in flight at one upstream crash (suspect) or two.
+// A fingerprint that was in flight at two upstream crashes.
 struct poison_message {
   std::uint64_t fingerprint = 0;
   duration lifetime{};
-  bool suspect = false;
+};
+
+// A fingerprint that was in flight at one upstream crash.
+struct suspect_message {
+  std::uint64_t fingerprint = 0;
+  upstream_id upstream;
+  duration crash_age{};  // When the message was sent.
 };
 
 // An entry asks the receiving zone's dispatch for permits to send requests
@@ -312,7 +319,10 @@
                   m.predecessor_gone);
 }
 inline auto WireFields(poison_message& m) {
-  return std::tie(m.fingerprint, m.lifetime, m.suspect);
+  return std::tie(m.fingerprint, m.lifetime);
+}
+inline auto WireFields(suspect_message& m) {
+  return std::tie(m.fingerprint, m.upstream, m.crash_age);
 }
 inline auto WireFields(permit_ask& m) {
   return std::tie(m.service, m.sender, m.zone, m.count, m.asked, m.reply_to);
--- a/src/dispatch/dispatch_task.cc
+++ b/src/dispatch/dispatch_task.cc
@@ -185,6 +185,9 @@
     case message_type::kPoison:
       return control_link::Decode<poison_message>(
           message, [&](const auto& m) { OnPoison(m); });
+    case message_type::kSuspect:
+      return control_link::Decode<suspect_message>(
+          message, [&](const auto& m) { OnSuspect(m); });
     case message_type::kPermitAsk:
       return control_link::Decode<permit_ask>(
           message, [&](const auto& m) { OnPermitAsk(m); });
@@ -377,9 +380,9 @@
     } else if (const auto* refuse = std::get_if<refuse_action>(&action)) {
       Refuse(*refuse);
     } else if (const auto* poison = std::get_if<poison_action>(&action)) {
-      Tell(poison->fingerprint, poison->until, false);
+      Tell(*poison);
     } else if (const auto* suspect = std::get_if<suspect_action>(&action)) {
-      Tell(suspect->fingerprint, suspect->until, true);
+      Tell(*suspect);
     } else if (const auto* count = std::get_if<in_flight_action>(&action)) {
       owner_->OnInFlight(count->upstream, count->count);
       NoteDrain(service, count->upstream);
@@ -494,16 +497,29 @@
   Perform(*service, actions);
 }
 
-void dispatch_task::Tell(std::uint64_t fingerprint, monotonic_time until,
-                         bool suspect) {
-  const duration left = until - MonotonicNow();
-  Log(kLogPart, "fingerprint {:016x} was in flight at {} crash{}", fingerprint,
-      suspect ? "a" : "a second", suspect ? "" : ": refused from now on");
+void dispatch_task::Tell(const poison_action& poison) {
+  Log(kLogPart, "fingerprint {:016x} refused: in flight at a second crash",
+      poison.fingerprint);
+  SendToDispatches(
+      message_type::kPoison,
+      poison_message{poison.fingerprint, poison.until - MonotonicNow()});
+}
+
+void dispatch_task::Tell(const suspect_action& suspect) {
+  const upstream_crash& crash = suspect.crash;
+  Log(kLogPart, "fingerprint {:016x} suspected: in flight at the crash of {}",
+      suspect.fingerprint, crash.upstream.Str());
+  SendToDispatches(message_type::kSuspect,
+                   suspect_message{suspect.fingerprint, crash.upstream,
+                                   MonotonicNow() - crash.at});
+}
+
+template <class T>
+void dispatch_task::SendToDispatches(message_type type, const T& message) {
   for (const auto& [vm, seen] : link_->Vms()) {
     for (const task_address& other : seen.view.dispatches) {
       if (other.peer == link_->PeerAddress()) continue;
-      link_->Send(other.peer, message_type::kPoison,
-                  poison_message{fingerprint, left, suspect});
+      link_->Send(other.peer, type, message);
     }
   }
 }
@@ -511,16 +527,22 @@
 void dispatch_task::OnPoison(const poison_message& message) {
   const monotonic_time now = MonotonicNow();
   for (const auto& [id, service] : services_) {
-    if (message.suspect) {
-      service->scheduler.OnSuspect(message.fingerprint, now + message.lifetime,
-                                   now);
-      continue;
-    }
     Perform(*service, service->scheduler.OnPoison(message.fingerprint,
                                                   now + message.lifetime, now));
   }
 }
 
+void dispatch_task::OnSuspect(const suspect_message& message) {
+  const monotonic_time now = MonotonicNow();
+  const upstream_crash crash{message.upstream, now - message.crash_age};
+  Log(kLogPart, "fingerprint {:016x} suspected elsewhere: crash of {}",
+      message.fingerprint, message.upstream.Str());
+  for (const auto& [id, service] : services_) {
+    Perform(*service,
+            service->scheduler.OnSuspect(message.fingerprint, crash, now));
+  }
+}
+
 void dispatch_task::OnPermitAsk(const permit_ask& message) {
   service_state* service = ServiceOf(message.service);
   if (service == nullptr) return;
--- a/src/policy/poison_registry.cc
+++ b/src/policy/poison_registry.cc
@@ -8,19 +8,32 @@
 // An answer from before a crash may be read after the loss of another
 // connection was. Within a zone it is there in a few milliseconds.
 constexpr duration kOvertaking = std::chrono::milliseconds(20);
+// Two processes tell of one crash at moments no further apart than this; an
+// upstream takes longer to start again.
+constexpr duration kOneCrash = std::chrono::milliseconds(100);
+
+bool IsSame(const upstream_crash& a, const upstream_crash& b) {
+  const duration apart = a.at < b.at ? b.at - a.at : a.at - b.at;
+  return a.upstream == b.upstream && apart <= kOneCrash;
+}
+
+bool IsRefutedBy(const upstream_crash& crash, const upstream_id& alive,
+                 monotonic_time sent_at, monotonic_time now) {
+  return crash.upstream == alive && sent_at < crash.at &&
+         now - crash.at >= kOvertaking;
+}
 
 }  // namespace
 
-// Answers: a single request that crashes each upstream that runs it, and whose
-// caller sends it again. Without this it takes the zone's upstreams one after
-// another; one notices by upstreams that restart in turn. Two crashes are the
-// fewest that tell a request that kills from a server that died by itself.
+// Load pattern: a single request that crashes each upstream that runs it, and
+// whose caller sends it again, beside requests that many callers send alike.
 //
-// At a crash every request in flight there is under suspicion, also those that
-// merely shared the server. If two of them met again on one server, the second
-// crash would convict both. So a suspect is sent only where no other suspect
-// runs, and one copy at a time: at the second crash just one fingerprint has
-// been at both. An answer clears a suspect at once.
+// Two crashes are the fewest that tell a request that kills from a server that
+// died by itself. At a crash every request in flight there is under suspicion,
+// also those that merely shared the server. If two of them met again on one
+// server, the second crash would convict both. So a suspect is sent only where
+// no other suspect runs, and one copy at a time: at the second crash just one
+// fingerprint has been at both. An answer clears a suspect at once.
 //
 // A connection can also be lost without a crash. If another request that was in
 // flight there at the time is answered later, the upstream hadn't crashed, and
@@ -31,13 +44,34 @@
 
 poison_registry::poison_registry(duration lifetime) : lifetime_(lifetime) {}
 
+bool poison_registry::record::Has(const upstream_crash& crash) const {
+  return std::any_of(
+      crashes.begin(), crashes.end(),
+      [&](const upstream_crash& known) { return IsSame(known, crash); });
+}
+
 poison_registry::standing poison_registry::Of(std::uint64_t fingerprint,
                                               monotonic_time now) const {
   const auto found = records_.find(fingerprint);
   if (found == records_.end() || found->second.until <= now) {
     return standing::kClear;
   }
-  return found->second.state;
+  const record& r = found->second;
+  if (r.convicted) return standing::kPoison;
+  const bool is_told_of_two = r.crashes.size() >= 2;
+  return is_told_of_two && !HasRival(fingerprint, r) ? standing::kPoison
+                                                     : standing::kSuspect;
+}
+
+// Another request was at the same crashes, so that either may have caused them.
+bool poison_registry::HasRival(std::uint64_t fingerprint,
+                               const record& r) const {
+  return std::any_of(records_.begin(), records_.end(), [&](const auto& other) {
+    if (other.first == fingerprint) return false;
+    return std::all_of(
+        r.crashes.begin(), r.crashes.end(),
+        [&](const upstream_crash& crash) { return other.second.Has(crash); });
+  });
 }
 
 monotonic_time poison_registry::Until(std::uint64_t fingerprint) const {
@@ -53,23 +87,27 @@
   const standing before = Of(fingerprint, now);
   record& r = records_[fingerprint];
   if (before == standing::kClear) {
-    r = record{standing::kSuspect, {upstream, now}, {}, now + lifetime_};
-    return r.state;
+    r = record{{{upstream, now}}, false, now + lifetime_};
+    return standing::kSuspect;
   }
   // Two copies in flight at one crash are still one crash.
-  const bool same_crash = r.first.upstream == upstream && sent_at <= r.first.at;
+  const bool same_crash = std::any_of(
+      r.crashes.begin(), r.crashes.end(), [&](const upstream_crash& known) {
+        return known.upstream == upstream && sent_at <= known.at;
+      });
   if (!same_crash && before == standing::kSuspect) {
-    r.state = standing::kPoison;
-    r.second = crash{upstream, now};
+    r.crashes.push_back({upstream, now});
+    r.convicted = true;
   }
   r.until = std::max(r.until, now + lifetime_);
-  return r.state;
+  return Of(fingerprint, now);
 }
 
-bool poison_registry::crash::IsRefutedBy(const upstream_id& alive,
-                                         monotonic_time sent_at,
-                                         monotonic_time now) const {
-  return upstream == alive && sent_at < at && now - at >= kOvertaking;
+void poison_registry::OnUnprovenCrash(std::uint64_t fingerprint,
+                                      monotonic_time now) {
+  const auto found = records_.find(fingerprint);
+  if (found == records_.end()) return;
+  found->second.until = std::max(found->second.until, now + lifetime_);
 }
 
 void poison_registry::OnAlive(const upstream_id& upstream,
@@ -77,39 +115,42 @@
   for (auto next = records_.begin(); next != records_.end();) {
     const auto at = next++;
     record& r = at->second;
-    if (r.second && r.second->IsRefutedBy(upstream, sent_at, now)) {
-      r.second.reset();
-      r.state = standing::kSuspect;
-    }
-    if (!r.first.IsRefutedBy(upstream, sent_at, now)) continue;
-    if (!r.second) {
-      records_.erase(at);
-      continue;
-    }
-    r.first = *r.second;
-    r.second.reset();
-    r.state = standing::kSuspect;
+    const std::size_t refuted =
+        std::erase_if(r.crashes, [&](const upstream_crash& crash) {
+          return IsRefutedBy(crash, upstream, sent_at, now);
+        });
+    if (refuted == 0) continue;
+    r.convicted = r.convicted && r.crashes.size() >= 2;
+    if (r.crashes.empty()) records_.erase(at);
   }
 }
 
-void poison_registry::OnAnswered(std::uint64_t fingerprint) {
+void poison_registry::OnAnswered(std::uint64_t fingerprint,
+                                 monotonic_time /*now*/) {
   const auto found = records_.find(fingerprint);
-  if (found == records_.end()) return;
-  if (found->second.state == standing::kSuspect) records_.erase(found);
+  if (found != records_.end() && !found->second.convicted) {
+    records_.erase(found);
+  }
 }
 
 void poison_registry::OnPoison(std::uint64_t fingerprint,
                                monotonic_time until) {
   record& r = records_[fingerprint];
-  r.state = standing::kPoison;
+  r.convicted = true;
   r.until = std::max(r.until, until);
 }
 
+// The word of a crash may come after this process saw another one: together
+// they are two.
 void poison_registry::OnSuspect(std::uint64_t fingerprint,
-                                monotonic_time until) {
+                                const upstream_crash& crash,
+                                monotonic_time now) {
+  if (Of(fingerprint, now) == standing::kClear) {
+    records_[fingerprint] = {};
+  }
   record& r = records_[fingerprint];
-  if (r.state == standing::kClear) r.state = standing::kSuspect;
-  r.until = std::max(r.until, until);
+  if (!r.Has(crash)) r.crashes.push_back(crash);
+  r.until = std::max(r.until, crash.at + lifetime_);
 }
 
 bool poison_registry::MaySend(std::uint64_t fingerprint) const {
@@ -120,6 +161,13 @@
   return suspects_at_.contains(upstream);
 }
 
+void poison_registry::AddUpstreamsWithSuspects(
+    std::vector<upstream_id>& upstreams) const {
+  for (const auto& [upstream, count] : suspects_at_) {
+    upstreams.push_back(upstream);
+  }
+}
+
 void poison_registry::OnSuspectSent(std::uint64_t fingerprint,
                                     const upstream_id& upstream) {
   ++in_flight_[fingerprint];
--- a/src/policy/service_scheduler.cc
+++ b/src/policy/service_scheduler.cc
@@ -165,7 +165,7 @@
     done = !OnLost(e, now, out);
   } else if (outcome == upstream_outcome::kAnswered ||
              outcome == upstream_outcome::kServerError) {
-    poison_.OnAnswered(e.request.fingerprint);
+    poison_.OnAnswered(e.request.fingerprint, now);
     poison_.OnAlive(e.tried, e.sent_at, now);
   }
   if (done) entries_.erase(id);
@@ -255,7 +255,7 @@
   if (counts || poison_.Of(fingerprint, now) != standing::kSuspect) {
     return poison_.OnCrash(fingerprint, e.tried, e.sent_at, now);
   }
-  poison_.OnSuspect(fingerprint, now + options_.poison_time);
+  poison_.OnUnprovenCrash(fingerprint, now);
   return standing::kSuspect;
 }
 
@@ -271,7 +271,7 @@
     return false;
   }
   if (after == standing::kSuspect) {
-    out.emplace_back(suspect_action{fingerprint, poison_.Until(fingerprint)});
+    out.emplace_back(suspect_action{fingerprint, {e.tried, now}});
   }
   const bool may_repeat = e.request.idempotent && !e.cancelled &&
                           e.sends < kMaxSends && now < e.place.latest_start;
@@ -307,9 +307,16 @@
   return out;
 }
 
-void service_scheduler::OnSuspect(std::uint64_t fingerprint,
-                                  monotonic_time until, monotonic_time now) {
-  if (until > now) poison_.OnSuspect(fingerprint, until);
+service_scheduler::actions service_scheduler::OnSuspect(
+    std::uint64_t fingerprint, const upstream_crash& crash,
+    monotonic_time now) {
+  using standing = poison_registry::standing;
+  actions out;
+  poison_.OnSuspect(fingerprint, crash, now);
+  if (poison_.Of(fingerprint, now) == standing::kPoison) {
+    RefusePoisoned(fingerprint, now, out);
+  }
+  return out;
 }
 
 std::optional<monotonic_time> service_scheduler::NextTimer() const {
--- a/tests/policy/poison_registry_test.cc
+++ b/tests/policy/poison_registry_test.cc
@@ -6,6 +6,7 @@
 namespace {
 
 using standing = poison_registry::standing;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 const upstream_id kA("a");
@@ -35,10 +36,10 @@
 BOOST_AUTO_TEST_CASE(AnAnswerClearsASuspectOnly) {
   poison_registry registry(seconds(60));
   registry.OnCrash(7, kA, kNow, kNow);
-  registry.OnAnswered(7);
+  registry.OnAnswered(7, kNow);
   BOOST_TEST((registry.Of(7, kNow) == standing::kClear));
   registry.OnPoison(8, kNow + seconds(5));
-  registry.OnAnswered(8);
+  registry.OnAnswered(8, kNow);
   BOOST_TEST((registry.Of(8, kNow) == standing::kPoison));
   registry.Expire(kNow + seconds(5));
   BOOST_TEST(registry.IsEmpty());
@@ -72,10 +73,43 @@
 
 BOOST_AUTO_TEST_CASE(ASuspectOfAnotherOwnerNeedsOneMoreCrash) {
   poison_registry registry(seconds(60));
-  registry.OnSuspect(7, kNow + seconds(60));
+  registry.OnSuspect(7, {kB, kNow}, kNow);
   BOOST_TEST((registry.OnCrash(7, kA, kNow, kNow) == standing::kPoison));
 }
 
+// Guards against a third crash: the word of the first one comes late, after a
+// second copy has crashed an upstream here.
+BOOST_AUTO_TEST_CASE(AWordThatComesAfterACrashHereMakesTwo) {
+  poison_registry registry(seconds(60));
+  registry.OnCrash(7, kA, kNow, kNow);
+  registry.OnSuspect(7, {kB, kNow - milliseconds(30)}, kNow);
+  BOOST_TEST((registry.Of(7, kNow) == standing::kPoison));
+}
+
+// Guards against two told words of one crash that count as two crashes.
+BOOST_AUTO_TEST_CASE(TwoWordsOfOneCrashAreOne) {
+  poison_registry registry(seconds(60));
+  registry.OnSuspect(7, {kA, kNow}, kNow);
+  registry.OnSuspect(7, {kA, kNow + milliseconds(40)}, kNow);
+  BOOST_TEST((registry.Of(7, kNow) == standing::kSuspect));
+  registry.OnSuspect(7, {kA, kNow + seconds(1)}, kNow + seconds(1));
+  BOOST_TEST((registry.Of(7, kNow + seconds(1)) == standing::kPoison));
+}
+
+// Guards against an innocent request that is refused because it was beside the
+// killer at both crashes and the words of the first came late.
+BOOST_AUTO_TEST_CASE(TwoThatWereAtTheSameCrashesAreNotConvicted) {
+  poison_registry registry(seconds(60));
+  for (const std::uint64_t each : {7, 8}) {
+    registry.OnCrash(each, kA, kNow, kNow);
+    registry.OnSuspect(each, {kB, kNow}, kNow);
+  }
+  BOOST_TEST((registry.Of(7, kNow) == standing::kSuspect));
+  BOOST_TEST((registry.Of(8, kNow) == standing::kSuspect));
+  registry.OnAnswered(8, kNow);
+  BOOST_TEST((registry.Of(7, kNow) == standing::kPoison));
+}
+
 BOOST_AUTO_TEST_CASE(OneSuspectAnUpstreamAndOneCopyAnywhere) {
   poison_registry registry(seconds(60));
   registry.OnSuspectSent(7, kA);
--- a/tests/policy/service_scheduler_test.cc
+++ b/tests/policy/service_scheduler_test.cc
@@ -303,9 +303,9 @@
     BOOST_TEST_REQUIRE(sent.size() == 1u);
     scheduler_request killer = h.Request("killer");
     killer.idempotent = false;
-    const monotonic_time until = h.now + seconds(60);
+    const upstream_crash elsewhere{upstream_id("elsewhere"), h.now};
     for (const auto& suspect : {common, killer}) {
-      h.scheduler.OnSuspect(suspect.fingerprint, until, h.now);
+      h.scheduler.OnSuspect(suspect.fingerprint, elsewhere, h.now);
     }
     h.now += milliseconds(1);
     BOOST_TEST(Only<send_action>(h.scheduler.OnRequest(killer, h.now)).size() ==
@@ -334,7 +334,8 @@
   const scheduler_request other = h.Request("other");
   h.scheduler.OnRequest(killer, h.now);
   h.scheduler.OnRequest(other, h.now);
-  h.scheduler.OnSuspect(killer.fingerprint, h.now + seconds(60), h.now);
+  h.scheduler.OnSuspect(killer.fingerprint, {upstream_id("elsewhere"), h.now},
+                        h.now);
   h.now += milliseconds(1);
   std::vector<poison_action> convicted;
   for (const request_id& id : {other.id, killer.id}) {
@@ -347,6 +348,23 @@
   BOOST_TEST(convicted[0].fingerprint == killer.fingerprint);
 }
 
+// Guards against a third crash: a copy crashed an upstream here before the word
+// of a crash elsewhere came.
+BOOST_AUTO_TEST_CASE(WordOfAnEarlierCrashConvictsAfterACrashHere) {
+  by_hand h(Servers(2, 4));
+  scheduler_request killer = h.Request("killer");
+  killer.idempotent = false;
+  h.scheduler.OnRequest(killer, h.now);
+  h.scheduler.OnOutcome(killer.id, upstream_outcome::kConnectionLost, h.now);
+  h.scheduler.OnSuspect(killer.fingerprint, {upstream_id("elsewhere"), h.now},
+                        h.now);
+  killer.id = request_id("killer again");
+  const auto refused =
+      Only<refuse_action>(h.scheduler.OnRequest(killer, h.now));
+  BOOST_TEST_REQUIRE(refused.size() == 1u);
+  BOOST_TEST((refused[0].reason == refusal_reason::kPoison));
+}
+
 BOOST_AUTO_TEST_CASE(RefusesOnArrivalWhatCantEndInTime) {
   by_hand h(Servers(1, 1));
   scheduler_request first = h.Request("first");
