A request that was answered just before a crash is no suspect of it

Cause: such a request is in flight at every crash. An owner hears that it was at a crash elsewhere, sends it as a suspect, apart from other suspects, and counts its next crash for a second one. The request that crashes the upstream beside it need not be known there yet: its word comes after the other's, as each loss is told by itself.

Now the registry knows what was answered in the last two seconds before a crash (policy/recent_answers, 4,096 places), and holds no crash against it. A request that turns bad is a suspect again after two seconds.

--- a/include/citron/policy/poison_registry.h
+++ b/include/citron/policy/poison_registry.h
@@ -8,6 +8,7 @@
 
 #include "citron/base/strong_id.h"
 #include "citron/base/time.h"
+#include "citron/policy/recent_answers.h"
 
 namespace citron {
 
@@ -66,8 +67,11 @@
   };
 
   bool HasRival(std::uint64_t fingerprint, const record& r) const;
+  bool WasAnsweredBefore(std::uint64_t fingerprint,
+                         monotonic_time crash_at) const;
 
   duration lifetime_;
+  recent_answers answers_;
   std::unordered_map<std::uint64_t, record> records_;
   std::map<std::uint64_t, int> in_flight_;
   std::map<upstream_id, int> suspects_at_;
--- a/src/policy/poison_registry.cc
+++ b/src/policy/poison_registry.cc
@@ -11,6 +11,10 @@
 // Two processes tell of one crash at moments no further apart than this; an
 // upstream takes longer to start again.
 constexpr duration kOneCrash = std::chrono::milliseconds(100);
+// A request that was answered this shortly before a crash didn't cause it. The
+// time is short, as data may change so that a good request begins to crash.
+constexpr duration kRecentAnswer = std::chrono::seconds(2);
+constexpr std::size_t kRecentAnswers = 4096;
 
 bool IsSame(const upstream_crash& a, const upstream_crash& b) {
   const duration apart = a.at < b.at ? b.at - a.at : a.at - b.at;
@@ -42,7 +46,8 @@
 // server with a second, still unknown killer is refused in its place until the
 // lifetime ends.
 
-poison_registry::poison_registry(duration lifetime) : lifetime_(lifetime) {}
+poison_registry::poison_registry(duration lifetime)
+    : lifetime_(lifetime), answers_(kRecentAnswers) {}
 
 bool poison_registry::record::Has(const upstream_crash& crash) const {
   return std::any_of(
@@ -74,6 +79,11 @@
   });
 }
 
+bool poison_registry::WasAnsweredBefore(std::uint64_t fingerprint,
+                                        monotonic_time crash_at) const {
+  return answers_.IsAnsweredSince(fingerprint, crash_at - kRecentAnswer);
+}
+
 monotonic_time poison_registry::Until(std::uint64_t fingerprint) const {
   const auto found = records_.find(fingerprint);
   return found == records_.end() ? monotonic_time() : found->second.until;
@@ -85,6 +95,9 @@
                                                    monotonic_time now) {
   if (fingerprint == 0) return standing::kClear;
   const standing before = Of(fingerprint, now);
+  if (before == standing::kClear && WasAnsweredBefore(fingerprint, now)) {
+    return standing::kClear;
+  }
   record& r = records_[fingerprint];
   if (before == standing::kClear) {
     r = record{{{upstream, now}}, false, now + lifetime_};
@@ -126,7 +139,8 @@
 }
 
 void poison_registry::OnAnswered(std::uint64_t fingerprint,
-                                 monotonic_time /*now*/) {
+                                 monotonic_time now) {
+  answers_.Add(fingerprint, now);
   const auto found = records_.find(fingerprint);
   if (found != records_.end() && !found->second.convicted) {
     records_.erase(found);
@@ -146,6 +160,7 @@
                                 const upstream_crash& crash,
                                 monotonic_time now) {
   if (Of(fingerprint, now) == standing::kClear) {
+    if (WasAnsweredBefore(fingerprint, crash.at)) return;
     records_[fingerprint] = {};
   }
   record& r = records_[fingerprint];
--- a/tests/policy/poison_registry_test.cc
+++ b/tests/policy/poison_registry_test.cc
@@ -110,6 +110,19 @@
   BOOST_TEST((registry.Of(7, kNow) == standing::kPoison));
 }
 
+// Guards against a request of many callers that is refused as poison since its
+// copies are in flight at every crash.
+BOOST_AUTO_TEST_CASE(WhatWasAnsweredJustBeforeACrashIsNoSuspect) {
+  poison_registry registry(seconds(60));
+  registry.OnAnswered(7, kNow);
+  const monotonic_time soon = kNow + seconds(1);
+  BOOST_TEST((registry.OnCrash(7, kA, kNow, soon) == standing::kClear));
+  registry.OnSuspect(7, {kB, soon}, soon);
+  BOOST_TEST((registry.Of(7, soon) == standing::kClear));
+  const monotonic_time later = kNow + seconds(10);
+  BOOST_TEST((registry.OnCrash(7, kA, later, later) == standing::kSuspect));
+}
+
 BOOST_AUTO_TEST_CASE(OneSuspectAnUpstreamAndOneCopyAnywhere) {
   poison_registry registry(seconds(60));
   registry.OnSuspectSent(7, kA);
--- a/tests/policy/service_scheduler_test.cc
+++ b/tests/policy/service_scheduler_test.cc
@@ -348,6 +348,28 @@
   BOOST_TEST(convicted[0].fingerprint == killer.fingerprint);
 }
 
+// Guards against a request of many callers that is refused as poison: it is a
+// suspect of a crash elsewhere, and the killer, of which nothing is known here,
+// crashes the upstream beside it.
+BOOST_AUTO_TEST_CASE(SuspectThatWasAnsweredIsNotConvictedBesideTheKiller) {
+  by_hand h(Servers(1, 4));
+  scheduler_request common = h.Request("common");
+  h.scheduler.OnRequest(common, h.now);
+  h.scheduler.OnOutcome(common.id, upstream_outcome::kAnswered, h.now);
+  h.scheduler.OnSuspect(common.fingerprint, {upstream_id("elsewhere"), h.now},
+                        h.now);
+  common.id = request_id("common again");
+  const scheduler_request killer = h.Request("killer");
+  h.scheduler.OnRequest(common, h.now);
+  h.scheduler.OnRequest(killer, h.now);
+  h.now += milliseconds(1);
+  for (const request_id& id : {common.id, killer.id}) {
+    const auto actions =
+        h.scheduler.OnOutcome(id, upstream_outcome::kConnectionLost, h.now);
+    BOOST_TEST(Only<poison_action>(actions).empty());
+  }
+}
+
 // Guards against a third crash: a copy crashed an upstream here before the word
 // of a crash elsewhere came.
 BOOST_AUTO_TEST_CASE(WordOfAnEarlierCrashConvictsAfterACrashHere) {
