--- a/include/citron/link/forward_head.h
+++ b/include/citron/link/forward_head.h
@@ -43,11 +43,6 @@
                                         const forward_subject& subject,
                                         std::string_view secret);
 
-// Same for requests that do the same: two of one workspace that are alike to
-// the byte.
-std::uint64_t RequestFingerprint(const workspace_id& workspace,
-                                 const forward_subject& subject);
-
 // Whether a caller's header may go on to an upstream. Keys, headers that name
 // a workspace or an id, and those of one connection may not.
 bool MayForwardHeader(std::string_view name);
--- /dev/null
+++ b/include/citron/policy/request_fingerprint.h
@@ -0,0 +1,20 @@
+#ifndef CITRON_POLICY_REQUEST_FINGERPRINT_H_
+#define CITRON_POLICY_REQUEST_FINGERPRINT_H_
+
+#include <cstdint>
+#include <string_view>
+
+#include "citron/base/strong_id.h"
+
+namespace citron {
+
+// Same for requests that do the same: two of one workspace that are alike to
+// the byte. Never 0.
+std::uint64_t RequestFingerprint(const workspace_id& workspace,
+                                 std::string_view method,
+                                 std::string_view target,
+                                 std::string_view body);
+
+}  // namespace citron
+
+#endif  // CITRON_POLICY_REQUEST_FINGERPRINT_H_
--- a/src/dispatch/dispatch_task.cc
+++ b/src/dispatch/dispatch_task.cc
@@ -7,6 +7,7 @@
 
 #include "citron/base/digest.h"
 #include "citron/base/log.h"
+#include "citron/policy/request_fingerprint.h"
 #include "dispatch/dispatch_call.h"
 
 namespace citron {
@@ -348,8 +349,8 @@
   described.idempotent = head.idempotent;
   described.arrived_at = MonotonicNow();
   described.deadline = described.arrived_at + head.time_left;
-  described.fingerprint = RequestFingerprint(
-      head.workspace, {request.method, request.target, request.body});
+  described.fingerprint = RequestFingerprint(head.workspace, request.method,
+                                             request.target, request.body);
   const service_config* config = link_->Config().FindService(service.id);
   const request_class* known =
       config == nullptr ? nullptr : config->ClassOf(request.target);
--- a/src/entry/entry_task.cc
+++ b/src/entry/entry_task.cc
@@ -11,6 +11,7 @@
 #include "citron/base/log.h"
 #include "citron/entry/caller_request.h"
 #include "citron/policy/patience.h"
+#include "citron/policy/request_fingerprint.h"
 #include "entry/entry_call.h"
 
 namespace citron {
@@ -674,11 +675,11 @@
 // the work being done twice.
 std::optional<caller_error> entry_task::BeginOnce(call& c) {
   const monotonic_time now = MonotonicNow();
-  const begin_result begun = registry_->Begin(
-      c.caller_id,
-      RequestFingerprint(c.workspace,
-                         {c.Request().method, c.target, c.Request().body}),
-      now);
+  const begin_result begun =
+      registry_->Begin(c.caller_id,
+                       RequestFingerprint(c.workspace, c.Request().method,
+                                          c.target, c.Request().body),
+                       now);
   namespace ans = begin_answer;
   c.issuer_is_here = !std::holds_alternative<ans::other_issuer>(begun);
   if (std::holds_alternative<ans::run>(begun)) {
--- a/src/link/forward_head.cc
+++ b/src/link/forward_head.cc
@@ -202,14 +202,6 @@
   return head;
 }
 
-std::uint64_t RequestFingerprint(const workspace_id& workspace,
-                                 const forward_subject& subject) {
-  std::string text = workspace.Str();
-  text.append("\n").append(subject.method).append("\n");
-  text.append(subject.target).append("\n").append(subject.body);
-  return HashBytes(text);
-}
-
 bool MayForwardHeader(std::string_view name) {
   return !IsHopByHop(name) && !StartsWith(name, "citron-") &&
          !StartsWith(name, "upstream-") && !StartsWith(name, "x-forwarded-") &&
