A request that never left its process isn't told as sent

What callers saw: an entry that lost its connection to a dispatch, or a dispatch one to an upstream, before the first byte had left, answered "may have run", did not try elsewhere what may run once, and blamed the upstream. Our own caller in the tests counted such requests as cut (integration_planned_stop_test).

Cause: http_connection counts what leaves the output buffer. When a connection is given up the library empties the buffer, and that counted as sent. Seen in trial builds that print the last addition and the last removal: of ten requests that were told as cut all had their 109 to 114 bytes taken out at the very moment of the loss, none before, with EPIPE.

Now removals after the library has taken its callbacks away don't count. Test, failing before: http_test, ConnectionResetBeforeTheFirstByteSentNothing. CallThatMeetsTheEndOfListeningSentNothing (http_server_end_test) passes on the code before as well; it shows that the end of listening by itself is told truly.

Looked for elsewhere: citron_node's upstream_connection takes a request for sent once it is in the buffer; that errs to the safe side, at the price of bookings that are answered "may have run" though nothing left.

--- a/include/citron/net/http_client.h
+++ b/include/citron/net/http_client.h
@@ -94,6 +94,7 @@
   void OnBodyReceived(evhttp_request* request);
   void OnComplete(evhttp_request* request);
   bool MaySendNow();
+  bool IsGivenUp() const;
   void Fail(call_problem problem);
 
   event_loop& loop_;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -93,7 +93,9 @@
       evbuffer_drain(output, evbuffer_get_length(output));
       return;
     }
-    if (!that->stopped_) that->bytes_out_ += info->n_deleted;
+    if (!that->stopped_ && !that->IsGivenUp()) {
+      that->bytes_out_ += info->n_deleted;
+    }
   }
 };
 
@@ -160,6 +162,15 @@
   }
 }
 
+// The library takes its callbacks away before it gives a connection up and
+// discards what was not sent.
+bool http_connection::IsGivenUp() const {
+  bufferevent_event_cb on_event = nullptr;
+  bufferevent_getcb(evhttp_connection_get_bufferevent(connection_), nullptr,
+                    nullptr, &on_event, nullptr);
+  return on_event == nullptr;
+}
+
 // The library puts the request into the output when the connection stands, and
 // may write it to the socket right after. Taken out again at once, not a byte
 // of it leaves.
--- a/tests/net/http_server_end_test.cc
+++ b/tests/net/http_server_end_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "citron/net/http_client.h"
@@ -163,6 +164,33 @@
   BOOST_TEST(!failed.bytes_sent);
 }
 
+// Guards against a caller who is told that its request may have run, though the
+// server that ends took no connection for it: the connection that it had is
+// closed with the answer before, and the new one is not taken.
+BOOST_AUTO_TEST_CASE(CallThatMeetsTheEndOfListeningSentNothing) {
+  http_client client(Loop());
+  int answers = 0;
+  std::optional<call_failure> failed;
+  const auto call = [&] {
+    client.Call(Server().Address(), {"GET", "/", {}, ""},
+                MonotonicNow() + std::chrono::seconds(10),
+                [&](const http_response* response, call_failure failure) {
+                  ++answers;
+                  if (response == nullptr) failed = failure;
+                });
+  };
+  call();
+  BOOST_REQUIRE(RunUntil([&] { return answers == 1; }));
+  Server().StopAccepting(kClosingResponse);
+  call();
+  BOOST_REQUIRE(RunUntil([&] { return answers == 2; }));
+  BOOST_TEST(!failed.has_value());
+  call();
+  BOOST_REQUIRE(RunUntil([&] { return answers == 3; }));
+  BOOST_REQUIRE(failed.has_value());
+  BOOST_TEST(!failed->bytes_sent);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -1,3 +1,7 @@
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <optional>
@@ -28,6 +32,39 @@
   }
 };
 
+// Takes connections by hand.
+class raw_listener {
+ public:
+  raw_listener() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_REQUIRE(bind(fd_, reinterpret_cast<const sockaddr*>(&address),
+                       sizeof(address)) == 0);
+    BOOST_REQUIRE(listen(fd_, 1) == 0);
+  }
+  ~raw_listener() { close(fd_); }
+  raw_listener(const raw_listener&) = delete;
+  raw_listener& operator=(const raw_listener&) = delete;
+
+  endpoint Address() const {
+    sockaddr_in address{};
+    socklen_t size = sizeof(address);
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &size);
+    return {"127.0.0.1", ntohs(address.sin_port)};
+  }
+
+  void ResetNext() const {
+    const int accepted = accept(fd_, nullptr, nullptr);
+    const linger at_once{1, 0};
+    setsockopt(accepted, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+    close(accepted);
+  }
+
+ private:
+  int fd_;
+};
+
 // Keeps what a call reported.
 class recorded_call : public http_call_handler {
  public:
@@ -175,6 +212,21 @@
   BOOST_TEST(!connection.IsReusable());
 }
 
+// Guards against a request that is told as sent, and not tried elsewhere,
+// though the far side was gone before its first byte could leave.
+BOOST_AUTO_TEST_CASE(ConnectionResetBeforeTheFirstByteSentNothing) {
+  raw_listener listener;
+  http_connection connection(Loop(), listener.Address());
+  recorded_call call;
+  // Asked when the connection stands and nothing has left.
+  connection.Start({"POST", "/", {}, "body"}, Soon(), call, [&listener] {
+    listener.ResetNext();
+    return true;
+  });
+  BOOST_REQUIRE(RunUntil([&] { return call.failed; }));
+  BOOST_TEST(!call.failure.bytes_sent);
+}
+
 // The far side takes the request and then goes away. A caller who was told
 // "not run" would book twice.
 BOOST_AUTO_TEST_CASE(LostAnswerCountsAsSent) {
