Tests: programs under test don't hold the test's sockets

All cuts were at the second and third VM, never at the first one (also in the users' baseline), lost after 1,002 to 1,052 ms, and had begun within 100 ms of the VM's "leaving" line, when a leaving entry drops new handshakes (their SYN comes again after a second and finds nobody). Such a connect fails and counts as "found no door"; these counted as connected from the first moment, with nothing sent.

Cause: the test starts the replaced VM's programs by fork and exec while its load runs, and its sockets (libevent opens them without CLOEXEC) went on to them. From then on a connection that the test closed stayed open in a daemon, and the kernel's poll set kept its entry: an event of the old socket was taken for one of the new socket with the same number, which libevent then believed to be connected. So the caller in the test saw what no caller of users can.

Ruled out: answers in the accept queue, idle connections that are asked to close, the drop of handshakes itself (http_server_end_test, CallThatMeetsTheEndOfListeningSentNothing).

--- a/tests/integration/child_process.cc
+++ b/tests/integration/child_process.cc
@@ -1,6 +1,7 @@
 #include "integration/child_process.h"
 
 #include <fcntl.h>
+#include <linux/close_range.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -28,6 +29,9 @@
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   dup2(output, STDOUT_FILENO);
   dup2(output, STDERR_FILENO);
+  // A program that held the test's sockets would keep connections open that
+  // the test has closed.
+  close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
   execv(binary.c_str(), arguments);
   _exit(kExecFailed);
 }
