Callers of an entry that has just started wait for its share

What callers saw: a VM that had just started refused what the contract allows with 429 over_rate: 1 of 20 (integration_partition_test, BothSidesServeOn), 122 of 200 (integration_key_withdrawal_test, QueueOfAWithdrawnKeyIsRefused), each once in a sanitizer build beside a load.

Cause: an entry uses its share 2.2 s after its start, as its predecessor may have lent it, and lives on loans until then. A request without a token waited 150 ms for one and was refused, though the share was known or due. With nobody to lend (a cut, or other VMs that have just started too) all but a few were refused.

Now such a request waits until the share begins and 150 ms more, if its deadline comes after that: it is let in with a token of the share, so that the contract holds as before, and it waits only if one is foreseen or the share wasn't told yet. Who asks with a shorter deadline is answered at once or after 150 ms as before.

For the withdrawn keys the cause is still inferred: the same line (over its rate here), the same moment.

Unit tests, failing before: admission_wait_test, RequestWaitsForTheShareOfAStartedEntry; rate_limiter_test, StartedEntryWaitsForItsShare. Against holding back: NothingWaitsForAShareThatBeginsAfterItsDeadline.

--- a/include/citron/policy/admission_wait.h
+++ b/include/citron/policy/admission_wait.h
@@ -18,7 +18,8 @@
 enum class wait_ticket : std::uint64_t {};
 
 struct admission_wait_options {
-  // A round trip to the farthest region and back, with some spare.
+  // A round trip to the farthest region and back, with some spare. At an entry
+  // that has just started it counts from when its own share begins.
   duration longest_wait = std::chrono::milliseconds(150);
   // Of one workspace at one time, however small its rate.
   std::size_t max_waiting = 16;
@@ -32,19 +33,22 @@
   // requests that wait already.
   std::optional<monotonic_time> own_token_at;
   double contract_rate_per_s = 0;
+  // Of an entry that has just started: when its own share begins.
+  std::optional<monotonic_time> share_begins_at;
 };
 
 // Requests that came when this entry had no token of their workspace, while one
 // is in sight: of its own rate, or of others'.
 //
-// It answers three loads. A workspace whose contract is small against the
-// number of VMs: each VM's part of the burst is less than one token, so that a
-// request in its rate finds none wherever it arrives, and would be refused
-// although the fleet as a whole has tokens. Demand that moves to another zone:
-// the loans that follow it are a round trip late. And a bucket that is empty
-// for a moment, as after a start: its next token is a millisecond away, and a
-// refusal would tell the caller to come back after 0 ms. One round trip is much
-// shorter than the second after which the caller would ask again.
+// Load pattern: a workspace whose contract is small against the number of VMs:
+// each VM's part of the burst is less than one token, so that a request in its
+// rate finds none wherever it arrives, and would be refused although the fleet
+// as a whole has tokens. Demand that moves to another zone: the loans that
+// follow it are a round trip late. A bucket that is empty for a moment: its next
+// token is a millisecond away, and a refusal would tell the caller to come back
+// after 0 ms. And a VM that has just started, whose share has yet to begin. One
+// round trip is much shorter than the second after which the caller would ask
+// again.
 //
 // It is bounded by time and by number, and nothing waits that can't be helped:
 // when the own rate makes no token in time and no other VM has anything to
@@ -81,6 +85,8 @@
     std::optional<monotonic_time> token_at;
   };
 
+  monotonic_time GiveUpAt(const token_prospects& prospects, monotonic_time now,
+                          monotonic_time deadline) const;
   std::size_t MostWaiting(double contract_rate_per_s) const;
 
   admission_wait_options options_;
--- a/src/policy/admission_wait.cc
+++ b/src/policy/admission_wait.cc
@@ -7,11 +7,23 @@
 admission_wait::admission_wait(admission_wait_options options)
     : options_(options) {}
 
+// Load pattern: callers of a VM that has just started. Refused until its share
+// begins, they would be turned away inside their contract for seconds. One
+// whose deadline comes before that waits for what others lend alone.
+monotonic_time admission_wait::GiveUpAt(const token_prospects& prospects,
+                                        monotonic_time now,
+                                        monotonic_time deadline) const {
+  monotonic_time from = now;
+  if (prospects.share_begins_at && *prospects.share_begins_at < deadline) {
+    from = std::max(now, *prospects.share_begins_at);
+  }
+  return std::min(deadline, from + options_.longest_wait);
+}
+
 bool admission_wait::TryWait(const workspace_id& workspace, wait_ticket ticket,
                              const token_prospects& prospects,
                              monotonic_time now, monotonic_time deadline) {
-  const monotonic_time give_up_at =
-      std::min(deadline, now + options_.longest_wait);
+  const monotonic_time give_up_at = GiveUpAt(prospects, now, deadline);
   const std::optional<monotonic_time>& token_at = prospects.own_token_at;
   const bool has_own = token_at && *token_at < give_up_at;
   if (give_up_at <= now) return false;
--- a/src/protocol/rate_limiter.cc
+++ b/src/protocol/rate_limiter.cc
@@ -105,6 +105,13 @@
   token_bucket& bucket = limits_.Find(workspace)->bucket;
   prospects.own_token_at = bucket.NextTokenAt(now, waiting_.Waiting(workspace));
   prospects.contract_rate_per_s = bucket.ContractRate();
+  if (now < own_share_at_) {
+    prospects.share_begins_at = own_share_at_;
+    // A share that wasn't told yet may come at any moment.
+    const bool is_share_due =
+        limits_.GrantedPpb() == 0 && own_share_at_ < deadline;
+    prospects.may_borrow = prospects.may_borrow || is_share_due;
+  }
   const wait_ticket ticket{last_ticket_ + 1};
   if (!waiting_.TryWait(workspace, ticket, prospects, now, deadline)) {
     return over_rate{retry_at};
--- a/tests/policy/admission_wait_test.cc
+++ b/tests/policy/admission_wait_test.cc
@@ -49,6 +49,30 @@
   BOOST_TEST(!wait.NextTokenAt(soon).has_value());
 }
 
+// Guards against callers of a VM that has just started who are refused inside
+// their contract until its share begins.
+BOOST_AUTO_TEST_CASE(RequestWaitsForTheShareOfAStartedEntry) {
+  admission_wait wait({});
+  const monotonic_time begins = kStart + FromSeconds(2);
+  const monotonic_time token = begins + FromMilliseconds(1);
+  const token_prospects starting{false, token, 1000, begins};
+  BOOST_TEST(wait.TryWait(kPenco, Id(1), starting, kStart, kFar));
+  BOOST_TEST(wait.TakeExpired(token).empty());
+  BOOST_TEST(wait.TakeExpired(begins + FromMilliseconds(150)).size() == 1u);
+}
+
+// Guards against a caller who is held back until its deadline.
+BOOST_AUTO_TEST_CASE(NothingWaitsForAShareThatBeginsAfterItsDeadline) {
+  admission_wait wait({});
+  const monotonic_time begins = kStart + FromSeconds(2);
+  const monotonic_time deadline = kStart + FromSeconds(1);
+  BOOST_TEST(!wait.TryWait(kPenco, Id(1), {false, begins, 1000, begins}, kStart,
+                           deadline));
+  BOOST_TEST(wait.TryWait(kPenco, Id(2), {true, begins, 1000, begins}, kStart,
+                          deadline));
+  BOOST_TEST(wait.TakeExpired(kStart + FromMilliseconds(150)).size() == 1u);
+}
+
 // The own rate makes a token only after the caller's deadline, or after the
 // time for which anything may wait.
 BOOST_AUTO_TEST_CASE(NothingWaitsForATokenThatComesTooLate) {
--- a/tests/protocol/rate_limiter_test.cc
+++ b/tests/protocol/rate_limiter_test.cc
@@ -168,6 +168,32 @@
       alone.OnRequest(kDepot, late + FromSeconds(1), late, ignored)));
 }
 
+// Guards against callers of a VM that has just started who are refused inside
+// their contract: its share is known, and those who lent to it are cut off.
+BOOST_AUTO_TEST_CASE(StartedEntryWaitsForItsShare) {
+  for (const bool share_is_told_late : {false, true}) {
+    rate_limiter started(kSelf, Options(), 1, kStart);
+    started.SetContract(kDepot, {100, 50}, kStart);
+    started.SetEntries({kOther}, {kSelf, kOther});
+    const monotonic_time far = kStart + std::chrono::hours(1);
+    const vm_share share{kWholePpm / 2, 0, far, far, 1};
+    if (!share_is_told_late) started.SetShare(share, 1, kStart);
+    const monotonic_time now = kStart + FromMilliseconds(400);
+    limit_actions ignored;
+    const limit_decision decision =
+        started.OnRequest(kDepot, now + FromSeconds(10), now, ignored);
+    const auto* awaited = std::get_if<token_awaited>(&decision);
+    BOOST_REQUIRE(awaited != nullptr);
+    const monotonic_time begins = kStart + Options().loan.SettleTime();
+    BOOST_TEST(Only<turn_away>(started.OnTimer(begins)).empty());
+    if (share_is_told_late) started.SetShare(share, 1, begins);
+    const auto in =
+        Only<let_in>(started.OnTimer(begins + FromMilliseconds(50)));
+    BOOST_REQUIRE(in.size() == 1u);
+    BOOST_TEST((in[0].ticket == awaited->ticket));
+  }
+}
+
 // Another entry asks for a part of the contract; without demand here it gets
 // nearly all of it.
 BOOST_AUTO_TEST_CASE(LendsWhatIsNotNeededHere) {
