A dispatch that leaves refuses what waits in its queue

What callers saw: during a rolling replacement one or two requests a stop waited 9.6 to 10 s and were refused with expired_in_queue, or ended at the caller's own limit (a /film incomplete, traced before), while other upstreams of the zone answered; the dispatch that held them was there 10.2 s instead of 1.6 s.

Now the scheduler is closed when the zone's table names no upstream of the leaving dispatch: what waits, and what an upstream turns back after that, is refused at once as not run (draining), so that the entry asks another dispatch.

Tried and given up: the same for every owner without upstreams, also one that is not leaving. An owner that gets its upstreams back in a moment had better let its queue wait.

Test, failing before (mechanism taken out): service_scheduler_test, QueueOfALeavingOwnerIsRefusedAtOnce.

--- a/include/citron/policy/service_scheduler.h
+++ b/include/citron/policy/service_scheduler.h
@@ -118,6 +118,9 @@
   actions SetUpstreams(const std::vector<upstream_capacity>& upstreams,
                        monotonic_time now);
   void SetDraining(const upstream_id& upstream, bool draining);
+  // The owner is leaving and has given its upstreams to others: what waits here
+  // would wait until its deadline while they answer, and is refused.
+  actions Close(monotonic_time now);
 
   actions OnRequest(const scheduler_request& request, monotonic_time now);
   // The caller is gone. If the request is in flight its slot stays taken until
@@ -215,6 +218,7 @@
   entry_map entries_;
   int in_flight_ = 0;
   int long_in_flight_ = 0;
+  bool closed_ = false;
 };
 
 }  // namespace citron
--- a/src/dispatch/dispatch_task.cc
+++ b/src/dispatch/dispatch_task.cc
@@ -154,6 +154,11 @@
 void dispatch_task::ContinueLeaving() {
   if (!left_) return;
   const monotonic_time now = MonotonicNow();
+  if (owner_->Owned().empty()) {
+    for (const auto& [id, service] : services_) {
+      Perform(*service, service->scheduler.Close(now));
+    }
+  }
   const bool late = now >= leave_deadline_;
   const bool busy = !calls_.empty() || server_->OpenExchanges() != 0;
   if (busy) {
--- a/src/policy/service_scheduler.cc
+++ b/src/policy/service_scheduler.cc
@@ -404,8 +404,19 @@
   }
 }
 
+service_scheduler::actions service_scheduler::Close(monotonic_time now) {
+  actions out;
+  closed_ = true;
+  Dispatch(now, out);
+  return out;
+}
+
 void service_scheduler::Dispatch(monotonic_time now, actions& out) {
   ExpireWaiting(now, out);
+  while (closed_ && !latest_starts_.empty()) {
+    RefuseWaiting(latest_starts_.begin()->second, refusal_reason::kDraining,
+                  RetryAt(kNoUpstreamRetry, now), out);
+  }
   if (!held_.empty()) DispatchHeld(now, out);
   while (!queue_.IsEmpty()) {
     const std::optional<upstream_id> upstream = chooser_.Choose(now, random_);
--- a/tests/policy/service_scheduler_test.cc
+++ b/tests/policy/service_scheduler_test.cc
@@ -348,6 +348,26 @@
   BOOST_TEST(convicted[0].fingerprint == killer.fingerprint);
 }
 
+// Guards against a request that waits until its deadline at an owner that is
+// leaving and has given its upstreams to others.
+BOOST_AUTO_TEST_CASE(QueueOfALeavingOwnerIsRefusedAtOnce) {
+  by_hand h(Servers(1, 1));
+  const scheduler_request running = h.Request("running");
+  const scheduler_request waiting = h.Request("waiting");
+  h.scheduler.OnRequest(running, h.now);
+  h.scheduler.OnRequest(waiting, h.now);
+  h.scheduler.SetUpstreams({}, h.now);
+  const auto refused = Only<refuse_action>(h.scheduler.Close(h.now));
+  BOOST_TEST_REQUIRE(refused.size() == 1u);
+  BOOST_TEST((refused[0].id == waiting.id));
+  BOOST_TEST((refused[0].reason == refusal_reason::kDraining));
+  // One that its upstream turned back has no other place here either.
+  const auto turned_back = Only<refuse_action>(h.scheduler.OnOutcome(
+      running.id, upstream_outcome::kLeavingNotRun, h.now));
+  BOOST_TEST_REQUIRE(turned_back.size() == 1u);
+  BOOST_TEST((turned_back[0].id == running.id));
+}
+
 // Guards against a request of many callers that is refused as poison: it is a
 // suspect of a crash elsewhere, and the killer, of which nothing is known here,
 // crashes the upstream beside it.
