--- a/tests/integration/node_fleet.h
+++ b/tests/integration/node_fleet.h
@@ -39,9 +39,11 @@
     BOOST_REQUIRE(Caller().PostJson(store_, "/-/kv-txn", call));
   }
 
-  // `keys` belong to the workspace "depot", `other_keys` to "other".
+  // `keys` belong to the workspace "depot", `other_keys` to "other". A rate of
+  // 0 is no limit.
   void PutDeclaration(int version, const std::vector<std::string>& keys,
-                      const std::vector<std::string>& other_keys = {}) {
+                      const std::vector<std::string>& other_keys = {},
+                      int rate_per_s = 0, int burst = 0) {
     // The caller names the VM that it asks as the host.
     json routes = json::array();
     for (int vm = 1; vm <= kMostVms; ++vm) {
@@ -61,9 +63,10 @@
           {{"columns", {"name", "coldStartS", "coldPerS"}},
            {"rows", json::array({{"s", 3, 5}})}}},
          {"tenants",
-          {{"columns", {"name", "apiKeys"}},
-           {"rows", json::array({json::array({"depot", keys}),
-                                 json::array({"other", other_keys})})}}}});
+          {{"columns", {"name", "apiKeys", "ratePerS", "burst"}},
+           {"rows",
+            json::array({json::array({"depot", keys, rate_per_s, burst}),
+                         json::array({"other", other_keys, 0, 0})})}}}});
   }
 
   static scripted_answer Answer(const std::string& request,
@@ -115,6 +118,14 @@
     return node;
   }
 
+  // Starts VMs 1 to `count` and waits until all are listed.
+  void StartVms(int count) {
+    for (int vm = 1; vm <= count; ++vm) StartNode(vm);
+    for (int vm = 1; vm <= count; ++vm) {
+      BOOST_REQUIRE(Caller().WaitFor([&] { return IsListed(vm); }));
+    }
+  }
+
   int StatusOf(const endpoint& server, const http_request& request) {
     const caller_call call = Caller().Call(server, request);
     return call.answered ? call.response.head.status : 0;
--- a/tests/integration/node_poison_test.cc
+++ b/tests/integration/node_poison_test.cc
@@ -40,10 +40,7 @@
       AddUpstream(fmt::format("u{}", i),
                   [this](const std::string& request) { return Run(request); });
     }
-    for (int vm = 1; vm <= kVms; ++vm) StartNode(vm);
-    for (int vm = 1; vm <= kVms; ++vm) {
-      BOOST_REQUIRE(Caller().WaitFor([&] { return IsListed(vm); }));
-    }
+    StartVms(kVms);
   }
 
   void RunOthers() {
