--- a/include/citron/policy/admission_wait.h
+++ b/include/citron/policy/admission_wait.h
@@ -44,11 +44,11 @@
 // each VM's part of the burst is less than one token, so that a request in its
 // rate finds none wherever it arrives, and would be refused although the fleet
 // as a whole has tokens. Demand that moves to another zone: the loans that
-// follow it are a round trip late. A bucket that is empty for a moment: its next
-// token is a millisecond away, and a refusal would tell the caller to come back
-// after 0 ms. And a VM that has just started, whose share has yet to begin. One
-// round trip is much shorter than the second after which the caller would ask
-// again.
+// follow it are a round trip late. A bucket that is empty for a moment: its
+// next token is a millisecond away, and a refusal would tell the caller to come
+// back after 0 ms. And a VM that has just started, whose share has yet to
+// begin. One round trip is much shorter than the second after which the caller
+// would ask again.
 //
 // It is bounded by time and by number, and nothing waits that can't be helped:
 // when the own rate makes no token in time and no other VM has anything to
