A crash that proves nothing about a request isn't told as one

Now an owner tells only what counts, and on the node a request that was not kept apart from other suspects is convicted only if no other request was at the same crashes. A 503 of an upstream that did not run the request shows that it lives, as an answer does.

Tests: crash_watch_test, WhatWasBesideTheKillerAtBothCrashesIsNotConvicted (new); service_scheduler_test, CopySentBeforeTheSuspicionIsNotConvicted checks besides that nothing is told.

--- a/include/citron/node/crash_watch.h
+++ b/include/citron/node/crash_watch.h
@@ -33,9 +33,10 @@
 
   void OnSuspectSent(std::uint64_t fingerprint, const upstream_id& upstream);
   void OnSuspectDone(std::uint64_t fingerprint, const upstream_id& upstream);
-  // The connection was lost before an answer began.
+  // The connection was lost before an answer began. `was_suspect`: when it was
+  // sent, so that it was kept apart from other suspects.
   void OnLost(std::uint64_t fingerprint, const upstream_id& upstream,
-              monotonic_time sent_at, monotonic_time now);
+              bool was_suspect, monotonic_time sent_at, monotonic_time now);
   void OnAnswered(std::uint64_t fingerprint, const upstream_id& upstream,
                   monotonic_time sent_at, monotonic_time now);
   // The upstream answered, though it did not run the request.
--- a/include/citron/policy/poison_registry.h
+++ b/include/citron/policy/poison_registry.h
@@ -31,9 +31,11 @@
 
   // The request, sent at `sent_at`, was in flight when the upstream crashed.
   // Fingerprint 0 stands for an unknown one and is never held against anyone.
-  // Returns the standing after it.
+  // `kept_apart`: no other suspect was sent there, so that it alone can be the
+  // cause. Returns the standing after it.
   standing OnCrash(std::uint64_t fingerprint, const upstream_id& upstream,
-                   monotonic_time sent_at, monotonic_time now);
+                   monotonic_time sent_at, monotonic_time now,
+                   bool kept_apart = true);
   // The same, but it proves nothing beyond the suspicion.
   void OnUnprovenCrash(std::uint64_t fingerprint, monotonic_time now);
   // A copy was answered, so it doesn't crash upstreams.
--- a/include/citron/policy/service_scheduler.h
+++ b/include/citron/policy/service_scheduler.h
@@ -185,7 +185,8 @@
   // The suspects that were in flight at the upstream when it crashed.
   const std::set<std::uint64_t>& SuspectsAtCrash(const upstream_id& upstream,
                                                  monotonic_time now);
-  poison_registry::standing OnCrash(const entry& e, monotonic_time now);
+  // Whether its upstream's crash says something about the request.
+  bool IsProven(const entry& e, monotonic_time now);
   // True if it was sent again.
   bool OnLost(entry& e, monotonic_time now, actions& out);
 
--- a/src/node/crash_watch.cc
+++ b/src/node/crash_watch.cc
@@ -55,8 +55,10 @@
 }
 
 void crash_watch::OnLost(std::uint64_t fingerprint, const upstream_id& upstream,
-                         monotonic_time sent_at, monotonic_time now) {
-  const standing after = registry_.OnCrash(fingerprint, upstream, sent_at, now);
+                         bool was_suspect, monotonic_time sent_at,
+                         monotonic_time now) {
+  const standing after =
+      registry_.OnCrash(fingerprint, upstream, sent_at, now, was_suspect);
   if (after == standing::kClear) return;
   const upstream_crash crash{upstream, now};
   LogStanding(fingerprint, crash, "own", now);
--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -333,6 +333,9 @@
       EndAttempt(upstream_outcome::kAnswered);
       return DeliverWhole();
     case answer_kind::kNotRun:
+      if (answer_->status != 421) {
+        context_.crashes.OnAlive(upstream_, sent_at_, MonotonicNow());
+      }
       return OnNotRun(answer_->status == 421 ? upstream_outcome::kLeavingNotRun
                                              : upstream_outcome::kShedNotRun,
                       answer_->status == 421 ? "other_upstream" : "shed");
@@ -349,7 +352,8 @@
 void proxied_request::OnCallFailed(upstream_fault fault) {
   const std::string_view name = UpstreamFaultName(fault);
   if (fault == upstream_fault::kLost && sent_ && !answer_) {
-    context_.crashes.OnLost(fingerprint_, upstream_, sent_at_, MonotonicNow());
+    context_.crashes.OnLost(fingerprint_, upstream_, sent_as_suspect_, sent_at_,
+                            MonotonicNow());
   }
   answer_.reset();
   DropConnection();
--- a/src/policy/poison_registry.cc
+++ b/src/policy/poison_registry.cc
@@ -92,7 +92,8 @@
 poison_registry::standing poison_registry::OnCrash(std::uint64_t fingerprint,
                                                    const upstream_id& upstream,
                                                    monotonic_time sent_at,
-                                                   monotonic_time now) {
+                                                   monotonic_time now,
+                                                   bool kept_apart) {
   if (fingerprint == 0) return standing::kClear;
   const standing before = Of(fingerprint, now);
   if (before == standing::kClear && WasAnsweredBefore(fingerprint, now)) {
@@ -110,7 +111,7 @@
       });
   if (!same_crash && before == standing::kSuspect) {
     r.crashes.push_back({upstream, now});
-    r.convicted = true;
+    r.convicted = kept_apart;
   }
   r.until = std::max(r.until, now + lifetime_);
   return Of(fingerprint, now);
--- a/src/policy/service_scheduler.cc
+++ b/src/policy/service_scheduler.cc
@@ -246,17 +246,11 @@
 // as poison though their requests were served before. It counts only where it
 // is the only suspect: a second copy of the killer that was on its way when the
 // first one crashed its upstream need not crash a third.
-poison_registry::standing service_scheduler::OnCrash(const entry& e,
-                                                     monotonic_time now) {
+bool service_scheduler::IsProven(const entry& e, monotonic_time now) {
   using standing = poison_registry::standing;
-  const std::uint64_t fingerprint = e.request.fingerprint;
   const std::set<std::uint64_t>& suspects = SuspectsAtCrash(e.tried, now);
-  const bool counts = e.suspect || suspects.size() <= 1;
-  if (counts || poison_.Of(fingerprint, now) != standing::kSuspect) {
-    return poison_.OnCrash(fingerprint, e.tried, e.sent_at, now);
-  }
-  poison_.OnUnprovenCrash(fingerprint, now);
-  return standing::kSuspect;
+  return e.suspect || suspects.size() <= 1 ||
+         poison_.Of(e.request.fingerprint, now) != standing::kSuspect;
 }
 
 // The request may have run, so it can't wait in the queue: if it expired there
@@ -264,13 +258,17 @@
 bool service_scheduler::OnLost(entry& e, monotonic_time now, actions& out) {
   using standing = poison_registry::standing;
   const std::uint64_t fingerprint = e.request.fingerprint;
-  const standing after = OnCrash(e, now);
+  const bool proven = IsProven(e, now);
+  if (!proven) poison_.OnUnprovenCrash(fingerprint, now);
+  const standing after =
+      proven ? poison_.OnCrash(fingerprint, e.tried, e.sent_at, now)
+             : standing::kSuspect;
   if (after == standing::kPoison) {
     out.emplace_back(poison_action{fingerprint, poison_.Until(fingerprint)});
     RefusePoisoned(fingerprint, now, out);
     return false;
   }
-  if (after == standing::kSuspect) {
+  if (after == standing::kSuspect && proven) {
     out.emplace_back(suspect_action{fingerprint, {e.tried, now}});
   }
   const bool may_repeat = e.request.idempotent && !e.cancelled &&
--- a/tests/node/crash_watch_test.cc
+++ b/tests/node/crash_watch_test.cc
@@ -27,13 +27,27 @@
 
 // Guards against a third crash: one crash was seen here, one by another VM.
 BOOST_AUTO_TEST_CASE(ACrashHereAndOneElsewhereConvict) {
-  watch.OnLost(kKiller, kA, now, now);
+  watch.OnLost(kKiller, kA, false, now, now);
   BOOST_TEST((watch.Of(kKiller, now) == standing::kSuspect));
   watch.OnTold(Told(kB), now);
   BOOST_TEST((watch.Of(kKiller, now) == standing::kPoison));
   BOOST_TEST((watch.Until(kKiller) == now + seconds(60)));
 }
 
+// Guards against a request that is refused since copies of it, sent before it
+// was a suspect, were beside the killer at both crashes.
+BOOST_AUTO_TEST_CASE(WhatWasBesideTheKillerAtBothCrashesIsNotConvicted) {
+  constexpr std::uint64_t kOther = 8;
+  for (const upstream_id& upstream : {kA, kB}) {
+    for (const std::uint64_t each : {kKiller, kOther}) {
+      watch.OnLost(each, upstream, false, now, now);
+    }
+  }
+  BOOST_TEST((watch.Of(kOther, now) == standing::kSuspect));
+  watch.OnAnswered(kOther, upstream_id("c"), now, now);
+  BOOST_TEST((watch.Of(kKiller, now) == standing::kPoison));
+}
+
 // Guards against one crash that counts twice as its word is repeated.
 BOOST_AUTO_TEST_CASE(ARepeatedWordIsOneCrash) {
   watch.OnTold(Told(kA), now);
@@ -44,8 +58,8 @@
 // Guards against a request that is refused because two upstreams lost its
 // answers and went on.
 BOOST_AUTO_TEST_CASE(AnUpstreamThatAnswersSoonHasNotCrashed) {
-  watch.OnLost(kKiller, kA, now, now);
-  watch.OnLost(kKiller, kB, now, now);
+  watch.OnLost(kKiller, kA, false, now, now);
+  watch.OnLost(kKiller, kB, true, now, now);
   BOOST_TEST((watch.Of(kKiller, now) == standing::kPoison));
   now += milliseconds(200);
   watch.OnAnswered(1, kB, now - milliseconds(100), now);
@@ -59,7 +73,7 @@
 BOOST_AUTO_TEST_CASE(EachCrashIsToldThreeTimes) {
   int calls = 0;
   watch.OnNews([&calls] { ++calls; });
-  watch.OnLost(kKiller, kA, now, now);
+  watch.OnLost(kKiller, kA, false, now, now);
   BOOST_TEST(calls == 1);
   for (const std::uint32_t age_ms : {0, 50, 100}) {
     const auto told = watch.TakeNews(now + milliseconds(age_ms));
@@ -73,7 +87,8 @@
 
 // Guards against datagrams that grow with the crashes of a whole zone.
 BOOST_AUTO_TEST_CASE(AReportHasAFewLinesAtMost) {
-  for (std::uint64_t i = 1; i <= 1000; ++i) watch.OnLost(i, kA, now, now);
+  for (std::uint64_t i = 1; i <= 1000; ++i)
+    watch.OnLost(i, kA, false, now, now);
   std::size_t told = 0;
   while (true) {
     const auto lines = watch.TakeNews(now);
@@ -85,7 +100,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(ARequestWithoutAFingerprintIsNeverBlamed) {
-  watch.OnLost(0, kA, now, now);
+  watch.OnLost(0, kA, false, now, now);
   crash_report report = Told(kB);
   report.crashes[0].fingerprint = 0;
   watch.OnTold(report, now);
--- a/tests/policy/service_scheduler_test.cc
+++ b/tests/policy/service_scheduler_test.cc
@@ -315,10 +315,11 @@
     if (!killer_first) std::swap(lost[0], lost[1]);
     std::vector<poison_action> convicted;
     for (const request_id& id : lost) {
-      for (const auto& c : Only<poison_action>(h.scheduler.OnOutcome(
-               id, upstream_outcome::kConnectionLost, h.now))) {
-        convicted.push_back(c);
-      }
+      const auto actions =
+          h.scheduler.OnOutcome(id, upstream_outcome::kConnectionLost, h.now);
+      // Other owners would take it for a second crash of the innocent one.
+      BOOST_TEST(Only<suspect_action>(actions).empty());
+      for (const auto& c : Only<poison_action>(actions)) convicted.push_back(c);
     }
     BOOST_TEST_REQUIRE(convicted.size() == 1u);
     BOOST_TEST(convicted[0].fingerprint == killer.fingerprint);
