--- a/include/citron/base/log.h
+++ b/include/citron/base/log.h
@@ -12,7 +12,10 @@
 // The time of day for log lines, in seconds with three decimals.
 std::string UnixTimestamp();
 
-// Writes "time part: sentence" as one line to standard error, in one write.
+// Writes "part: sentence" as one line to standard error, in one write; for what
+// a command tells the one who gave it.
+void WriteErrorLine(std::string_view part, std::string_view sentence);
+// The same with the time of day in front.
 void WriteLogLine(std::string_view part, std::string_view sentence);
 
 template <class... Args>
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -21,10 +21,10 @@
   return fmt::format("{}.{:03}", ms.count() / 1000, ms.count() % 1000);
 }
 
-void WriteLogLine(std::string_view part, std::string_view sentence) {
-  std::string line = UnixTimestamp();
-  line.reserve(line.size() + part.size() + sentence.size() + 4);
-  line.append(" ").append(part).append(": ");
+void WriteErrorLine(std::string_view part, std::string_view sentence) {
+  std::string line;
+  line.reserve(part.size() + sentence.size() + 3);
+  line.append(part).append(": ");
   // A caller's bytes may stand in a sentence; a line break among them would
   // forge a second line.
   for (char c : sentence) {
@@ -38,6 +38,10 @@
       write(STDERR_FILENO, line.data(), line.size());
 }
 
+void WriteLogLine(std::string_view part, std::string_view sentence) {
+  WriteErrorLine(UnixTimestamp().append(" ").append(part), sentence);
+}
+
 void SetDecisionLog(bool enabled) { decision_log_enabled.store(enabled); }
 
 bool DecisionLogEnabled() {
--- a/src/config/command_line.cc
+++ b/src/config/command_line.cc
@@ -60,7 +60,7 @@
 }
 
 void PrintStartProblem(const std::string& program, const std::string& problem) {
-  WriteLogLine(program, problem);
+  WriteErrorLine(program, problem);
 }
 
 }  // namespace citron
