A line tells of each ejection of an upstream

An upstream that gets no requests for five seconds was to be found in no log. The chooser now reports each ejection with its reason, the slowness and the failure rate; the dispatch logs it. The rule itself is unchanged.

--- a/include/citron/policy/service_scheduler.h
+++ b/include/citron/policy/service_scheduler.h
@@ -100,7 +100,7 @@
 
 using scheduler_action =
     std::variant<send_action, refuse_action, poison_action, suspect_action,
-                 check_suspect_action, in_flight_action>;
+                 check_suspect_action, in_flight_action, upstream_ejection>;
 
 // The queue state that a zone's owner reports to the entry VMs.
 struct scheduler_load {
--- a/include/citron/policy/upstream_chooser.h
+++ b/include/citron/policy/upstream_chooser.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <pcg_random.hpp>
+#include <string_view>
 #include <vector>
 
 #include "citron/base/strong_id.h"
@@ -55,6 +56,20 @@
   duration report_lifetime = std::chrono::seconds(3);
 };
 
+enum class ejection_reason { kConnectionFailures, kSlowness, kErrors };
+
+std::string_view EjectionReasonName(ejection_reason reason);
+
+// An upstream gets no requests until the given time.
+struct upstream_ejection {
+  upstream_id upstream;
+  ejection_reason reason = ejection_reason::kConnectionFailures;
+  monotonic_time until;
+  // Of its requests, relative to the time expected.
+  double mean_slowness = 0;
+  double failure_rate = 0;
+};
+
 // Chooses among the owned upstreams of one service by the requests that this
 // process has in flight at each of them, by the outcomes of earlier requests
 // and by the reports of the upstreams.
@@ -79,6 +94,9 @@
   void OnDone(const upstream_id& id, upstream_outcome outcome, double slowness,
               monotonic_time now);
 
+  // Returns the ejection by the last OnDone, if any, once.
+  std::optional<upstream_ejection> TakeEjection();
+
   int Slots() const;
   int UsableSlots(monotonic_time now) const;
   int FreeSlots(monotonic_time now) const;
@@ -134,18 +152,22 @@
   double Score(const state& s, int allowed) const;
   void UpdatePeakInFlight(state& s, monotonic_time now);
   bool IsUsable(const state& s, monotonic_time now) const;
-  void Eject(state& s, duration first, duration longest, monotonic_time now);
+  void Eject(state& s, ejection_reason reason, monotonic_time now);
   void ProcessOutcome(state& s, upstream_outcome outcome, double slowness,
                       monotonic_time now);
   void ProcessProbationOutcome(state& s, upstream_outcome outcome,
                                double slowness, monotonic_time now);
   void UpdateStatistics(state& s, upstream_outcome outcome, double slowness);
-  bool IsWorseThanPeers(const state& s) const;
+  bool IsSlowerThanPeers(const state& s) const;
+  bool FailsMoreThanPeers(const state& s) const;
+  template <class Value>
+  std::vector<double> ValuesOfPeers(const state& s, Value value_of) const;
   bool MayEjectForQuality() const;
   void Reinstate(state& s, monotonic_time now);
 
   upstream_chooser_options options_;
   std::map<upstream_id, state> upstreams_;
+  std::optional<upstream_ejection> last_ejection_;
 };
 
 }  // namespace citron
--- a/src/dispatch/dispatch_task.cc
+++ b/src/dispatch/dispatch_task.cc
@@ -403,6 +403,13 @@
     } else if (const auto* count = std::get_if<in_flight_action>(&action)) {
       owner_->OnInFlight(count->upstream, count->count);
       NoteDrain(service, count->upstream);
+    } else if (const auto* e = std::get_if<upstream_ejection>(&action)) {
+      Log(kLogPart,
+          "{} ejected for {:.1f} s: {}; {:.2f} times the expected time, "
+          "{:.0f} % failed",
+          e->upstream.Str(), ToSeconds(e->until - MonotonicNow()),
+          EjectionReasonName(e->reason), e->mean_slowness,
+          100 * e->failure_rate);
     }
   }
   const std::optional<monotonic_time> next = service.scheduler.NextTimer();
--- a/src/policy/service_scheduler.cc
+++ b/src/policy/service_scheduler.cc
@@ -169,6 +169,9 @@
   ReleaseSlot(e, outcome, now);
   out.emplace_back(
       in_flight_action{e.last_upstream, chooser_.InFlight(e.last_upstream)});
+  if (auto ejection = chooser_.TakeEjection()) {
+    out.emplace_back(std::move(*ejection));
+  }
   bool done = true;
   if (IsNotRun(outcome) && !e.cancelled) {
     OnNotRun(e, outcome, now, out);
--- a/src/policy/upstream_chooser.cc
+++ b/src/policy/upstream_chooser.cc
@@ -107,6 +107,18 @@
 
 }  // namespace
 
+std::string_view EjectionReasonName(ejection_reason reason) {
+  switch (reason) {
+    case ejection_reason::kConnectionFailures:
+      return "connections fail";
+    case ejection_reason::kSlowness:
+      return "slower than its peers";
+    case ejection_reason::kErrors:
+      return "more errors than its peers";
+  }
+  return "";
+}
+
 bool IsNotRun(upstream_outcome outcome) {
   return outcome == upstream_outcome::kShedNotRun ||
          outcome == upstream_outcome::kLeavingNotRun ||
@@ -284,9 +296,13 @@
   // the server would be lost work, so they eject without a comparison. Slowness
   // and errors are compared with the peers.
   if (s.hard_failures_in_row >= kHardFailuresToEject) {
-    Eject(s, kFirstHardFailureEjection, kLongestHardFailureEjection, now);
-  } else if (MayEjectForQuality() && IsWorseThanPeers(s)) {
-    Eject(s, options_.first_ejection, options_.longest_ejection, now);
+    Eject(s, ejection_reason::kConnectionFailures, now);
+  } else if (!MayEjectForQuality()) {
+    return;
+  } else if (IsSlowerThanPeers(s)) {
+    Eject(s, ejection_reason::kSlowness, now);
+  } else if (FailsMoreThanPeers(s)) {
+    Eject(s, ejection_reason::kErrors, now);
   }
 }
 
@@ -315,35 +331,53 @@
   if (now < s.ejected_until) return;
   const bool slow = slowness >= kSlownessOverPeersToEject;
   if (IsHardFailure(outcome)) {
-    Eject(s, kFirstHardFailureEjection, kLongestHardFailureEjection, now);
+    Eject(s, ejection_reason::kConnectionFailures, now);
     return;
   }
   if (IsFailure(outcome, slowness) || slow) {
-    Eject(s, options_.first_ejection, options_.longest_ejection, now);
+    Eject(s, slow ? ejection_reason::kSlowness : ejection_reason::kErrors, now);
     return;
   }
   if (++s.probation_successes >= kProbationSuccesses) Reinstate(s, now);
 }
 
-bool upstream_chooser::IsWorseThanPeers(const state& s) const {
-  if (s.samples < kMinSamplesToEject) return false;
-  std::vector<double> slowness;
-  std::vector<double> failures;
+template <class Value>
+std::vector<double> upstream_chooser::ValuesOfPeers(const state& s,
+                                                    Value value_of) const {
+  std::vector<double> values;
   for (const auto& [id, peer] : upstreams_) {
-    const bool counts = &peer != &s && peer.owned && !peer.ejected &&
-                        peer.samples >= kMinSamplesToEject;
-    if (!counts) continue;
-    slowness.push_back(peer.smoothed_slowness);
-    failures.push_back(peer.failure_rate);
+    if (&peer == &s || !peer.owned || peer.ejected) continue;
+    const std::optional<double> value = value_of(peer);
+    if (value) values.push_back(*value);
   }
-  if (slowness.empty()) return false;
+  return values;
+}
+
+bool upstream_chooser::IsSlowerThanPeers(const state& s) const {
   // A ramping server is expected to be slow and is not ejected for it.
-  const bool slow = s.smoothed_slowness >=
-                    kSlownessOverPeersToEject * Median(std::move(slowness));
-  if (slow && !s.ramping) return true;
-  return s.failure_rate >= kFailureRateToEject &&
-         s.failure_rate >=
-             kFailureRateOverPeersToEject * Median(std::move(failures));
+  if (s.ramping || s.samples < kMinSamplesToEject) return false;
+  std::vector<double> peers =
+      ValuesOfPeers(s, [](const state& peer) -> std::optional<double> {
+        if (peer.samples < kMinSamplesToEject) return std::nullopt;
+        return peer.smoothed_slowness;
+      });
+  if (peers.empty()) return false;
+  return s.smoothed_slowness >=
+         kSlownessOverPeersToEject * Median(std::move(peers));
+}
+
+bool upstream_chooser::FailsMoreThanPeers(const state& s) const {
+  const bool fails_often =
+      s.samples >= kMinSamplesToEject && s.failure_rate >= kFailureRateToEject;
+  if (!fails_often) return false;
+  std::vector<double> peers =
+      ValuesOfPeers(s, [](const state& peer) -> std::optional<double> {
+        if (peer.samples < kMinSamplesToEject) return std::nullopt;
+        return peer.failure_rate;
+      });
+  if (peers.empty()) return false;
+  return s.failure_rate >=
+         kFailureRateOverPeersToEject * Median(std::move(peers));
 }
 
 // Returns whether one more server may be ejected for slowness or errors. Such
@@ -361,11 +395,16 @@
   return 2 * (ejected + 1) <= owned;
 }
 
-void upstream_chooser::Eject(state& s, duration first, duration longest,
+void upstream_chooser::Eject(state& s, ejection_reason reason,
                              monotonic_time now) {
   const bool had_stable_period =
       !s.ejected && now - s.reinstated_at > options_.longest_ejection;
   if (had_stable_period) s.consecutive_ejections = 0;
+  const bool unreachable = reason == ejection_reason::kConnectionFailures;
+  const duration first =
+      unreachable ? kFirstHardFailureEjection : options_.first_ejection;
+  const duration longest =
+      unreachable ? kLongestHardFailureEjection : options_.longest_ejection;
   // The time doubles with each consecutive ejection, up to `longest`.
   const double factor = std::exp2(std::min(s.consecutive_ejections, 16));
   const duration time = FromSeconds(ToSeconds(first) * factor);
@@ -373,6 +412,12 @@
   s.ejected_until = now + std::min(time, longest);
   s.probation_successes = 0;
   ++s.consecutive_ejections;
+  last_ejection_ = {s.capacity.id, reason, s.ejected_until, s.smoothed_slowness,
+                    s.failure_rate};
+}
+
+std::optional<upstream_ejection> upstream_chooser::TakeEjection() {
+  return std::exchange(last_ejection_, std::nullopt);
 }
 
 void upstream_chooser::Reinstate(state& s, monotonic_time now) {
