A spread of service times ejects no sound upstream as slow

Cause: an upstream was ejected for 5 s if the mean of its last few requests was four times that of its peers'. The classes here mix requests of 5 ms and of 200 ms; with one peer its mean of few is a quarter of the other's by chance.

Fix: the means cover about 40 requests, and must differ by four times and two standard errors of the difference. The spread is that of the more variable one, as a few equal values say little.

Test first: SpreadOfServiceTimesEjectsNoSoundServer fails on the code before.

Looked at for the same: upstream_tracker of citron_node judges an upstream by its own failures, not by peers; weight_control by reported load; affinity_selector has no verdict. Ejection for errors compares with the peers, too, but from half of the requests on.

--- a/include/citron/policy/upstream_chooser.h
+++ b/include/citron/policy/upstream_chooser.h
@@ -10,6 +10,7 @@
 
 #include "citron/base/strong_id.h"
 #include "citron/base/time.h"
+#include "citron/policy/smoothed_mean.h"
 
 namespace citron {
 
@@ -111,6 +112,8 @@
   std::optional<monotonic_time> NextChange(monotonic_time now) const;
 
  private:
+  static constexpr double kMeanSlownessGain = 0.05;
+
   struct state {
     upstream_capacity capacity;
     bool owned = true;
@@ -142,7 +145,10 @@
 
     int hard_failures_in_row = 0;
     double failure_rate = 0;
+    // Follows the last few outcomes; for the score.
     double smoothed_slowness = 1;
+    // Over enough outcomes to compare upstreams.
+    smoothed_mean mean_slowness{kMeanSlownessGain};
     int samples = 0;  // Outcomes since the last reinstatement.
   };
 
@@ -160,8 +166,7 @@
   void UpdateStatistics(state& s, upstream_outcome outcome, double slowness);
   bool IsSlowerThanPeers(const state& s) const;
   bool FailsMoreThanPeers(const state& s) const;
-  template <class Value>
-  std::vector<double> ValuesOfPeers(const state& s, Value value_of) const;
+  std::vector<const state*> PeersOf(const state& s) const;
   bool MayEjectForQuality() const;
   void Reinstate(state& s, monotonic_time now);
 
--- a/src/policy/upstream_chooser.cc
+++ b/src/policy/upstream_chooser.cc
@@ -56,14 +56,19 @@
 // A slow server occupies a slot longer for each request, so the queue gets
 // fewer slots and callers miss their deadlines. A server below four times the
 // slowness of its peers is not ejected for slowness and only gets less traffic
-// by its score. Single answers reach four times by the spread of service times;
-// the mean of the last few doesn't. In probation the limit applies to the
-// slowness of each single outcome, without the peers.
+// by its score. In probation the limit applies to the slowness of each single
+// outcome, without the peers.
 constexpr double kSlownessOverPeersToEject = 4.0;
+// Means of a few short and long requests of one class differ by more than four
+// times by chance, and an ejected server takes its slots with it. So the means
+// must differ by that and this number of standard errors, and cover at least
+// this number of outcomes each.
+constexpr double kStandardErrorsToEject = 2.0;
+constexpr int kMinSamplesOfMean = 9;
 // Smallest weight of a new outcome in the smoothed failure rate and slowness.
 constexpr double kSmoothingGain = 0.2;
-// Outcomes of a server before it may be ejected for slowness or errors, or
-// counts as a peer.
+// Outcomes of a server before it may be ejected for errors, or counts as a
+// peer.
 constexpr int kMinSamplesToEject = 5;
 
 // Outcomes in a row, neither failed nor slow, that reinstate a server in
@@ -317,8 +322,9 @@
   // The time of an error tells nothing about the time that work takes.
   const bool has_work_time =
       !IsHardFailure(outcome) && outcome != upstream_outcome::kServerError;
-  if (has_work_time)
-    s.smoothed_slowness += gain * (slowness - s.smoothed_slowness);
+  if (!has_work_time) return;
+  s.smoothed_slowness += gain * (slowness - s.smoothed_slowness);
+  s.mean_slowness.Add(slowness);
 }
 
 // Handles an outcome of an ejected server. In probation the server gets one
@@ -341,43 +347,44 @@
   if (++s.probation_successes >= kProbationSuccesses) Reinstate(s, now);
 }
 
-template <class Value>
-std::vector<double> upstream_chooser::ValuesOfPeers(const state& s,
-                                                    Value value_of) const {
-  std::vector<double> values;
+std::vector<const upstream_chooser::state*> upstream_chooser::PeersOf(
+    const state& s) const {
+  std::vector<const state*> peers;
   for (const auto& [id, peer] : upstreams_) {
-    if (&peer == &s || !peer.owned || peer.ejected) continue;
-    const std::optional<double> value = value_of(peer);
-    if (value) values.push_back(*value);
+    if (&peer != &s && peer.owned && !peer.ejected) peers.push_back(&peer);
   }
-  return values;
+  return peers;
 }
 
 bool upstream_chooser::IsSlowerThanPeers(const state& s) const {
   // A ramping server is expected to be slow and is not ejected for it.
-  if (s.ramping || s.samples < kMinSamplesToEject) return false;
-  std::vector<double> peers =
-      ValuesOfPeers(s, [](const state& peer) -> std::optional<double> {
-        if (peer.samples < kMinSamplesToEject) return std::nullopt;
-        return peer.smoothed_slowness;
-      });
+  if (s.ramping || s.mean_slowness.Samples() < kMinSamplesOfMean) return false;
+  std::vector<const state*> peers = PeersOf(s);
+  std::erase_if(peers, [](const state* peer) {
+    return peer->mean_slowness.Samples() < kMinSamplesOfMean;
+  });
   if (peers.empty()) return false;
-  return s.smoothed_slowness >=
-         kSlownessOverPeersToEject * Median(std::move(peers));
+  const auto middle = peers.begin() + (peers.size() - 1) / 2;
+  std::nth_element(peers.begin(), middle, peers.end(),
+                   [](const state* a, const state* b) {
+                     return a->mean_slowness.Mean() < b->mean_slowness.Mean();
+                   });
+  return IsAboveMultiple(s.mean_slowness, kSlownessOverPeersToEject,
+                         (*middle)->mean_slowness, kStandardErrorsToEject);
 }
 
 bool upstream_chooser::FailsMoreThanPeers(const state& s) const {
   const bool fails_often =
       s.samples >= kMinSamplesToEject && s.failure_rate >= kFailureRateToEject;
   if (!fails_often) return false;
-  std::vector<double> peers =
-      ValuesOfPeers(s, [](const state& peer) -> std::optional<double> {
-        if (peer.samples < kMinSamplesToEject) return std::nullopt;
-        return peer.failure_rate;
-      });
-  if (peers.empty()) return false;
+  std::vector<double> failures;
+  for (const state* peer : PeersOf(s)) {
+    if (peer->samples >= kMinSamplesToEject)
+      failures.push_back(peer->failure_rate);
+  }
+  if (failures.empty()) return false;
   return s.failure_rate >=
-         kFailureRateOverPeersToEject * Median(std::move(peers));
+         kFailureRateOverPeersToEject * Median(std::move(failures));
 }
 
 // Returns whether one more server may be ejected for slowness or errors. Such
@@ -412,8 +419,8 @@
   s.ejected_until = now + std::min(time, longest);
   s.probation_successes = 0;
   ++s.consecutive_ejections;
-  last_ejection_ = {s.capacity.id, reason, s.ejected_until, s.smoothed_slowness,
-                    s.failure_rate};
+  last_ejection_ = {s.capacity.id, reason, s.ejected_until,
+                    s.mean_slowness.Mean(), s.failure_rate};
 }
 
 std::optional<upstream_ejection> upstream_chooser::TakeEjection() {
@@ -428,6 +435,7 @@
   s.hard_failures_in_row = 0;
   s.failure_rate = 0;
   s.smoothed_slowness = 1;
+  s.mean_slowness = smoothed_mean(kMeanSlownessGain);
   s.samples = 0;
 }
 
--- a/tests/policy/upstream_chooser_test.cc
+++ b/tests/policy/upstream_chooser_test.cc
@@ -140,6 +140,45 @@
   BOOST_TEST(CountTaken(b) == 4);
 }
 
+// Guards against ejecting a sound server because chance gave it the long
+// requests of a class and its only peer the short ones.
+BOOST_AUTO_TEST_CASE(SpreadOfServiceTimesEjectsNoSoundServer) {
+  constexpr double kShort = 0.05;
+  constexpr double kLong = 1.95;
+  pcg32 kinds(9);
+  for (int i = 0; i < 20000; ++i) {
+    const upstream_id& id = i % 2 == 0 ? a : b;
+    SendAndFinish(id, upstream_outcome::kAnswered,
+                  kinds(2) == 0 ? kShort : kLong);
+    BOOST_TEST_REQUIRE(chooser.UsableUpstreams(now) == 2, "at request " << i);
+  }
+}
+
+// The same mix at a server that has turned slow: it must still be found.
+BOOST_AUTO_TEST_CASE(SlowServerIsEjectedDespiteTheSpread) {
+  constexpr double kShort = 0.05;
+  constexpr double kLong = 1.95;
+  constexpr int kMaxRequestsAtASlowServer = 60;
+  pcg32 kinds(9);
+  for (int i = 0; i < 200; ++i) {
+    for (const upstream_id& id : {a, b}) {
+      SendAndFinish(id, upstream_outcome::kAnswered,
+                    kinds(2) == 0 ? kShort : kLong);
+    }
+  }
+  int requests = 0;
+  while (chooser.UsableUpstreams(now) == 2 &&
+         requests < kMaxRequestsAtASlowServer) {
+    SendAndFinish(a, upstream_outcome::kAnswered,
+                  10 * (kinds(2) == 0 ? kShort : kLong));
+    SendAndFinish(b, upstream_outcome::kAnswered,
+                  kinds(2) == 0 ? kShort : kLong);
+    ++requests;
+  }
+  BOOST_TEST(chooser.UsableUpstreams(now) == 1);
+  BOOST_TEST(CountTaken(a) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(FullServerGetsNoRequestsForOneStep) {
   for (int i = 0; i < 3; ++i) chooser.OnSent(a, now);
   chooser.OnDone(a, upstream_outcome::kShedNotRun, 0, now);
