A connection that the library closed while idle is not used again

Evidence: the last line of that entry is "[err] http.c:1537: Assertion evcon->state == EVCON_IDLE failed in evhttp_error_cb", 12 ms after it chose the dispatch of z1vm2, which was leaving.

Cause: a dispatch that leaves writes its closing response to idle connections. The client's library takes bytes without a request for a fault and closes the connection, but keeps its mark of a connection whose close it watches for. Our client used the object again, the library connected anew, and the connection was reset before it stood, as the listener had just closed; the library met the mark in a state that it doesn't expect, and ended the process.

Fix: http_client::Take gives away no connection that the library has closed, but makes a new one. That is the only place where one is used again; all daemons and citron_node's questions to other VMs use it.

Test first: ConnectionClosedWhileIdleIsNotUsedAgain plays that order by hand; without the change the test program ends with the same assertion, at each run.

--- a/include/citron/net/http_client.h
+++ b/include/citron/net/http_client.h
@@ -83,6 +83,8 @@
   bool IsBusy() const { return handler_ != nullptr; }
   // Whether the connection may carry another call.
   bool IsReusable() const { return !IsBusy() && !broken_; }
+  // Whether the library has closed the connection of an earlier call.
+  bool IsGivenUp() const;
   const endpoint& Server() const { return server_; }
   // When the last call ended.
   monotonic_time IdleSince() const { return idle_since_; }
@@ -94,7 +96,6 @@
   void OnBodyReceived(evhttp_request* request);
   void OnComplete(evhttp_request* request);
   bool MaySendNow();
-  bool IsGivenUp() const;
   void Fail(call_problem problem);
 
   event_loop& loop_;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -333,7 +333,10 @@
     if (idle_[i]->Server() != server) continue;
     std::unique_ptr<http_connection> taken = std::move(idle_[i]);
     idle_.erase(idle_.begin() + static_cast<std::ptrdiff_t>(i));
-    if (now - taken->IdleSince() <= kMaxIdleAge) return taken;
+    const bool is_fresh = now - taken->IdleSince() <= kMaxIdleAge;
+    // The library would connect again, but one that it closed because of bytes
+    // without a request ends the process by an assertion if that fails.
+    if (is_fresh && !taken->IsGivenUp()) return taken;
   }
   const auto other_way = dial_overrides_.find(server.Str());
   const std::optional<endpoint> dial = other_way == dial_overrides_.end()
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -1,4 +1,5 @@
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -6,6 +7,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "citron/net/http_client.h"
@@ -43,7 +46,7 @@
                        sizeof(address)) == 0);
     BOOST_REQUIRE(listen(fd_, 1) == 0);
   }
-  ~raw_listener() { close(fd_); }
+  ~raw_listener() { Close(); }
   raw_listener(const raw_listener&) = delete;
   raw_listener& operator=(const raw_listener&) = delete;
 
@@ -54,8 +57,13 @@
     return {"127.0.0.1", ntohs(address.sin_port)};
   }
 
+  // Resets the connections that were not accepted.
+  void Close() { close(std::exchange(fd_, -1)); }
+
+  int Accept() const { return accept(fd_, nullptr, nullptr); }
+
   void ResetNext() const {
-    const int accepted = accept(fd_, nullptr, nullptr);
+    const int accepted = Accept();
     const linger at_once{1, 0};
     setsockopt(accepted, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
     close(accepted);
@@ -65,6 +73,11 @@
   int fd_;
 };
 
+bool IsClosedByPeer(int fd) {
+  pollfd waiting{fd, POLLRDHUP, 0};
+  return poll(&waiting, 1, 0) == 1;
+}
+
 // Keeps what a call reported.
 class recorded_call : public http_call_handler {
  public:
@@ -227,6 +240,35 @@
   BOOST_TEST(!call.failure.bytes_sent);
 }
 
+// Guards against a daemon that ends by an assertion of the library: a server
+// that leaves writes its closing response to an idle connection, and the next
+// connection to that server is reset before it stands.
+BOOST_AUTO_TEST_CASE(ConnectionClosedWhileIdleIsNotUsedAgain) {
+  raw_listener listener;
+  http_client client(Loop());
+  recorded_call first;
+  auto connection = client.Take(listener.Address());
+  connection->Start({"GET", "/", {}, ""}, Soon(), first);
+  const int server = listener.Accept();
+  constexpr std::string_view kAnswer =
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  constexpr std::string_view kClosing =
+      "HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n"
+      "Connection: close\r\n\r\n";
+  BOOST_REQUIRE(write(server, kAnswer.data(), kAnswer.size()) > 0);
+  BOOST_REQUIRE(RunUntil([&] { return first.done; }));
+  client.Give(std::move(connection));
+  BOOST_REQUIRE(write(server, kClosing.data(), kClosing.size()) > 0);
+  BOOST_REQUIRE(RunUntil([&] { return IsClosedByPeer(server); }));
+  recorded_call second;
+  connection = client.Take(listener.Address());
+  connection->Start({"GET", "/", {}, ""}, Soon(), second);
+  listener.Close();
+  BOOST_REQUIRE(RunUntil([&] { return second.failed; }));
+  BOOST_TEST(!second.failure.bytes_sent);
+  close(server);
+}
+
 // The far side takes the request and then goes away. A caller who was told
 // "not run" would book twice.
 BOOST_AUTO_TEST_CASE(LostAnswerCountsAsSent) {
