An upstream in hand-over is no choice, and its return leaves no mark

Cause: ownership refuses to send to an upstream while it hands it over, but went on to name it as owned, so that the scheduler chose it, the send was refused, and the dispatch took that for kLeavingNotRun: "the upstream leaves, no request for 10 s".

Fix: what a process may send to (SendableUpstreams) is what it offers, and a request that may not be sent any more ends as kNotOwnedNotRun, which says nothing of the upstream; what may be sent to is read anew before such a request is placed again.

Tests first: ServerIsUsedAsSoonAsItIsOwnedAgain (the outcome is new) and UpstreamInHandOverIsReportedAsNotOwned.

Looked at for the same: citron_node has no owners; its upstream_tracker keeps "leaving" until the upstream's next announcement, only after the upstream itself said so.

--- a/include/citron/dispatch/owner_driver.h
+++ b/include/citron/dispatch/owner_driver.h
@@ -41,6 +41,9 @@
   std::set<upstream_id> AssignedUpstreams() const {
     return ownership_.AssignedUpstreams();
   }
+  std::set<upstream_id> SendableUpstreams(monotonic_time now) const {
+    return ownership_.SendableUpstreams(now);
+  }
   monotonic_time SendDeadline() const { return ownership_.SendDeadline(); }
   vm_id OwnerOf(const upstream_id& upstream) const {
     return ownership_.OwnerOf(upstream);
--- a/include/citron/policy/service_scheduler.h
+++ b/include/citron/policy/service_scheduler.h
@@ -45,7 +45,7 @@
   double short_reserve = 0.25;
   std::size_t max_queued = 4096;
   // Retries allowed, as a fraction of the requests that arrive; retries after
-  // kLeavingNotRun don't count.
+  // kLeavingNotRun and kNotOwnedNotRun don't count.
   double retry_share = 0.1;
   // How long a suspicion or a conviction holds.
   duration poison_duration = std::chrono::seconds(60);
@@ -118,7 +118,7 @@
 //
 // A request ends in one of three ways: a refuse_action (not run); an outcome
 // for which OnOutcome returns no action with the same id and that isn't one of
-// the three not-run outcomes (the outcome is final and must be answered); or
+// the not-run outcomes (the outcome is final and must be answered); or
 // OnCancel. After a not-run outcome the scheduler keeps the request until the
 // scheduler sends it again or refuses it.
 class service_scheduler {
@@ -171,7 +171,7 @@
     // Where the request is in flight; empty while it waits.
     upstream_id upstream;
     // The upstream that the next send must avoid: that of the last outcome, or
-    // empty before the first outcome and after kLeavingNotRun.
+    // empty before the first outcome and after an unbudgeted retry.
     upstream_id last_upstream;
     monotonic_time sent_at;
     int sends = 0;
--- a/include/citron/policy/upstream_chooser.h
+++ b/include/citron/policy/upstream_chooser.h
@@ -26,6 +26,7 @@
   kServerError,
   kShedNotRun,           // The upstream refused the request as full.
   kLeavingNotRun,        // The upstream refused because it is leaving.
+  kNotOwnedNotRun,       // Not sent: this process may no longer send there.
   kConnectFailedNotRun,  // No byte of the request was sent.
   kTimedOut,
   kConnectionLost,  // A byte was already sent; possibly a crash.
--- a/include/citron/protocol/ownership.h
+++ b/include/citron/protocol/ownership.h
@@ -152,6 +152,8 @@
   // Returns the time until which this process may send; may be in the past.
   monotonic_time SendDeadline() const;
   std::set<upstream_id> AssignedUpstreams() const;
+  // Returns the assigned upstreams without those that are being handed over.
+  std::set<upstream_id> SendableUpstreams(monotonic_time now) const;
   // Returns the upstream's owner in the table last read; empty if unknown.
   vm_id OwnerOf(const upstream_id& upstream) const;
   const ownership_table& Table() const { return table_; }
--- a/src/dispatch/dispatch_call.cc
+++ b/src/dispatch/dispatch_call.cc
@@ -25,7 +25,7 @@
     return upstream_outcome::kTimedOut;
   }
   if (failure.problem == call_problem::kNotAllowed) {
-    return upstream_outcome::kLeavingNotRun;
+    return upstream_outcome::kNotOwnedNotRun;
   }
   return failure.bytes_sent ? upstream_outcome::kConnectionLost
                             : upstream_outcome::kConnectFailedNotRun;
--- a/src/dispatch/dispatch_task.cc
+++ b/src/dispatch/dispatch_task.cc
@@ -230,12 +230,10 @@
 
 // A process that was frozen finds its lease over before it reads the table that
 // names another owner. Were its upstreams offered until then, each request
-// would be turned back at its send, and the upstream be taken for one that is
-// leaving when it comes back here; and its permits would let other regions send
-// beside those of the new owner, beyond the cap.
+// would be turned back at its send; and its permits would let other regions
+// send beside those of the new owner, beyond the cap.
 std::set<upstream_id> dispatch_task::OwnedNow() const {
-  if (MonotonicNow() >= owner_->SendDeadline()) return {};
-  return owner_->AssignedUpstreams();
+  return owner_->SendableUpstreams(MonotonicNow());
 }
 
 void dispatch_task::RefreshUpstreams() {
@@ -439,7 +437,7 @@
     LogDecision(kLogPart, "{} not sent to {}: no longer owned here",
                 action.id.Str(), action.upstream.Str());
     loop_.Defer([this, id = action.id] {
-      Finish(id, upstream_outcome::kLeavingNotRun);
+      Finish(id, upstream_outcome::kNotOwnedNotRun);
     });
     return;
   }
@@ -471,6 +469,8 @@
 }
 
 void dispatch_task::Finish(const request_id& id, upstream_outcome outcome) {
+  // Otherwise the scheduler would choose the same upstream again.
+  if (outcome == upstream_outcome::kNotOwnedNotRun) RefreshUpstreams();
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
   call& request = *found->second;
--- a/src/policy/service_scheduler.cc
+++ b/src/policy/service_scheduler.cc
@@ -223,10 +223,11 @@
     entries_.erase(id);
     return;
   }
-  // The retry budget must not turn a planned stop into a refusal. A planned
-  // stop can't cause many retries: after the first such outcome that upstream
-  // gets no more requests.
-  const bool unbudgeted_retry = outcome == upstream_outcome::kLeavingNotRun;
+  // The retry budget must not turn a planned stop or a change of owner into a
+  // refusal. Neither can cause many retries: after the first such outcome that
+  // upstream gets no more requests.
+  const bool unbudgeted_retry = outcome == upstream_outcome::kLeavingNotRun ||
+                                outcome == upstream_outcome::kNotOwnedNotRun;
   if (!unbudgeted_retry && !retries_.TryTake()) {
     Refuse(id, refusal_reason::kRetryBudget, RetryAt(kMinRetryDelay, now), out);
     entries_.erase(id);
--- a/src/policy/upstream_chooser.cc
+++ b/src/policy/upstream_chooser.cc
@@ -105,6 +105,7 @@
 bool IsNeutral(upstream_outcome outcome, double slowness) {
   if (outcome == upstream_outcome::kShedNotRun) return true;
   if (outcome == upstream_outcome::kLeavingNotRun) return true;
+  if (outcome == upstream_outcome::kNotOwnedNotRun) return true;
   const bool without_answer = outcome == upstream_outcome::kCancelled ||
                               outcome == upstream_outcome::kTimedOut;
   return without_answer && slowness < kMinSlownessWithoutAnswer;
@@ -127,6 +128,7 @@
 bool IsNotRun(upstream_outcome outcome) {
   return outcome == upstream_outcome::kShedNotRun ||
          outcome == upstream_outcome::kLeavingNotRun ||
+         outcome == upstream_outcome::kNotOwnedNotRun ||
          outcome == upstream_outcome::kConnectFailedNotRun;
 }
 
--- a/src/protocol/ownership.cc
+++ b/src/protocol/ownership.cc
@@ -321,6 +321,14 @@
   return owned;
 }
 
+std::set<upstream_id> ownership::SendableUpstreams(monotonic_time now) const {
+  std::set<upstream_id> sendable;
+  for (const auto& [upstream, assignment] : table_.assignments) {
+    if (MaySend(upstream, now)) sendable.insert(upstream);
+  }
+  return sendable;
+}
+
 vm_id ownership::OwnerOf(const upstream_id& upstream) const {
   const auto assignment = table_.assignments.find(upstream);
   return assignment == table_.assignments.end() ? vm_id()
@@ -699,8 +707,7 @@
 
 void ownership::EmitChangeAndTimer(monotonic_time now, actions& out) {
   const monotonic_time until = SendDeadline();
-  std::set<upstream_id> owned;
-  if (now < until) owned = AssignedUpstreams();
+  std::set<upstream_id> owned = SendableUpstreams(now);
   if (owned != reported_owned_) {
     reported_owned_ = owned;
     out.emplace_back(ownership_changed{std::move(owned), until});
--- a/tests/policy/upstream_chooser_test.cc
+++ b/tests/policy/upstream_chooser_test.cc
@@ -100,6 +100,19 @@
   BOOST_TEST(CountTaken(a) == 0);
 }
 
+// Guards against an idle server: its ownership ends and returns within the time
+// for which a leaving server gets no requests.
+BOOST_AUTO_TEST_CASE(ServerIsUsedAsSoonAsItIsOwnedAgain) {
+  chooser.OnSent(a, now);
+  chooser.OnSent(a, now);
+  chooser.SetUpstreams({{b, 4}}, now);
+  chooser.OnDone(a, upstream_outcome::kNotOwnedNotRun, 0, now);
+  BOOST_TEST(CountTaken(a) == 0);
+  chooser.SetUpstreams({{a, 4}, {b, 4}}, now);
+  BOOST_TEST(CountTaken(a) == 3);
+  BOOST_TEST(!chooser.IsLeaving(a, now));
+}
+
 BOOST_AUTO_TEST_CASE(FailedServerIsReinstatedStepByStep) {
   SendAndFinish(a, upstream_outcome::kConnectFailedNotRun);
   BOOST_TEST(CountTaken(a) == 4);
--- a/tests/protocol/ownership_test.cc
+++ b/tests/protocol/ownership_test.cc
@@ -565,6 +565,41 @@
   BOOST_TEST(!b.machine.MaySend(Upstream(0), b.At(1.3)));
 }
 
+// Guards against requests for an upstream that is being handed over: each of
+// them would be turned back at its send.
+BOOST_AUTO_TEST_CASE(UpstreamInHandOverIsReportedAsNotOwned) {
+  ownership_table table;
+  table.epoch = 2;
+  table.members[vm_id("a")] = {1, {"127.0.0.1", 1}, 5, 1, 2, false};
+  table.members[vm_id("b")] = {1, {"127.0.0.1", 2}, 5, 2, 2, false};
+  std::set<upstream_id> all;
+  for (int n = 0; n < kUpstreams; ++n) {
+    table.assignments[Upstream(n)] = {vm_id("b"), vm_id(), 0};
+    all.insert(Upstream(n));
+  }
+  scripted_ownership b;
+  b.machine.OnUpstreams(all, b.At(1));
+  for (const upstream_id& upstream : all) {
+    b.machine.OnInFlight(upstream, 1, b.At(1));
+  }
+  std::optional<std::set<upstream_id>> owned;
+  const auto record = [&](const ownership::actions& list) {
+    b.RecordCalls(list);
+    for (const auto& a : list) {
+      const auto* changed = std::get_if<ownership_changed>(&a);
+      if (changed != nullptr) owned = changed->owned;
+    }
+  };
+  b.Timer(1);
+  // The other member has just been seen, so a hand-over to it begins.
+  record(b.machine.OnTableRead(b.call, WriteOwnershipTable(table), 7, b.At(1)));
+  record(b.machine.OnCasResult(b.call, cas_outcome::kOk, 8, b.At(1)));
+  BOOST_TEST_REQUIRE(owned.has_value());
+  BOOST_TEST((*owned == b.machine.SendableUpstreams(b.At(1))));
+  BOOST_TEST(owned->size() == all.size() - 1);
+  BOOST_TEST(b.machine.AssignedUpstreams().size() == all.size());
+}
+
 // A sole member reaches the store again, finds a new member and acknowledges
 // it, and the answer is lost. The new member may take over ttl later, so the
 // old one must not go on up to the horizon. The new member is leaving and gets
