A new owner of an upstream is told so and reads the table at once

Cause: a dispatch learns what it owns when it renews its row, once a second.

Fix: who writes a table that assigns an upstream to another member tells that member, and it reads the table at once.

--- a/include/citron/dispatch/owner_driver.h
+++ b/include/citron/dispatch/owner_driver.h
@@ -31,6 +31,7 @@
   bool OnStoreAnswer(const store_answer_message& message);
   void OnPromiseRequest(const promise_request& message);
   void OnPromise(const promise& message);
+  void OnTableChanged();
 
   bool MaySend(const upstream_id& upstream, monotonic_time now) const {
     return ownership_.MaySend(upstream, now);
@@ -55,6 +56,7 @@
   void Do(const ownership_action::write_table& action);
   void Do(const ownership_action::send_promise_request& action);
   void Do(const ownership_action::send_promise& action);
+  void Do(const ownership_action::notify_owner& action);
   void Do(const ownership_action::ownership_changed& action);
   void Do(const ownership_action::left& action);
   void Do(const ownership_action::arm_timer& action);
--- a/include/citron/protocol/ownership.h
+++ b/include/citron/protocol/ownership.h
@@ -94,6 +94,11 @@
   vm_id to;
   promise message;
 };
+// Tells the member that this process has assigned upstreams to it, so that it
+// reads the table now and not with its next renewal.
+struct notify_owner {
+  vm_id to;
+};
 // For routing and metrics only; MaySend decides whether a request may be sent.
 struct ownership_changed {
   std::set<upstream_id> owned;
@@ -111,12 +116,11 @@
 // Exclusive ownership of a zone's upstreams by one dispatch process.
 class ownership {
  public:
-  using action =
-      std::variant<ownership_action::read_table, ownership_action::write_table,
-                   ownership_action::send_promise_request,
-                   ownership_action::send_promise,
-                   ownership_action::ownership_changed, ownership_action::left,
-                   ownership_action::arm_timer>;
+  using action = std::variant<
+      ownership_action::read_table, ownership_action::write_table,
+      ownership_action::send_promise_request, ownership_action::send_promise,
+      ownership_action::notify_owner, ownership_action::ownership_changed,
+      ownership_action::left, ownership_action::arm_timer>;
   using actions = std::vector<action>;
 
   ownership(ownership_options options, std::uint64_t seed);
@@ -132,6 +136,8 @@
   actions OnStoreUnreachable(std::uint64_t call, monotonic_time now);
   actions OnPromiseRequest(const promise_request& message, monotonic_time now);
   actions OnPromise(const promise& message, monotonic_time now);
+  // Another member has assigned upstreams to this one.
+  actions OnTableChanged(monotonic_time now);
   // Sets the upstreams of this zone.
   actions OnUpstreams(const std::set<upstream_id>& upstreams,
                       monotonic_time now);
@@ -198,6 +204,7 @@
   void ObserveRows(monotonic_time now);
   void UpdateBounds();
   void ScheduleRetry(monotonic_time now);
+  void NotifyNewOwners(const ownership_table& before, actions& out) const;
 
   void PlanWrite(monotonic_time now, actions& out);
   void FinishLeaving(actions& out);
@@ -230,6 +237,8 @@
   bool has_table_ = false;
   std::vector<pending_write> pending_writes_;
   std::optional<store_call> call_;
+  // The table changed while `call_` was open, which may have read it before.
+  bool reads_again_ = false;
   std::uint64_t last_call_ = 0;
   std::uint64_t counter_ = 0;
   // Request time of the last write that is known to have taken effect.
--- a/include/citron/wire/messages.h
+++ b/include/citron/wire/messages.h
@@ -50,6 +50,7 @@
   kSuspect,
   kSuspectQuery,
   kSuspectReply,
+  kTableChanged,
 };
 
 enum class daemon_role : std::uint8_t { kEntry = 1, kDispatch = 2 };
@@ -196,6 +197,11 @@
   duration crash_age{};  // When the message was sent.
 };
 
+// The sender has assigned upstreams to the receiver in the zone's table.
+struct table_changed {
+  vm_id from;
+};
+
 // The sender is about to send a suspect to an upstream and waits for a reply
 // from each other dispatch. `number` is the sender's.
 struct suspect_query {
@@ -344,6 +350,7 @@
 inline auto WireFields(suspect_message& m) {
   return std::tie(m.fingerprint, m.upstream, m.crash_age);
 }
+inline auto WireFields(table_changed& m) { return std::tie(m.from); }
 inline auto WireFields(suspect_query& m) {
   return std::tie(m.fingerprint, m.number, m.reply_to);
 }
--- a/src/dispatch/dispatch_task.cc
+++ b/src/dispatch/dispatch_task.cc
@@ -191,6 +191,9 @@
     case message_type::kPromise:
       return control_link::Decode<promise>(
           message, [&](const auto& m) { owner_->OnPromise(m); });
+    case message_type::kTableChanged:
+      return control_link::Decode<table_changed>(
+          message, [&](const auto&) { owner_->OnTableChanged(); });
     case message_type::kPoison:
       return control_link::Decode<poison_message>(
           message, [&](const auto& m) { OnPoison(m); });
--- a/src/dispatch/owner_driver.cc
+++ b/src/dispatch/owner_driver.cc
@@ -114,6 +114,10 @@
   Perform(ownership_.OnPromise(message, MonotonicNow()));
 }
 
+void owner_driver::OnTableChanged() {
+  Perform(ownership_.OnTableChanged(MonotonicNow()));
+}
+
 void owner_driver::Perform(const ownership::actions& actions) {
   for (const ownership::action& action : actions) {
     std::visit([this](const auto& a) { Do(a); }, action);
@@ -148,6 +152,14 @@
   link_.Send(to, message_type::kPromise, action.message);
 }
 
+void owner_driver::Do(const ownership_action::notify_owner& action) {
+  const endpoint to = PeerOf(action.to);
+  if (to.IsEmpty()) return;
+  link_.Send(to, message_type::kTableChanged,
+             table_changed{
+                 MemberName(link_.Options().common.vm, link_.Options().loop)});
+}
+
 void owner_driver::Do(const ownership_action::ownership_changed& action) {
   Log(kLogPart, "{} now owns {} upstreams of the zone",
       link_.Options().common.vm.Str(), action.owned.size());
--- a/src/protocol/ownership.cc
+++ b/src/protocol/ownership.cc
@@ -36,6 +36,7 @@
 
 using ownership_action::arm_timer;
 using ownership_action::left;
+using ownership_action::notify_owner;
 using ownership_action::ownership_changed;
 using ownership_action::read_table;
 using ownership_action::send_promise;
@@ -144,7 +145,9 @@
     next_store_at_ =
         now + options_.renew_interval - RandomUpTo(options_.renew_interval / 5);
     RecordWrite(written);
+    const ownership_table before = std::move(table_);
     AdoptTable(written.table, revision, now);
+    NotifyNewOwners(before, out);
     if (leaving_ && !IsMember()) FinishLeaving(out);
   } else if (outcome == cas_outcome::kConflict) {
     // Several members write to one value; a short random wait avoids repeated
@@ -237,6 +240,32 @@
   return out;
 }
 
+// Without the notice an upstream that was handed over stays idle until the new
+// owner's next renewal, while its callers are refused.
+void ownership::NotifyNewOwners(const ownership_table& before,
+                                actions& out) const {
+  std::set<vm_id> new_owners;
+  for (const auto& [upstream, assignment] : table_.assignments) {
+    if (assignment.owner == options_.vm) continue;
+    const auto old = before.assignments.find(upstream);
+    const bool is_new = old == before.assignments.end() ||
+                        old->second.owner != assignment.owner;
+    if (is_new) new_owners.insert(assignment.owner);
+  }
+  for (const vm_id& owner : new_owners) out.emplace_back(notify_owner{owner});
+}
+
+ownership::actions ownership::OnTableChanged(monotonic_time now) {
+  actions out;
+  if (call_) {
+    reads_again_ = true;
+  } else {
+    next_store_at_ = std::min(next_store_at_, now);
+  }
+  EmitChangeAndTimer(now, out);
+  return out;
+}
+
 ownership::actions ownership::OnUpstreams(
     const std::set<upstream_id>& upstreams, monotonic_time now) {
   actions out;
@@ -713,6 +742,10 @@
     out.emplace_back(ownership_changed{std::move(owned), until});
   }
   if (left_) return;
+  if (reads_again_ && !call_) {
+    reads_again_ = false;
+    next_store_at_ = std::min(next_store_at_, now);
+  }
   monotonic_time at = now + options_.renew_interval;
   const auto arm_by = [&](monotonic_time t) {
     if (t > now) at = std::min(at, t);
--- a/tests/protocol/ownership_test.cc
+++ b/tests/protocol/ownership_test.cc
@@ -9,6 +9,7 @@
 
 using ownership_action::arm_timer;
 using ownership_action::left;
+using ownership_action::notify_owner;
 using ownership_action::ownership_changed;
 using ownership_action::read_table;
 using ownership_action::send_promise;
@@ -257,6 +258,13 @@
       Execute(to, vms[to].machine->OnPromise(m, LocalNow(vms[to])));
     });
   }
+  void Perform(int n, const notify_owner& a) {
+    const int to = Number(a.to);
+    if (cut[n][to] || !vms[to].up || Chance(loss)) return;
+    ToVm(to, [this, to] {
+      Execute(to, vms[to].machine->OnTableChanged(LocalNow(vms[to])));
+    });
+  }
   void Perform(int, const ownership_changed&) {}
   void Perform(int n, const left&) {
     ++left_count;
@@ -485,6 +493,38 @@
   BOOST_TEST(zone.AllOwned());
 }
 
+// Guards against an upstream that idles until its new owner's next renewal: a
+// joining VM gets its upstreams within a few messages of the hand-over.
+BOOST_AUTO_TEST_CASE(NewOwnerSendsSoonAfterTheHandOver) {
+  // The answer to the write, the notice, and a read; each at most 0.02 s, and a
+  // step of the simulation.
+  constexpr double kLongestIdleS = 0.2;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    fake_zone zone(2, seed);
+    zone.Start(0);
+    zone.Run(3);
+    zone.Start(1);
+    std::map<upstream_id, double> idle_since;
+    double longest = 0;
+    for (const double end = zone.time + 10; zone.time < end;) {
+      zone.Step();
+      for (const upstream_id& u : AllUpstreams()) {
+        const bool is_idle =
+            zone.Senders(u).empty() && zone.TotalInFlight(u) == 0;
+        if (!is_idle) {
+          idle_since.erase(u);
+          continue;
+        }
+        const auto [since, is_new] = idle_since.try_emplace(u, zone.time);
+        longest = std::max(longest, zone.time - since->second);
+      }
+    }
+    BOOST_TEST_INFO("seed " << seed);
+    BOOST_TEST(longest <= kLongestIdleS);
+    BOOST_TEST(zone.OwnedCount(1) > 0);
+  }
+}
+
 // Feeds scripted events to one ownership object.
 struct scripted_ownership {
   ownership machine;
