A lost request that waited for its check fails at once if it has no upstream

Found on reading the change: since suspects are checked before each send, a repeatable request that was lost in a crash waits for the check. If its dispatch owned no other upstream it went on waiting until its latest start, where the code before answered 502 at once.

Fix: after the check it is sent again or fails (fail_action, the 502 upstream_lost that callers know); a second copy in flight as a suspect doesn't keep it either. The end of a failed request is one function now.

Tests: LostRequestIsSentAgainOrFailsAfterItsCheck with one upstream and with two, SecondCopyOfALostRequestFails.

--- a/include/citron/dispatch/dispatch_task.h
+++ b/include/citron/dispatch/dispatch_task.h
@@ -60,6 +60,9 @@
                const service_scheduler::actions& actions);
   void Send(service_state& service, const send_action& action);
   void Refuse(const refuse_action& action);
+  void Fail(const fail_action& action);
+  // Answers that the request may have run, and counts its end.
+  void EndAsFailed(const request_id& id, std::string_view code, int status);
   void Tell(const poison_action& poison);
   void Tell(const suspect_action& suspect);
   void Check(const check_suspect_action& suspect);
--- a/include/citron/policy/service_scheduler.h
+++ b/include/citron/policy/service_scheduler.h
@@ -67,6 +67,12 @@
   monotonic_time retry_at;
 };
 
+// Instructs the owner to answer the request now as failed: its connection was
+// lost, so an upstream may have run it, and it isn't sent again.
+struct fail_action {
+  request_id id;
+};
+
 // Instructs the owner to report to the other owners that this fingerprint
 // crashed two upstreams.
 struct poison_action {
@@ -99,8 +105,9 @@
 };
 
 using scheduler_action =
-    std::variant<send_action, refuse_action, poison_action, suspect_action,
-                 check_suspect_action, in_flight_action, upstream_ejection>;
+    std::variant<send_action, refuse_action, fail_action, poison_action,
+                 suspect_action, check_suspect_action, in_flight_action,
+                 upstream_ejection>;
 
 // The queue state that a zone's owner reports to the entry VMs.
 struct scheduler_load {
@@ -116,11 +123,11 @@
 // The only queue of a service in a zone. It runs at the owner, the dispatch
 // that owns the zone's upstreams of that service.
 //
-// A request ends in one of three ways: a refuse_action (not run); an outcome
-// for which OnOutcome returns no action with the same id and that isn't one of
-// the not-run outcomes (the outcome is final and must be answered); or
-// OnCancel. After a not-run outcome the scheduler keeps the request until the
-// scheduler sends it again or refuses it.
+// A request ends in one of four ways: a refuse_action (not run, unless it was
+// lost before); a fail_action; an outcome for which OnOutcome returns no action
+// with the same id and that isn't one of the not-run outcomes (the outcome is
+// final and must be answered); or OnCancel. After a not-run outcome the
+// scheduler keeps the request until the scheduler sends it again or refuses it.
 class service_scheduler {
  public:
   using actions = std::vector<scheduler_action>;
@@ -155,7 +162,8 @@
   // fingerprint is convicted here; no value if it isn't.
   std::optional<monotonic_time> OnSuspectQuery(std::uint64_t fingerprint,
                                                monotonic_time now);
-  // The other owners have told what they know of the fingerprint.
+  // The other owners have told what they know of the fingerprint. A lost
+  // request that waited for it is sent again now or fails.
   actions OnSuspectChecked(std::uint64_t fingerprint, monotonic_time now);
 
   // Latest time to call OnTimer; no value while no request waits.
@@ -176,6 +184,7 @@
     monotonic_time sent_at;
     int sends = 0;
     bool sent_as_suspect = false;
+    bool is_lost = false;  // It waits for a check after a lost connection.
     bool cancelled = false;
   };
   using entry_map = std::unordered_map<request_id, entry>;
@@ -205,6 +214,7 @@
   // unless one is open.
   bool IsChecked(const entry& e, monotonic_time now, actions& out);
   void Hold(const entry& e);
+  void FailLost(std::uint64_t fingerprint, actions& out);
   bool LongAllowed(monotonic_time now) const;
   void Send(entry& e, const upstream_id& upstream, monotonic_time now,
             actions& out);
--- a/src/dispatch/dispatch_task.cc
+++ b/src/dispatch/dispatch_task.cc
@@ -29,6 +29,7 @@
 // Without a planned shift, other regions may send in this part of what the
 // owned slots can carry.
 constexpr double kSpilloverPart = 0.5;
+constexpr std::string_view kUpstreamLost = "upstream_lost";
 constexpr int kUnauthorized = 401;
 constexpr int kBadRequest = 400;
 constexpr int kServiceUnavailable = 503;
@@ -395,6 +396,8 @@
       Send(service, *send);
     } else if (const auto* refuse = std::get_if<refuse_action>(&action)) {
       Refuse(*refuse);
+    } else if (const auto* fail = std::get_if<fail_action>(&action)) {
+      Fail(*fail);
     } else if (const auto* poison = std::get_if<poison_action>(&action)) {
       Tell(*poison);
     } else if (const auto* suspect = std::get_if<suspect_action>(&action)) {
@@ -479,7 +482,6 @@
   call& request = *found->second;
   service_state* service = ServiceOf(request.Head().service);
   const monotonic_time now = MonotonicNow();
-  const upstream_id upstream = request.Upstream();
   if (request.IsStreaming() && outcome == upstream_outcome::kConnectionLost) {
     // Part of the answer is out, so that a second try can't be the answer.
     service->scheduler.OnCancel(id, now);
@@ -500,19 +502,31 @@
   Perform(*service, actions);
   if (!goes_on && !IsNotRun(outcome)) {
     const bool timed_out = outcome == upstream_outcome::kTimedOut;
-    request.ReplyFailed(timed_out ? "upstream_timeout" : "upstream_lost",
-                        timed_out ? kGatewayTimeout : kBadGateway);
-    const std::string status = std::to_string(request.Status());
-    outcomes_.Of({service->id.Str(), status}).Add();
-    outcome_seconds_.Of({service->id.Str()})
-        .Observe(ToSeconds(now - request.ArrivedAt()));
-    LogDecision(kLogPart, "{} ended at {}: status {}, {:.1f} ms here", id.Str(),
-                upstream.Str(), request.Status(),
-                ToMilliseconds(now - request.ArrivedAt()));
-    Retire(id);
+    EndAsFailed(id, timed_out ? "upstream_timeout" : kUpstreamLost,
+                timed_out ? kGatewayTimeout : kBadGateway);
   }
 }
 
+void dispatch_task::Fail(const fail_action& action) {
+  EndAsFailed(action.id, kUpstreamLost, kBadGateway);
+}
+
+// A request that was answered only ends here; its answer is out.
+void dispatch_task::EndAsFailed(const request_id& id, std::string_view code,
+                                int status) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  call& request = *found->second;
+  request.ReplyFailed(code, status);
+  const duration took = MonotonicNow() - request.ArrivedAt();
+  const std::string& service = request.Head().service.Str();
+  outcomes_.Of({service, std::to_string(request.Status())}).Add();
+  outcome_seconds_.Of({service}).Observe(ToSeconds(took));
+  LogDecision(kLogPart, "{} ended at {}: status {}, {:.1f} ms here", id.Str(),
+              request.Upstream().Str(), request.Status(), ToMilliseconds(took));
+  Retire(id);
+}
+
 // The entry hung up, for its caller did or its deadline passed.
 void dispatch_task::OnEntryGone(const request_id& id) {
   const auto found = calls_.find(id);
--- a/src/policy/service_scheduler.cc
+++ b/src/policy/service_scheduler.cc
@@ -313,6 +313,7 @@
     // An earlier check knew nothing of this crash.
     checks_.erase(fingerprint);
     IsChecked(e, now, out);
+    e.is_lost = true;
     Hold(e);
     return true;
   }
@@ -380,9 +381,23 @@
   if (check == checks_.end()) return out;
   check->second = {true, now + kSuspectCheckLifetime};
   Dispatch(now, out);
+  FailLost(fingerprint, out);
   return out;
 }
 
+void service_scheduler::FailLost(std::uint64_t fingerprint, actions& out) {
+  std::vector<request_id> lost;
+  for (const auto& [start, id] : held_) {
+    const entry& e = entries_.at(id);
+    if (e.is_lost && e.request.fingerprint == fingerprint) lost.push_back(id);
+  }
+  for (const request_id& id : lost) {
+    out.emplace_back(fail_action{id});
+    StopWaiting(entries_.at(id));
+    entries_.erase(id);
+  }
+}
+
 std::optional<monotonic_time> service_scheduler::NextTimer() const {
   if (latest_starts_.empty()) return std::nullopt;
   const monotonic_time expiry = latest_starts_.begin()->first + duration(1);
@@ -522,6 +537,7 @@
   latest_starts_.erase({e.queue_item.latest_start, e.request.id});
   e.upstream = upstream;
   e.sent_at = now;
+  e.is_lost = false;
   ++e.sends;
   e.sent_as_suspect =
       !poison_.IsEmpty() && poison_.StandingOf(e.request.fingerprint, now) ==
--- a/tests/policy/service_scheduler_test.cc
+++ b/tests/policy/service_scheduler_test.cc
@@ -460,15 +460,15 @@
   BOOST_TEST((refused[0].reason == refusal_reason::kPoison));
 }
 
-// Guards against a request that was lost in a crash and never ends: it waits
-// for its check, then is sent again, or is refused at its latest start.
-BOOST_AUTO_TEST_CASE(LostRequestIsSentAgainAfterItsCheck) {
+// Guards against a request that was lost in a crash and waits until its
+// deadline: after its check it is sent again, or fails if there is no other
+// upstream.
+BOOST_AUTO_TEST_CASE(LostRequestIsSentAgainOrFailsAfterItsCheck) {
   scheduler_options options = Options();
   options.check_suspects = true;
-  scheduler_fixture fixture(Servers(2, 4), options);
-  for (const bool is_checked : {true, false}) {
-    const scheduler_request lookup =
-        fixture.Request(is_checked ? "checked" : "unchecked");
+  for (const int servers : {1, 2}) {
+    scheduler_fixture fixture(Servers(servers, 4), options);
+    const scheduler_request lookup = fixture.Request("look-up");
     const auto first = ActionsOf<send_action>(
         fixture.scheduler.OnRequest(lookup, fixture.now));
     const auto lost = fixture.scheduler.OnOutcome(
@@ -477,21 +477,44 @@
     const auto checks = ActionsOf<check_suspect_action>(lost);
     BOOST_TEST_REQUIRE(!checks.empty());
     BOOST_TEST((checks[0].id == lookup.id));
-    if (!is_checked) {
-      const auto refused =
-          ActionsOf<refuse_action>(fixture.scheduler.OnTimer(lookup.deadline));
-      BOOST_TEST_REQUIRE(refused.size() == 1u);
-      BOOST_TEST((refused[0].id == lookup.id));
-      continue;
+    const auto checked =
+        fixture.scheduler.OnSuspectChecked(lookup.fingerprint, fixture.now);
+    const auto again = ActionsOf<send_action>(checked);
+    const auto failed = ActionsOf<fail_action>(checked);
+    BOOST_TEST(again.size() + failed.size() == 1u);
+    if (servers == 1) {
+      BOOST_TEST_REQUIRE(failed.size() == 1u);
+      BOOST_TEST((failed[0].id == lookup.id));
+      BOOST_TEST(!fixture.scheduler.NextTimer().has_value());
+    } else {
+      BOOST_TEST_REQUIRE(again.size() == 1u);
+      BOOST_TEST((again[0].upstream != first[0].upstream));
     }
-    const auto again = ActionsOf<send_action>(
-        fixture.scheduler.OnSuspectChecked(lookup.fingerprint, fixture.now));
-    BOOST_TEST_REQUIRE(again.size() == 1u);
-    BOOST_TEST((again[0].upstream != first[0].upstream));
-    fixture.scheduler.OnOutcome(lookup.id, upstream_outcome::kAnswered,
+  }
+}
+
+// Guards against two copies of a lost request, the second of which waits until
+// its deadline: only one may be in flight as a suspect.
+BOOST_AUTO_TEST_CASE(SecondCopyOfALostRequestFails) {
+  scheduler_options options = Options();
+  options.check_suspects = true;
+  scheduler_fixture fixture(Servers(1, 4), options);
+  const scheduler_request first = fixture.Request("copy");
+  scheduler_request second = first;
+  second.id = request_id("second copy");
+  const auto sent =
+      ActionsOf<send_action>(fixture.scheduler.OnRequest(first, fixture.now));
+  BOOST_TEST_REQUIRE(sent.size() == 1u);
+  fixture.scheduler.OnRequest(second, fixture.now);
+  fixture.scheduler.SetUpstreams(Servers(2, 4), fixture.now);
+  for (const request_id& id : {first.id, second.id}) {
+    fixture.scheduler.OnOutcome(id, upstream_outcome::kConnectionLost,
                                 fixture.now);
-    fixture.now += seconds(3);
   }
+  const auto checked =
+      fixture.scheduler.OnSuspectChecked(first.fingerprint, fixture.now);
+  BOOST_TEST(ActionsOf<send_action>(checked).size() == 1u);
+  BOOST_TEST(ActionsOf<fail_action>(checked).size() == 1u);
 }
 
 // Guards against a wait without end if the replies of a check are lost.
