Suspects wait only for dispatches that can reply

Found on reading the change. A check asked every listed dispatch, those of silent VMs too, so that each send of a suspect would wait the full 250 ms for as long as a dead VM is listed; silent and gone VMs aren't asked now. And a lost request whose check was used up by another copy with a clear standing went on waiting; the end of a check now always ends it.

--- a/include/citron/dispatch/dispatch_task.h
+++ b/include/citron/dispatch/dispatch_task.h
@@ -68,7 +68,9 @@
   void Check(const check_suspect_action& suspect);
   void EndCheck(std::uint64_t fingerprint);
   void OnCheckTimer();
-  std::set<endpoint> OtherDispatches() const;
+  // Returns the other dispatches; with `only_reachable`, without those of VMs
+  // that are silent or gone.
+  std::set<endpoint> OtherDispatches(bool only_reachable = false) const;
   template <class T>
   void SendToDispatches(message_type type, const T& message);
   bool KeyIsGood(const forward_head& head, monotonic_time now) const;
--- a/include/citron/policy/service_scheduler.h
+++ b/include/citron/policy/service_scheduler.h
@@ -210,8 +210,7 @@
   std::optional<upstream_id> ChooseWithConstraints(const entry& e,
                                                    monotonic_time now,
                                                    actions& out);
-  // Returns whether the suspect may be sent; otherwise adds a check to `out`,
-  // unless one is open.
+  // Returns whether the suspect may be sent; otherwise adds a check to `out`.
   bool IsChecked(const entry& e, monotonic_time now, actions& out);
   void Hold(const entry& e);
   void FailLost(std::uint64_t fingerprint, actions& out);
--- a/include/citron/policy/upstream_chooser.h
+++ b/include/citron/policy/upstream_chooser.h
@@ -113,6 +113,7 @@
   std::optional<monotonic_time> NextChange(monotonic_time now) const;
 
  private:
+  // Weight of a new outcome in the mean slowness, 0 to 1.
   static constexpr double kMeanSlownessGain = 0.05;
 
   struct state {
--- a/src/dispatch/dispatch_task.cc
+++ b/src/dispatch/dispatch_task.cc
@@ -557,9 +557,12 @@
                                    MonotonicNow() - crash.at});
 }
 
-std::set<endpoint> dispatch_task::OtherDispatches() const {
+std::set<endpoint> dispatch_task::OtherDispatches(bool only_reachable) const {
   std::set<endpoint> others;
   for (const auto& [vm, seen] : link_->Vms()) {
+    const bool unreachable = seen.state == member_state::kSilent ||
+                             seen.state == member_state::kGone;
+    if (only_reachable && unreachable) continue;
     for (const task_address& other : seen.view.dispatches) {
       if (other.peer != link_->PeerAddress()) others.insert(other.peer);
     }
@@ -577,14 +580,16 @@
 void dispatch_task::Check(const check_suspect_action& suspect) {
   const std::uint64_t fingerprint = suspect.fingerprint;
   if (checks_.IsOpen(fingerprint)) return;
-  const auto number =
-      checks_.Start(fingerprint, OtherDispatches(), MonotonicNow());
+  const std::set<endpoint> peers = OtherDispatches(true);
+  const auto number = checks_.Start(fingerprint, peers, MonotonicNow());
   if (!number) {
     loop_.Defer([this, fingerprint] { EndCheck(fingerprint); });
     return;
   }
-  SendToDispatches(message_type::kSuspectQuery,
-                   suspect_query{fingerprint, *number, link_->PeerAddress()});
+  const suspect_query query{fingerprint, *number, link_->PeerAddress()};
+  for (const endpoint& peer : peers) {
+    link_->Send(peer, message_type::kSuspectQuery, query);
+  }
   check_timer_.Arm(*checks_.NextTimer());
 }
 
--- a/src/policy/service_scheduler.cc
+++ b/src/policy/service_scheduler.cc
@@ -378,8 +378,9 @@
     std::uint64_t fingerprint, monotonic_time now) {
   actions out;
   const auto check = checks_.find(fingerprint);
-  if (check == checks_.end()) return out;
-  check->second = {true, now + kSuspectCheckLifetime};
+  if (check != checks_.end()) {
+    check->second = {true, now + kSuspectCheckLifetime};
+  }
   Dispatch(now, out);
   FailLost(fingerprint, out);
   return out;
