A broken answer leaves no callback to its deleted exchange

Cause: http_exchange::Abort deletes the exchange at once and frees the connection from deferred work, as the call may come from inside the connection's own callback. If a part of the answer still waits to be written and the socket is found writable in the same turn of the loop, the library calls the callback of SendBody with the deleted exchange.

Evidence: in a debugger, SIGSEGV in that callback at each of three dispatches (std::function called in the lambda of SendBody, below event_base_loop). The new case brings about the order by posted work: use after free at each of three runs in the sanitizer build, a call of OnDrained after Abort at each of three in the plain one.

Fix: Abort takes the callbacks off the connection's buffer. It is freed without another call in between.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -218,6 +218,9 @@
 
   void Abort() override {
     evhttp_connection_set_closecb(connection_, nullptr, nullptr);
+    // A write that is due before the connection is freed must not call
+    // OnDrained of this deleted exchange.
+    bufferevent_setcb(Bufferevent(), nullptr, nullptr, nullptr, nullptr);
     // Freed later: the present call may come from inside the connection's own
     // callback.
     server_.loop_.Defer([connection = connection_, alive = alive_] {
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -302,6 +302,31 @@
   }
 }
 
+// Guards against the end of the process: an answer is broken off while a part
+// of it waits to be written, and the connection writes it before it is freed.
+BOOST_AUTO_TEST_CASE(BrokenAnswerIsNotDrained) {
+  bool is_aborted = false;
+  bool is_drained_later = false;
+  auto server = Serve([&](http_exchange& exchange) {
+    exchange.OnDrained([&] { is_drained_later = is_aborted; });
+    // The loop runs posted work before a write that it finds due with it.
+    Loop().Post([&] {
+      exchange.StartReply({200, {{"Content-Length", "100"}}});
+      exchange.SendBody("only this");
+      Loop().Post([&] {
+        is_aborted = true;
+        exchange.Abort();
+      });
+    });
+  });
+  http_connection connection(Loop(), server->Address());
+  recorded_call call;
+  connection.Start({"GET", "/", {}, ""}, Soon(), call);
+  BOOST_REQUIRE(RunUntil([&] { return call.failed || call.done; }));
+  BOOST_TEST(call.failed);
+  BOOST_TEST(!is_drained_later);
+}
+
 // The answer to a request that timed out arrives after all, while the next
 // request waits on the same connection. Whoever waits must not get it.
 BOOST_AUTO_TEST_CASE(TimedOutConnectionIsNotUsedAgain) {
