A suspect's failure is answered once the other dispatches confirm the report

Every request in flight at each of them was lost with it.

Cause: the failed answer left as soon as the report of the crash was sent. The caller is the faster messenger. The check before each send of a suspect helps only a dispatch that knows of a crash already.

Fix: the check moves from the next copy to the answer of the lost one. A suspect that was lost in a crash neither fails, nor is broken off, nor is sent again by the system itself until the other dispatches have replied to a query that follows the report on the same connection. Copy n + 1 then can't reach a dispatch that doesn't know of crash n, for any number of zones. Each lost request has a query of its own: replies to that of an earlier crash say nothing of a later one. No message changes on the wire.

The check before each send is removed: with this order who is asked knows nothing that the asker doesn't. Its two cases in service_scheduler_test go with it (SuspectWaitsUntilTheOtherOwnersHaveReplied, ACheckWithoutReplyIsRepeated); in their place stand LostSuspectEndsOnlyAfterItsCheck, its conviction elsewhere, its cancellation, and the case that needs no check.

Open: zones cut off from each other (two crashes on each side), copies sent at the same time, reports not confirmed by their deadline.

--- a/include/citron/dispatch/dispatch_task.h
+++ b/include/citron/dispatch/dispatch_task.h
@@ -66,7 +66,7 @@
   void Tell(const poison_action& poison);
   void Tell(const suspect_action& suspect);
   void Check(const check_suspect_action& suspect);
-  void EndCheck(std::uint64_t fingerprint);
+  void EndCheck(const request_id& id);
   void OnCheckTimer();
   // Returns the other dispatches; with `only_reachable`, without those of VMs
   // that are silent or gone.
--- a/include/citron/policy/service_scheduler.h
+++ b/include/citron/policy/service_scheduler.h
@@ -49,7 +49,7 @@
   double retry_share = 0.1;
   // How long a suspicion or a conviction holds.
   duration poison_duration = std::chrono::seconds(60);
-  // Whether a suspect waits for OnSuspectChecked before each send.
+  // Whether a suspect that was lost in a crash waits for OnSuspectChecked.
   bool check_suspects = false;
   upstream_chooser_options upstreams;
 };
@@ -87,8 +87,9 @@
   upstream_crash crash;
 };
 
-// Instructs the owner to ask the other owners what they know of this
-// fingerprint, then to call OnSuspectChecked. The request waits until then.
+// Instructs the owner to make sure that the other owners know of this suspect
+// and to ask what they know, then to call OnSuspectChecked. The request was
+// lost in a crash and waits until then. Follows the report of the crash.
 struct check_suspect_action {
   request_id id;
   std::uint64_t fingerprint = 0;
@@ -158,13 +159,13 @@
                    monotonic_time now);
   actions OnSuspect(std::uint64_t fingerprint, const upstream_crash& crash,
                     monotonic_time now);
-  // Another owner is about to send this suspect. Returns until when the
+  // Another owner lost this suspect in a crash. Returns until when the
   // fingerprint is convicted here; no value if it isn't.
   std::optional<monotonic_time> OnSuspectQuery(std::uint64_t fingerprint,
                                                monotonic_time now);
-  // The other owners have told what they know of the fingerprint. A lost
-  // request that waited for it is sent again now or fails.
-  actions OnSuspectChecked(std::uint64_t fingerprint, monotonic_time now);
+  // The other owners know of the suspect and have told what they know, as far
+  // as they replied in time. The lost request is sent again now or fails.
+  actions OnSuspectChecked(const request_id& id, monotonic_time now);
 
   // Latest time to call OnTimer; no value while no request waits.
   std::optional<monotonic_time> NextTimer() const;
@@ -184,7 +185,9 @@
     monotonic_time sent_at;
     int sends = 0;
     bool sent_as_suspect = false;
-    bool is_lost = false;  // It waits for a check after a lost connection.
+    // It was lost in a crash and waits for OnSuspectChecked, outside of queue_,
+    // held_ and latest_starts_.
+    bool is_lost = false;
     bool cancelled = false;
   };
   using entry_map = std::unordered_map<request_id, entry>;
@@ -206,14 +209,8 @@
   void Dispatch(monotonic_time now, actions& out);
   void DispatchHeld(monotonic_time now, actions& out);
   bool HasUpstreamConstraint(const entry& e, monotonic_time now) const;
-  // Adds a check to `out` if the request must wait for one.
   std::optional<upstream_id> ChooseWithConstraints(const entry& e,
-                                                   monotonic_time now,
-                                                   actions& out);
-  // Returns whether the suspect may be sent; otherwise adds a check to `out`.
-  bool IsChecked(const entry& e, monotonic_time now, actions& out);
-  void Hold(const entry& e);
-  void FailLost(std::uint64_t fingerprint, actions& out);
+                                                   monotonic_time now);
   bool LongAllowed(monotonic_time now) const;
   void Send(entry& e, const upstream_id& upstream, monotonic_time now,
             actions& out);
@@ -229,8 +226,10 @@
   // Returns whether the crash of the request's upstream counts against the
   // request.
   bool IsCrashEvidence(const entry& e, monotonic_time now);
-  // Returns true if the request was sent again or waits to be.
+  // Returns true if the request was sent again or waits for a check.
   bool OnConnectionLost(entry& e, monotonic_time now, actions& out);
+  // Returns whether the lost request was sent again.
+  bool SendAgain(entry& e, monotonic_time now, actions& out);
 
   duration ExpectedWait(const queued_request& queue_item,
                         monotonic_time now) const;
@@ -251,12 +250,6 @@
   };
   crash_record last_crash_;
   poison_registry poison_;
-  // The check of a suspect: open, or done and good for one send.
-  struct suspect_check_state {
-    bool is_done = false;
-    monotonic_time expires_at;
-  };
-  std::unordered_map<std::uint64_t, suspect_check_state> checks_;
   retry_budget retries_;
   fair_queue queue_;
   // Waiting requests outside queue_: suspects for which no allowed upstream had
--- a/include/citron/protocol/suspect_check.h
+++ b/include/citron/protocol/suspect_check.h
@@ -8,33 +8,32 @@
 #include <vector>
 
 #include "citron/base/endpoint.h"
+#include "citron/base/strong_id.h"
 #include "citron/base/time.h"
 
 namespace citron {
 
-// The open queries of a dispatch that is about to send suspects to an upstream
-// and asks the other dispatches what they know of them. A suspect is a request
-// that was in flight at the crash of an upstream.
+// The open queries of a dispatch that has reported a crash to the other
+// dispatches and holds the requests that were lost in it until they reply. A
+// reply confirms the reports that were sent before the query.
 class suspect_check {
  public:
-  // Opens a query to the peers and returns its number; returns no value if the
-  // fingerprint has an open query or there is no peer to ask.
-  std::optional<std::uint64_t> Start(std::uint64_t fingerprint,
+  // Opens a query to the peers and returns its number; returns no value if
+  // there is no peer to ask.
+  std::optional<std::uint64_t> Start(const request_id& request,
                                      std::set<endpoint> peers,
                                      monotonic_time now);
-  // Returns the fingerprint if this was the last reply to its query.
-  std::optional<std::uint64_t> OnReply(std::uint64_t number,
-                                       const endpoint& from);
-  // Returns the fingerprints whose queries have reached their deadline.
-  std::vector<std::uint64_t> OnTimer(monotonic_time now);
+  // Returns the request if this was the last reply to its query.
+  std::optional<request_id> OnReply(std::uint64_t number, const endpoint& from);
+  // Returns the requests whose queries have reached their deadline.
+  std::vector<request_id> OnTimer(monotonic_time now);
 
-  bool IsOpen(std::uint64_t fingerprint) const;
   // Returns the deadline of the oldest query.
   std::optional<monotonic_time> NextTimer() const;
 
  private:
   struct query {
-    std::uint64_t fingerprint = 0;
+    request_id request;
     std::set<endpoint> missing;
     monotonic_time deadline;
   };
--- a/include/citron/wire/messages.h
+++ b/include/citron/wire/messages.h
@@ -202,8 +202,9 @@
   vm_id from;
 };
 
-// The sender is about to send a suspect to an upstream and waits for a reply
-// from each other dispatch. `number` is the sender's.
+// The sender has lost a suspect in a crash and waits for a reply from each
+// other dispatch before it answers the request or sends it again. Sent after
+// the report of the crash. `number` is the sender's.
 struct suspect_query {
   std::uint64_t fingerprint = 0;
   std::uint64_t number = 0;
--- a/src/dispatch/dispatch_call.cc
+++ b/src/dispatch/dispatch_call.cc
@@ -98,7 +98,6 @@
 
 void dispatch_task::call::OnFailed(const call_failure& failure) {
   ReleaseConnection();
-  if (relay_.IsStarted()) relay_.Break();
   const upstream_outcome outcome = OutcomeOf(failure);
   if (!IsNotRun(outcome)) may_have_run_ = true;
   task_.Finish(head_.id, outcome);
@@ -127,7 +126,8 @@
 void dispatch_task::call::ReplyError(std::string_view code, int status,
                                      verdict ran,
                                      std::optional<monotonic_time> retry_at) {
-  if (!relay_.IsOpen() || relay_.IsStarted()) return;
+  if (!relay_.IsOpen()) return;
+  if (relay_.IsStarted()) return relay_.Break();
   http_response response;
   response.head.status = status;
   response.head.headers = {{"Content-Type", "application/json"},
--- a/src/dispatch/dispatch_task.cc
+++ b/src/dispatch/dispatch_task.cc
@@ -496,9 +496,6 @@
                (refuse != nullptr && refuse->id == id) ||
                (check != nullptr && check->id == id);
       });
-  // What was learnt of a crash goes out before the answer: a caller who sends
-  // the request again elsewhere at once would else come before the word of it,
-  // and the crash there would convict nobody.
   Perform(*service, actions);
   if (!goes_on && !IsNotRun(outcome)) {
     const bool timed_out = outcome == upstream_outcome::kTimedOut;
@@ -578,33 +575,31 @@
 }
 
 void dispatch_task::Check(const check_suspect_action& suspect) {
-  const std::uint64_t fingerprint = suspect.fingerprint;
-  if (checks_.IsOpen(fingerprint)) return;
   const std::set<endpoint> peers = OtherDispatches(true);
-  const auto number = checks_.Start(fingerprint, peers, MonotonicNow());
+  const auto number = checks_.Start(suspect.id, peers, MonotonicNow());
   if (!number) {
-    loop_.Defer([this, fingerprint] { EndCheck(fingerprint); });
+    loop_.Defer([this, id = suspect.id] { EndCheck(id); });
     return;
   }
-  const suspect_query query{fingerprint, *number, link_->PeerAddress()};
+  const suspect_query query{suspect.fingerprint, *number, link_->PeerAddress()};
   for (const endpoint& peer : peers) {
     link_->Send(peer, message_type::kSuspectQuery, query);
   }
   check_timer_.Arm(*checks_.NextTimer());
 }
 
-void dispatch_task::EndCheck(std::uint64_t fingerprint) {
-  const monotonic_time now = MonotonicNow();
-  for (const auto& [id, service] : services_) {
-    Perform(*service, service->scheduler.OnSuspectChecked(fingerprint, now));
-  }
+void dispatch_task::EndCheck(const request_id& id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  service_state* service = ServiceOf(found->second->Head().service);
+  Perform(*service, service->scheduler.OnSuspectChecked(id, MonotonicNow()));
 }
 
 void dispatch_task::OnCheckTimer() {
-  for (const std::uint64_t fingerprint : checks_.OnTimer(MonotonicNow())) {
-    Log(kLogPart, "fingerprint {:016x}: not all dispatches replied in time",
-        fingerprint);
-    EndCheck(fingerprint);
+  for (const request_id& id : checks_.OnTimer(MonotonicNow())) {
+    Log(kLogPart, "{}: not all dispatches confirmed its crash in time",
+        id.Str());
+    EndCheck(id);
   }
   const std::optional<monotonic_time> next = checks_.NextTimer();
   if (next) check_timer_.Arm(*next);
@@ -627,8 +622,8 @@
   if (message.convicted_for > duration()) {
     OnPoison({message.fingerprint, message.convicted_for});
   }
-  const auto fingerprint = checks_.OnReply(message.number, message.from);
-  if (fingerprint) EndCheck(*fingerprint);
+  const auto id = checks_.OnReply(message.number, message.from);
+  if (id) EndCheck(*id);
 }
 
 void dispatch_task::OnPoison(const poison_message& message) {
--- a/src/policy/service_scheduler.cc
+++ b/src/policy/service_scheduler.cc
@@ -36,10 +36,6 @@
 // The connections of one upstream crash are lost within this period.
 constexpr duration kCrashGroupingWindow = std::chrono::milliseconds(20);
 
-// Time for which the check of a suspect holds; another crash may follow it. A
-// check that is open for so long was lost and is repeated.
-constexpr duration kSuspectCheckLifetime = std::chrono::seconds(1);
-
 // The first attempt and one retry.
 constexpr int kMaxSends = 2;
 
@@ -154,7 +150,7 @@
     e.cancelled = true;
     return out;
   }
-  StopWaiting(e);
+  if (!e.is_lost) StopWaiting(e);
   entries_.erase(found);
   Dispatch(now, out);
   return out;
@@ -238,10 +234,6 @@
   // of this dispatch, and a request that excludes it would wait until its
   // deadline.
   if (unbudgeted_retry) e.last_upstream = upstream_id();
-  Hold(e);
-}
-
-void service_scheduler::Hold(const entry& e) {
   latest_starts_.emplace(e.queue_item.latest_start, e.request.id);
   held_.emplace(e.queue_item.latest_start, e.request.id);
 }
@@ -254,8 +246,9 @@
   if (is_same) return last_crash_.suspects;
   last_crash_ = {upstream, now, {}};
   for (const auto& [id, e] : entries_) {
+    // A request that waits for its check was lost in an earlier crash.
     const bool may_have_been_there =
-        e.upstream == upstream || e.last_upstream == upstream;
+        !e.is_lost && (e.upstream == upstream || e.last_upstream == upstream);
     const std::uint64_t fingerprint = e.request.fingerprint;
     if (may_have_been_there &&
         poison_.StandingOf(fingerprint, now) == standing::kSuspect) {
@@ -283,8 +276,11 @@
          poison_.StandingOf(e.request.fingerprint, now) != standing::kSuspect;
 }
 
-// The request may have run, so it doesn't wait for a slot: it is sent again at
-// once or not at all. Only a suspect waits, for its check.
+// A caller retries a failed request at another VM as soon as it has the answer.
+// The answer of a suspect would arrive there before the report of the crash,
+// and the request would crash an upstream in each zone that it reaches first.
+// Therefore a suspect neither fails nor is sent again until the other owners
+// know of it.
 bool service_scheduler::OnConnectionLost(entry& e, monotonic_time now,
                                          actions& out) {
   using standing = poison_registry::standing;
@@ -299,26 +295,27 @@
     out.emplace_back(
         poison_action{fingerprint, poison_.ExpiresAt(fingerprint)});
     RefusePoisoned(fingerprint, now, out);
-    return false;
-  }
-  if (after == standing::kSuspect && is_evidence) {
+  } else if (after == standing::kSuspect && is_evidence) {
     out.emplace_back(suspect_action{fingerprint, {e.last_upstream, now}});
   }
-  const bool may_resend = e.request.idempotent && !e.cancelled &&
-                          e.sends < kMaxSends &&
-                          now < e.queue_item.latest_start;
-  if (!may_resend) return false;
-  if (after == standing::kSuspect && options_.check_suspects) {
-    if (!retries_.TryTake()) return false;
-    // An earlier check knew nothing of this crash.
-    checks_.erase(fingerprint);
-    IsChecked(e, now, out);
+  if (after != standing::kClear && options_.check_suspects) {
+    out.emplace_back(check_suspect_action{e.request.id, fingerprint});
     e.is_lost = true;
-    Hold(e);
     return true;
   }
-  const std::optional<upstream_id> upstream =
-      ChooseWithConstraints(e, now, out);
+  return SendAgain(e, now, out);
+}
+
+// The request may have run, so it doesn't wait for a slot: it is sent again at
+// once or not at all.
+bool service_scheduler::SendAgain(entry& e, monotonic_time now, actions& out) {
+  const bool may_resend = e.request.idempotent && !e.cancelled &&
+                          e.sends < kMaxSends &&
+                          now < e.queue_item.latest_start &&
+                          poison_.StandingOf(e.request.fingerprint, now) !=
+                              poison_registry::standing::kPoison;
+  if (!may_resend) return false;
+  const std::optional<upstream_id> upstream = ChooseWithConstraints(e, now);
   if (!upstream || !retries_.TryTake()) return false;
   Send(e, *upstream, now, out);
   return true;
@@ -336,9 +333,6 @@
 service_scheduler::actions service_scheduler::OnTimer(monotonic_time now) {
   actions out;
   poison_.Expire(now);
-  std::erase_if(checks_, [&](const auto& check) {
-    return check.second.expires_at <= now;
-  });
   Dispatch(now, out);
   return out;
 }
@@ -375,28 +369,15 @@
 }
 
 service_scheduler::actions service_scheduler::OnSuspectChecked(
-    std::uint64_t fingerprint, monotonic_time now) {
+    const request_id& id, monotonic_time now) {
   actions out;
-  const auto check = checks_.find(fingerprint);
-  if (check != checks_.end()) {
-    check->second = {true, now + kSuspectCheckLifetime};
-  }
-  Dispatch(now, out);
-  FailLost(fingerprint, out);
-  return out;
-}
-
-void service_scheduler::FailLost(std::uint64_t fingerprint, actions& out) {
-  std::vector<request_id> lost;
-  for (const auto& [start, id] : held_) {
-    const entry& e = entries_.at(id);
-    if (e.is_lost && e.request.fingerprint == fingerprint) lost.push_back(id);
-  }
-  for (const request_id& id : lost) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end() || !found->second.is_lost) return out;
+  if (!SendAgain(found->second, now, out)) {
     out.emplace_back(fail_action{id});
-    StopWaiting(entries_.at(id));
-    entries_.erase(id);
+    entries_.erase(found);
   }
+  return out;
 }
 
 std::optional<monotonic_time> service_scheduler::NextTimer() const {
@@ -461,26 +442,12 @@
          poison_registry::standing::kSuspect;
 }
 
-bool service_scheduler::IsChecked(const entry& e, monotonic_time now,
-                                  actions& out) {
-  if (!options_.check_suspects) return true;
-  const std::uint64_t fingerprint = e.request.fingerprint;
-  const auto found = checks_.find(fingerprint);
-  const bool holds = found != checks_.end() && now < found->second.expires_at;
-  if (holds && found->second.is_done) return true;
-  if (!holds) checks_[fingerprint] = {false, now + kSuspectCheckLifetime};
-  // Also if a check is open: the owner must know that this request waits.
-  out.emplace_back(check_suspect_action{e.request.id, fingerprint});
-  return false;
-}
-
 std::optional<upstream_id> service_scheduler::ChooseWithConstraints(
-    const entry& e, monotonic_time now, actions& out) {
+    const entry& e, monotonic_time now) {
   const std::uint64_t fingerprint = e.request.fingerprint;
   const bool suspect = poison_.StandingOf(fingerprint, now) ==
                        poison_registry::standing::kSuspect;
   if (suspect && !poison_.MaySendSuspect(fingerprint)) return std::nullopt;
-  if (suspect && !IsChecked(e, now, out)) return std::nullopt;
   return chooser_.Choose(now, random_, [&](const upstream_id& id) {
     if (id == e.last_upstream) return false;
     return !suspect || !poison_.HasSuspectInFlight(id);
@@ -492,8 +459,7 @@
     const auto at = next++;
     entry& e = entries_.at(at->second);
     if (e.request.long_running && !LongAllowed(now)) continue;
-    const std::optional<upstream_id> upstream =
-        ChooseWithConstraints(e, now, out);
+    const std::optional<upstream_id> upstream = ChooseWithConstraints(e, now);
     if (!upstream) continue;
     held_.erase(at);
     Send(e, *upstream, now, out);
@@ -523,7 +489,7 @@
     entry& e = entries_.at(next->id);
     if (!HasUpstreamConstraint(e, now)) {
       Send(e, *upstream, now, out);
-    } else if (const auto allowed = ChooseWithConstraints(e, now, out)) {
+    } else if (const auto allowed = ChooseWithConstraints(e, now)) {
       Send(e, *allowed, now, out);
     } else {
       held_.emplace(e.queue_item.latest_start, e.request.id);
@@ -544,7 +510,6 @@
       !poison_.IsEmpty() && poison_.StandingOf(e.request.fingerprint, now) ==
                                 poison_registry::standing::kSuspect;
   if (e.sent_as_suspect) poison_.OnSuspectSent(e.request.fingerprint, upstream);
-  checks_.erase(e.request.fingerprint);
   chooser_.OnSent(upstream, now);
   ++in_flight_;
   if (e.request.long_running) ++long_in_flight_;
--- a/standins/upstream/upstream_server.cc
+++ b/standins/upstream/upstream_server.cc
@@ -35,6 +35,10 @@
   return request.Query("crash") == "1";
 }
 
+bool IsMarkedToCrashInAnswer(const http_request& request) {
+  return request.Query("crash") == "answer";
+}
+
 std::optional<std::int64_t> RemainingMs(const http_request& request) {
   const auto text = FindHeader(request.headers, "Citron-Deadline-Ms");
   if (!text) return std::nullopt;
@@ -214,6 +218,10 @@
 void upstream_server::SendMore(std::uint64_t id) {
   work* item = FindWork(id);
   if (item == nullptr) return;
+  if (item->answer_sent > 0 && IsMarkedToCrashInAnswer(item->entry.request)) {
+    Crash();
+    return;
+  }
   const std::uint64_t left = item->answer_size - item->answer_sent;
   if (left == 0) {
     item->exchange->FinishBody();
--- a/tests/policy/service_scheduler_test.cc
+++ b/tests/policy/service_scheduler_test.cc
@@ -430,34 +430,91 @@
   BOOST_TEST((refused[0].reason == refusal_reason::kPoison));
 }
 
-// Guards against a third crash: a suspect is sent before the report arrives
-// that convicts it elsewhere.
-BOOST_AUTO_TEST_CASE(SuspectWaitsUntilTheOtherOwnersHaveReplied) {
+// Guards against a crash in each zone that the caller's next copy reaches
+// before the report of the crash does: neither a booking nor a look-up ends,
+// and a look-up isn't sent again, before the other owners know of it.
+BOOST_AUTO_TEST_CASE(LostSuspectEndsOnlyAfterItsCheck) {
+  scheduler_options options = Options();
+  options.check_suspects = true;
+  for (const bool is_lookup : {false, true}) {
+    for (const std::uint64_t crashes : {1, 2}) {
+      scheduler_fixture fixture(Servers(2, 4), options);
+      scheduler_request request = fixture.Request("request");
+      request.idempotent = is_lookup;
+      if (crashes == 2) {
+        const upstream_crash elsewhere{upstream_id("elsewhere"),
+                                       fixture.now - seconds(1)};
+        fixture.scheduler.OnSuspect(request.fingerprint, elsewhere,
+                                    fixture.now);
+      }
+      BOOST_TEST(ActionsOf<send_action>(
+                     fixture.scheduler.OnRequest(request, fixture.now))
+                     .size() == 1u);
+      const auto lost = fixture.scheduler.OnOutcome(
+          request.id, upstream_outcome::kConnectionLost, fixture.now);
+      BOOST_TEST(ActionsOf<suspect_action>(lost).size() == 2 - crashes);
+      BOOST_TEST(ActionsOf<poison_action>(lost).size() == crashes - 1);
+      BOOST_TEST(ActionsOf<send_action>(lost).empty());
+      BOOST_TEST(ActionsOf<fail_action>(lost).empty());
+      BOOST_TEST(ActionsOf<refuse_action>(lost).empty());
+      const auto checks = ActionsOf<check_suspect_action>(lost);
+      BOOST_TEST_REQUIRE(checks.size() == 1u);
+      BOOST_TEST((checks[0].id == request.id));
+      // The report leaves before the query.
+      BOOST_TEST(std::holds_alternative<check_suspect_action>(lost.back()));
+      // Past its latest start it can't be sent again, and still waits.
+      if (!is_lookup) fixture.now = request.deadline;
+      BOOST_TEST(fixture.scheduler.OnTimer(fixture.now).empty());
+      const auto checked =
+          fixture.scheduler.OnSuspectChecked(request.id, fixture.now);
+      const bool is_sent_again = is_lookup && crashes == 1;
+      BOOST_TEST(ActionsOf<send_action>(checked).size() ==
+                 (is_sent_again ? 1 : 0));
+      BOOST_TEST(ActionsOf<fail_action>(checked).size() ==
+                 (is_sent_again ? 0 : 1));
+      BOOST_TEST(ActionsOf<fail_action>(fixture.scheduler.OnSuspectChecked(
+                                            request.id, fixture.now))
+                     .empty());
+    }
+  }
+}
+
+// Guards against a look-up that is sent again although another owner convicted
+// it while it waited for its check.
+BOOST_AUTO_TEST_CASE(LostSuspectConvictedElsewhereFailsAfterItsCheck) {
   scheduler_options options = Options();
   options.check_suspects = true;
   scheduler_fixture fixture(Servers(2, 4), options);
-  scheduler_request suspect = fixture.Request("suspect");
-  fixture.scheduler.OnSuspect(suspect.fingerprint,
-                              {upstream_id("elsewhere"), fixture.now},
+  const scheduler_request lookup = fixture.Request("look-up");
+  fixture.scheduler.OnRequest(lookup, fixture.now);
+  fixture.scheduler.OnOutcome(lookup.id, upstream_outcome::kConnectionLost,
                               fixture.now);
-  const auto waits = fixture.scheduler.OnRequest(suspect, fixture.now);
-  BOOST_TEST(ActionsOf<send_action>(waits).empty());
-  BOOST_TEST(ActionsOf<check_suspect_action>(waits).size() == 1u);
-  BOOST_TEST(ActionsOf<send_action>(fixture.scheduler.OnSuspectChecked(
-                                        suspect.fingerprint, fixture.now))
-                 .size() == 1u);
-  // Each send needs a check of its own.
-  suspect.id = request_id("suspect again");
-  fixture.scheduler.OnRequest(suspect, fixture.now);
-  const auto ended = fixture.scheduler.OnOutcome(
-      request_id("suspect"), upstream_outcome::kCancelled, fixture.now);
-  BOOST_TEST(ActionsOf<send_action>(ended).empty());
-  BOOST_TEST(ActionsOf<check_suspect_action>(ended).size() == 1u);
-  const auto refused = ActionsOf<refuse_action>(fixture.scheduler.OnPoison(
-      suspect.fingerprint, fixture.now + seconds(60), fixture.now));
-  BOOST_TEST_REQUIRE(refused.size() == 1u);
-  BOOST_TEST((refused[0].id == suspect.id));
-  BOOST_TEST((refused[0].reason == refusal_reason::kPoison));
+  const auto convicted = fixture.scheduler.OnPoison(
+      lookup.fingerprint, fixture.now + seconds(60), fixture.now);
+  BOOST_TEST(ActionsOf<refuse_action>(convicted).empty());
+  const auto checked =
+      fixture.scheduler.OnSuspectChecked(lookup.id, fixture.now);
+  BOOST_TEST(ActionsOf<send_action>(checked).empty());
+  BOOST_TEST(ActionsOf<fail_action>(checked).size() == 1u);
+}
+
+// Guards against a wait of requests that aren't suspects: what was answered
+// shortly before a crash fails at once.
+BOOST_AUTO_TEST_CASE(LostRequestWithARecentAnswerFailsAtOnce) {
+  scheduler_options options = Options();
+  options.check_suspects = true;
+  scheduler_fixture fixture(Servers(2, 4), options);
+  scheduler_request booking = fixture.Request("answered");
+  booking.idempotent = false;
+  fixture.scheduler.OnRequest(booking, fixture.now);
+  fixture.scheduler.OnOutcome(booking.id, upstream_outcome::kAnswered,
+                              fixture.now);
+  booking.id = request_id("lost");
+  fixture.scheduler.OnRequest(booking, fixture.now);
+  const auto lost = fixture.scheduler.OnOutcome(
+      booking.id, upstream_outcome::kConnectionLost, fixture.now);
+  BOOST_TEST(ActionsOf<suspect_action>(lost).empty());
+  BOOST_TEST(ActionsOf<check_suspect_action>(lost).empty());
 }
 
 // Guards against a request that was lost in a crash and waits until its
@@ -478,7 +535,7 @@
     BOOST_TEST_REQUIRE(!checks.empty());
     BOOST_TEST((checks[0].id == lookup.id));
     const auto checked =
-        fixture.scheduler.OnSuspectChecked(lookup.fingerprint, fixture.now);
+        fixture.scheduler.OnSuspectChecked(lookup.id, fixture.now);
     const auto again = ActionsOf<send_action>(checked);
     const auto failed = ActionsOf<fail_action>(checked);
     BOOST_TEST(again.size() + failed.size() == 1u);
@@ -508,28 +565,33 @@
   fixture.scheduler.OnRequest(second, fixture.now);
   fixture.scheduler.SetUpstreams(Servers(2, 4), fixture.now);
   for (const request_id& id : {first.id, second.id}) {
-    fixture.scheduler.OnOutcome(id, upstream_outcome::kConnectionLost,
-                                fixture.now);
+    const auto lost = fixture.scheduler.OnOutcome(
+        id, upstream_outcome::kConnectionLost, fixture.now);
+    BOOST_TEST(ActionsOf<check_suspect_action>(lost).size() == 1u);
   }
-  const auto checked =
-      fixture.scheduler.OnSuspectChecked(first.fingerprint, fixture.now);
-  BOOST_TEST(ActionsOf<send_action>(checked).size() == 1u);
-  BOOST_TEST(ActionsOf<fail_action>(checked).size() == 1u);
-}
-
-// Guards against a wait without end if the replies of a check are lost.
-BOOST_AUTO_TEST_CASE(ACheckWithoutReplyIsRepeated) {
+  const auto first_checked =
+      fixture.scheduler.OnSuspectChecked(first.id, fixture.now);
+  BOOST_TEST(ActionsOf<send_action>(first_checked).size() == 1u);
+  BOOST_TEST(ActionsOf<fail_action>(first_checked).empty());
+  const auto second_checked =
+      fixture.scheduler.OnSuspectChecked(second.id, fixture.now);
+  BOOST_TEST(ActionsOf<send_action>(second_checked).empty());
+  BOOST_TEST(ActionsOf<fail_action>(second_checked).size() == 1u);
+}
+
+// Guards against a request that is answered after its caller has hung up while
+// it waited for its check.
+BOOST_AUTO_TEST_CASE(CancelledLostRequestIsForgotten) {
   scheduler_options options = Options();
   options.check_suspects = true;
-  scheduler_fixture fixture(Servers(1, 4), options);
-  scheduler_request suspect = fixture.Request("suspect");
-  suspect.deadline = fixture.now + seconds(10);
-  fixture.scheduler.OnSuspectQuery(suspect.fingerprint, fixture.now);
-  fixture.scheduler.OnRequest(suspect, fixture.now);
-  fixture.now += seconds(2);
+  scheduler_fixture fixture(Servers(2, 4), options);
+  const scheduler_request lookup = fixture.Request("look-up");
+  fixture.scheduler.OnRequest(lookup, fixture.now);
+  fixture.scheduler.OnOutcome(lookup.id, upstream_outcome::kConnectionLost,
+                              fixture.now);
+  BOOST_TEST(fixture.scheduler.OnCancel(lookup.id, fixture.now).empty());
   BOOST_TEST(
-      ActionsOf<check_suspect_action>(fixture.scheduler.OnTimer(fixture.now))
-          .size() == 1u);
+      fixture.scheduler.OnSuspectChecked(lookup.id, fixture.now).empty());
 }
 
 BOOST_AUTO_TEST_CASE(RefusesOnArrivalIfItCannotEndInTime) {
