Look-ups log whom they name, and connects to upstreams are counted

The record of the incident holds no line of what look-ups named, and no count of connects that could tell a VM that reaches no upstream from one whose upstreams fail one by one. part=lookup event=choice_changed, at each change for a zone that exists; citron_upstream_connects_total by result. Connections tell their pool how the connect ended, spare ones too. No decision changes.

--- a/include/citron/node/node_pages.h
+++ b/include/citron/node/node_pages.h
@@ -2,14 +2,17 @@
 #define CITRON_NODE_NODE_PAGES_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "citron/base/result.h"
 #include "citron/net/http_server.h"
 #include "citron/node/feed_relay.h"
 #include "citron/node/node_context.h"
 #include "citron/node/peer_exchange.h"
+#include "citron/policy/vm_choice.h"
 
 namespace citron {
 
@@ -40,12 +43,16 @@
   void OnReadiness(http_exchange& exchange);
   void OnLookup(http_exchange& exchange);
   void OnInternal(http_exchange& exchange);
+  // Logs which VMs callers of a zone are sent to, when that changes.
+  void LogChoice(const zone_id& zone, const std::vector<vm_candidate>& chosen,
+                 monotonic_time now);
 
   node_context& context_;
   page_paths paths_;
   const peer_exchange& peers_;
   feed_relay& relay_;
   std::function<vm_condition()> condition_;
+  std::map<zone_id, std::string> logged_choices_;
   std::unique_ptr<http_server> readiness_;
   std::unique_ptr<http_server> lookup_;
   std::unique_ptr<http_server> internal_;
--- a/include/citron/node/node_task.h
+++ b/include/citron/node/node_task.h
@@ -37,7 +37,7 @@
 };
 
 // A whole VM in one task: callers, placement, limits and the copy of the store.
-class node_task : private request_handler_factory {
+class node_task : private request_handler_factory, private connect_listener {
  public:
   static result<std::unique_ptr<node_task>> Make(event_loop& loop,
                                                  const node_settings& settings,
@@ -62,6 +62,8 @@
   void OnAccept(int descriptor);
   std::unique_ptr<request_handler> Make(http1_head head,
                                         caller_exchange& exchange) override;
+  void OnConnectEnd(const upstream_id& upstream,
+                    connect_result result) override;
   vm_condition Condition() const;
   void OnTick();
   void OnStopStep(monotonic_time now);
--- a/include/citron/node/upstream_connection.h
+++ b/include/citron/node/upstream_connection.h
@@ -2,11 +2,11 @@
 #define CITRON_NODE_UPSTREAM_CONNECTION_H_
 
 #include <cstdint>
-#include <functional>
 #include <string>
 #include <string_view>
 
 #include "citron/base/endpoint.h"
+#include "citron/base/strong_id.h"
 #include "citron/base/time.h"
 #include "citron/net/event_loop.h"
 #include "citron/net/http1_reader.h"
@@ -25,6 +25,10 @@
 
 std::string_view UpstreamFaultName(upstream_fault fault);
 
+enum class connect_result { kConnected, kRefused, kTimedOut };
+
+std::string_view ToString(connect_result result);
+
 // What one call reports. OnAnswerEnd or OnCallFailed comes last, once; after
 // either the listener may start another call or destroy the connection.
 class upstream_call_listener {
@@ -40,21 +44,34 @@
   virtual void OnRequestDrained() = 0;
 };
 
+class upstream_connection;
+
+// Keeps connections, or hands them out to requests. Neither call may destroy
+// the connection.
+class upstream_connection_owner {
+ public:
+  virtual ~upstream_connection_owner() = default;
+  // Once, whether or not a request waits for the connection.
+  virtual void OnConnectEnd(const upstream_connection& connection,
+                            connect_result result) = 0;
+  // A connection that no request uses is of no more use.
+  virtual void OnIdleEnd(upstream_connection& connection) = 0;
+};
+
 // A connection to one upstream, for one request at a time.
 class upstream_connection : private http1_listener {
  public:
-  // Told when a connection that no request uses is of no more use.
-  using on_idle_end = std::function<void(upstream_connection&)>;
-
   // `id_header` names the header in which an answer carries its request's id:
   // an answer with another id belongs to an earlier request and is passed over.
-  upstream_connection(event_loop& loop, const endpoint& address,
-                      duration connect_limit, std::string id_header,
-                      on_idle_end idle_ended);
+  upstream_connection(event_loop& loop, upstream_id upstream,
+                      const endpoint& address, duration connect_limit,
+                      std::string id_header, upstream_connection_owner& owner);
   ~upstream_connection() override;
   upstream_connection(const upstream_connection&) = delete;
   upstream_connection& operator=(const upstream_connection&) = delete;
 
+  const upstream_id& Upstream() const { return upstream_; }
+
   // Sends the head, and the body as far as it is there. `request_id` may be
   // empty. The listener must outlive the call.
   void Start(std::string_view head_and_body, bool expects_body,
@@ -90,8 +107,9 @@
   void EndIdle();
 
   event_loop& loop_;
+  upstream_id upstream_;
   std::string id_header_;
-  on_idle_end idle_ended_;
+  upstream_connection_owner& owner_;
   bufferevent* bytes_ = nullptr;
   http1_reader reader_;
   loop_timer connect_timer_;
--- a/include/citron/node/upstream_pool.h
+++ b/include/citron/node/upstream_pool.h
@@ -23,13 +23,23 @@
   duration steady_use = std::chrono::seconds(2);
 };
 
+// Told how attempts to connect end, those of spare connections included.
+class connect_listener {
+ public:
+  virtual ~connect_listener() = default;
+  virtual void OnConnectEnd(const upstream_id& upstream,
+                            connect_result result) = 0;
+};
+
 // Idle connections to upstreams. An address that went to another upstream
 // begins with connections of its own. Upstreams that are far away and in steady
 // use have a spare connection, so that concurrent requests don't wait for a
 // handshake.
-class upstream_pool {
+class upstream_pool : private upstream_connection_owner {
  public:
+  // The listener must outlive the pool.
   upstream_pool(event_loop& loop, std::string id_header,
+                connect_listener& listener,
                 const upstream_pool_options& options = {});
 
   // An idle connection that the upstream keeps for `margin` at the least, or
@@ -63,11 +73,14 @@
   std::unique_ptr<upstream_connection> Open(const upstream_id& upstream,
                                             const endpoint& address,
                                             duration connect_limit);
-  void OnIdleEnd(const upstream_id& upstream, upstream_connection& connection);
+  void OnConnectEnd(const upstream_connection& connection,
+                    connect_result result) override;
+  void OnIdleEnd(upstream_connection& connection) override;
   void CloseLater(std::unique_ptr<upstream_connection> connection);
 
   event_loop& loop_;
   std::string id_header_;
+  connect_listener& listener_;
   upstream_pool_options options_;
   std::map<upstream_id, upstream_state> upstreams_;
 };
--- a/src/node/node_pages.cc
+++ b/src/node/node_pages.cc
@@ -5,8 +5,6 @@
 #include <utility>
 #include <vector>
 
-#include "citron/policy/vm_choice.h"
-
 namespace citron {
 
 namespace {
@@ -84,8 +82,10 @@
          own || peers_.IsHeard(vm, now), listing.link_mbps,
          own ? condition_().near_capacity : peers_.IsNearCapacity(vm)});
   }
+  const std::vector<vm_candidate> chosen = ChooseVms(candidates, zone, region);
+  LogChoice(zone, chosen, now);
   nlohmann::json addresses = nlohmann::json::array();
-  for (const vm_candidate& vm : ChooseVms(candidates, zone, region)) {
+  for (const vm_candidate& vm : chosen) {
     if (addresses.size() < kMostAddresses)
       addresses.push_back(vm.caller_endpoint.Str());
   }
@@ -99,6 +99,22 @@
                          {paths_.lookup_lifetime, ToSeconds(lifetime)}}));
 }
 
+void node_pages::LogChoice(const zone_id& zone,
+                           const std::vector<vm_candidate>& chosen,
+                           monotonic_time now) {
+  // A caller may name any zone; only those that exist are remembered.
+  if (!context_.settings.zones.contains(zone)) return;
+  std::string names;
+  for (const vm_candidate& vm : chosen) {
+    names.append(names.empty() ? "" : ",").append(vm.id.Str());
+  }
+  std::string& logged = logged_choices_[zone];
+  if (logged == names) return;
+  logged = names;
+  context_.log.Write("lookup", "choice_changed",
+                     {{"zone", zone.Str()}, {"vms", names}}, now);
+}
+
 void node_pages::OnInternal(http_exchange& exchange) {
   if (exchange.Request().Path() == kFeedPath) {
     return relay_.OnQuestion(exchange);
--- a/src/node/node_task.cc
+++ b/src/node/node_task.cc
@@ -75,7 +75,7 @@
       log_(log),
       fleet_(settings_, *platform.codec, log_),
       feed_(feed_options{}),
-      pool_(loop, platform.names.request_id),
+      pool_(loop, platform.names.request_id, *this),
       crashes_(log_),
       context_{loop_,  settings_, names_, log_,    stats_,
                fleet_, feed_,     pool_,  crashes_},
@@ -171,6 +171,11 @@
   return request;
 }
 
+void node_task::OnConnectEnd(const upstream_id&, connect_result result) {
+  stats_.Count("citron_upstream_connects_total",
+               {{"result", std::string(ToString(result))}});
+}
+
 bool node_task::IsReady() const {
   if (stopped_ || fleet_.Routing() == nullptr) return false;
   // A VM that can't let keys in is of no use to most callers, and sends them
--- a/src/node/upstream_connection.cc
+++ b/src/node/upstream_connection.cc
@@ -53,6 +53,18 @@
   return "unknown";
 }
 
+std::string_view ToString(connect_result result) {
+  switch (result) {
+    case connect_result::kConnected:
+      return "connected";
+    case connect_result::kRefused:
+      return "refused";
+    case connect_result::kTimedOut:
+      return "timed_out";
+  }
+  return "unknown";
+}
+
 struct upstream_connection::callbacks {
   static void Readable(bufferevent*, void* self) {
     static_cast<upstream_connection*>(self)->OnReadable();
@@ -71,14 +83,15 @@
   }
 };
 
-upstream_connection::upstream_connection(event_loop& loop,
+upstream_connection::upstream_connection(event_loop& loop, upstream_id upstream,
                                          const endpoint& address,
                                          duration connect_limit,
                                          std::string id_header,
-                                         on_idle_end idle_ended)
+                                         upstream_connection_owner& owner)
     : loop_(loop),
+      upstream_(std::move(upstream)),
       id_header_(std::move(id_header)),
-      idle_ended_(std::move(idle_ended)),
+      owner_(owner),
       reader_(http1_reader::direction::kAnswers, kMaxAnswerHeadBytes, *this),
       connect_timer_(loop, [this] { Fail(upstream_fault::kConnectTimeout); }),
       created_at_(MonotonicNow()),
@@ -156,6 +169,7 @@
   SetSocketOptions(bufferevent_getfd(bytes_));
   idle_since_ = MonotonicNow();
   connect_time_ = idle_since_ - created_at_;
+  owner_.OnConnectEnd(*this, connect_result::kConnected);
   if (listener_ == nullptr) {
     state_ = state::kIdle;
     bufferevent_enable(bytes_, EV_READ | EV_WRITE);
@@ -238,8 +252,13 @@
   state_ = state::kDead;
   connect_timer_.Disarm();
   bufferevent_disable(bytes_, EV_READ | EV_WRITE);
+  if (fault == upstream_fault::kConnectFailed) {
+    owner_.OnConnectEnd(*this, connect_result::kRefused);
+  } else if (fault == upstream_fault::kConnectTimeout) {
+    owner_.OnConnectEnd(*this, connect_result::kTimedOut);
+  }
   upstream_call_listener* listener = std::exchange(listener_, nullptr);
-  if (listener == nullptr) return idle_ended_(*this);
+  if (listener == nullptr) return owner_.OnIdleEnd(*this);
   listener->OnCallFailed(fault);
 }
 
@@ -247,7 +266,7 @@
 void upstream_connection::EndIdle() {
   state_ = state::kDead;
   bufferevent_disable(bytes_, EV_READ | EV_WRITE);
-  idle_ended_(*this);
+  owner_.OnIdleEnd(*this);
 }
 
 }  // namespace citron
--- a/src/node/upstream_pool.cc
+++ b/src/node/upstream_pool.cc
@@ -13,8 +13,12 @@
 }  // namespace
 
 upstream_pool::upstream_pool(event_loop& loop, std::string id_header,
+                             connect_listener& listener,
                              const upstream_pool_options& options)
-    : loop_(loop), id_header_(std::move(id_header)), options_(options) {}
+    : loop_(loop),
+      id_header_(std::move(id_header)),
+      listener_(listener),
+      options_(options) {}
 
 std::unique_ptr<upstream_connection> upstream_pool::Take(
     const upstream_id& upstream, const endpoint& address,
@@ -56,11 +60,9 @@
 std::unique_ptr<upstream_connection> upstream_pool::Open(
     const upstream_id& upstream, const endpoint& address,
     duration connect_limit) {
+  upstream_connection_owner& owner = *this;
   return std::make_unique<upstream_connection>(
-      loop_, address, connect_limit, id_header_,
-      [this, upstream](upstream_connection& ended) {
-        OnIdleEnd(upstream, ended);
-      });
+      loop_, upstream, address, connect_limit, id_header_, owner);
 }
 
 void upstream_pool::Give(const upstream_id& upstream,
@@ -99,9 +101,13 @@
   return count;
 }
 
-void upstream_pool::OnIdleEnd(const upstream_id& upstream,
-                              upstream_connection& connection) {
-  auto& unused = upstreams_[upstream].unused;
+void upstream_pool::OnConnectEnd(const upstream_connection& connection,
+                                 connect_result result) {
+  listener_.OnConnectEnd(connection.Upstream(), result);
+}
+
+void upstream_pool::OnIdleEnd(upstream_connection& connection) {
+  auto& unused = upstreams_[connection.Upstream()].unused;
   const auto found =
       std::find_if(unused.begin(), unused.end(),
                    [&](const auto& held) { return held.get() == &connection; });
--- a/tests/node/upstream_pool_test.cc
+++ b/tests/node/upstream_pool_test.cc
@@ -28,6 +28,11 @@
   int failed_ = 0;
 };
 
+class ignoring_connect_listener : public connect_listener {
+ public:
+  void OnConnectEnd(const upstream_id&, connect_result) override {}
+};
+
 class upstream_pool_fixture : public loop_fixture {
  public:
   upstream_pool_fixture()
@@ -40,7 +45,7 @@
     upstream_pool_options options;
     options.slow_handshake =
         handshakes_are_slow ? duration::zero() : std::chrono::hours(1);
-    return {Loop(), "X-Id", options};
+    return {Loop(), "X-Id", connects_, options};
   }
 
   std::unique_ptr<upstream_connection> Take(upstream_pool& pool,
@@ -70,6 +75,7 @@
 
  private:
   scripted_upstream upstream_;
+  ignoring_connect_listener connects_;
   counting_listener listener_;
 };
 
