--- a/standins/fault_proxy/proxy_route.cc
+++ b/standins/fault_proxy/proxy_route.cc
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <cerrno>
 #include <cstring>
@@ -29,7 +30,10 @@
 proxy_route::proxy_route(event_loop& loop, const route_settings& settings)
     : loop_(loop), settings_(settings) {}
 
-proxy_route::~proxy_route() { StopListening(); }
+proxy_route::~proxy_route() {
+  TakeConnects();
+  StopListening();
+}
 
 status proxy_route::Listen() {
   sockaddr_in address{};
@@ -69,9 +73,9 @@
 
 status proxy_route::SetFaults(const route_faults& faults) {
   faults_ = faults;
-  const bool refuses = faults_.IsCut() && faults_.refuse;
-  if (refuses) StopListening();
-  if (!refuses && listener_ == nullptr) {
+  TakeConnects();
+  if (faults_.refuse) StopListening();
+  if (!faults_.refuse && listener_ == nullptr) {
     status listening = Listen();
     if (!IsOk(listening)) return listening;
   }
@@ -80,12 +84,40 @@
     faults_.IsCut() ? evconnlistener_disable(listener_)
                     : evconnlistener_enable(listener_);
   }
+  if (faults_.IsCut() && faults_.drop_connects && listener_ != nullptr) {
+    const status dropping = DropConnects();
+    if (!IsOk(dropping)) return dropping;
+  }
   for (const auto& [id, connection] : connections_) {
     connection->OnFaultsChanged();
   }
   return std::monostate{};
 }
 
+status proxy_route::DropConnects() {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(settings_.listen.port);
+  inet_pton(AF_INET, settings_.listen.address.c_str(), &address.sin_addr);
+  queue_filler_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  // A queue of length 0 holds one connection.
+  const bool filled =
+      queue_filler_ >= 0 && listen(evconnlistener_get_fd(listener_), 0) == 0 &&
+      connect(queue_filler_, reinterpret_cast<sockaddr*>(&address),
+              sizeof(address)) == 0;
+  if (filled) return std::monostate{};
+  return MakeError(error_code::kUnavailable,
+                   fmt::format("drop connects at {}: {}",
+                               settings_.listen.Str(), std::strerror(errno)));
+}
+
+void proxy_route::TakeConnects() {
+  if (queue_filler_ < 0) return;
+  close(queue_filler_);
+  queue_filler_ = -1;
+  if (listener_ != nullptr) listen(evconnlistener_get_fd(listener_), kBacklog);
+}
+
 void proxy_route::ResetConnections() {
   for (const auto& [id, connection] : connections_) connection->Reset();
 }
--- a/standins/fault_proxy/proxy_route.h
+++ b/standins/fault_proxy/proxy_route.h
@@ -37,12 +37,16 @@
   proxy_route(event_loop& loop, const route_settings& settings);
   status Listen();
   void StopListening();
+  // Fills the queue of new connections, so that the kernel drops further ones.
+  status DropConnects();
+  void TakeConnects();
   void OnAccept(int fd);
 
   event_loop& loop_;
   route_settings settings_;
   route_faults faults_;
   evconnlistener* listener_ = nullptr;
+  int queue_filler_ = -1;  // Its descriptor, while connects are dropped.
   std::map<std::uint64_t, std::unique_ptr<proxied_connection>> connections_;
   std::uint64_t last_connection_ = 0;
 };
--- a/standins/fault_proxy/route_settings.cc
+++ b/standins/fault_proxy/route_settings.cc
@@ -16,6 +16,7 @@
   reader.Bool("freeze", freeze);
   reader.String("cut_direction", direction);
   reader.Bool("refuse", faults.refuse);
+  reader.Bool("drop_connects", faults.drop_connects);
   if (direction != "both" && direction != "to_target" &&
       direction != "to_source") {
     reader.Fail("cut_direction", "expected both, to_target or to_source");
--- a/standins/fault_proxy/route_settings.h
+++ b/standins/fault_proxy/route_settings.h
@@ -22,8 +22,10 @@
 struct route_faults {
   bool cut_to_target = false;
   bool cut_to_source = false;
-  // New connections are refused during a cut; else they open and hang.
+  // New connections are refused. Without this they open and hang during a cut.
   bool refuse = false;
+  // The opening packets of new connections are dropped during a cut.
+  bool drop_connects = false;
   bool lose_answer = false;
   duration delay{};  // Each way.
   // Bytes to the source after which a connection is reset, or closed in order.
