--- a/include/citron/config/node_settings.h
+++ b/include/citron/config/node_settings.h
@@ -40,6 +40,7 @@
   endpoint lookup;     // Where callers ask which VM to use.
   endpoint peer;       // Datagrams of other VMs.
   endpoint metrics;
+  endpoint tunnels;  // Where other VMs ask for tunnels to upstreams.
   endpoint store;
   int max_descriptors = 4096;
   double link_mbps = 0;        // 0: not known.
--- a/include/citron/node/fleet_state.h
+++ b/include/citron/node/fleet_state.h
@@ -2,6 +2,7 @@
 #define CITRON_NODE_FLEET_STATE_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -43,6 +44,7 @@
   // Removes what is still missing.
   void RemoveMissing(monotonic_time now);
 
+  void ForEachSelector(const std::function<void(affinity_selector&)>& visit);
   // Null if nothing is known of it.
   affinity_selector* SelectorOf(const service_id& service);
   upstream_tracker* FindUpstream(const upstream_id& id);
--- a/include/citron/node/node_context.h
+++ b/include/citron/node/node_context.h
@@ -8,6 +8,7 @@
 #include "citron/node/crash_watch.h"
 #include "citron/node/fleet_state.h"
 #include "citron/node/header_names.h"
+#include "citron/node/upstream_paths.h"
 #include "citron/node/upstream_pool.h"
 #include "citron/protocol/fleet_feed.h"
 
@@ -24,12 +25,14 @@
   fleet_feed& feed;
   upstream_pool& pool;
   crash_watch& crashes;
+  upstream_paths& paths;
 };
 
 // Whether callers should be sent to a VM, as it says of itself.
 struct vm_condition {
   bool ready = false;
   bool near_capacity = false;  // It has little of its processor left.
+  bool reaches_upstreams = true;
 };
 
 // How old the copy of the store is proved to be, for the log; -1 without one.
--- a/include/citron/node/node_task.h
+++ b/include/citron/node/node_task.h
@@ -20,6 +20,8 @@
 #include "citron/node/node_pages.h"
 #include "citron/node/peer_exchange.h"
 #include "citron/node/store_sync.h"
+#include "citron/node/tunnel_server.h"
+#include "citron/node/upstream_paths.h"
 #include "citron/node/upstream_pool.h"
 #include "citron/platform/platform_store.h"
 #include "citron/policy/processor_gauge.h"
@@ -37,7 +39,7 @@
 };
 
 // A whole VM in one task: callers, placement, limits and the copy of the store.
-class node_task : private request_handler_factory, private connect_listener {
+class node_task : private request_handler_factory {
  public:
   static result<std::unique_ptr<node_task>> Make(event_loop& loop,
                                                  const node_settings& settings,
@@ -62,8 +64,6 @@
   void OnAccept(int descriptor);
   std::unique_ptr<request_handler> Make(http1_head head,
                                         caller_exchange& exchange) override;
-  void OnConnectEnd(const upstream_id& upstream,
-                    connect_result result) override;
   vm_condition Condition() const;
   void OnTick();
   void OnStopStep(monotonic_time now);
@@ -76,6 +76,7 @@
   metrics stats_;
   fleet_state fleet_;
   fleet_feed feed_;
+  upstream_paths paths_;
   upstream_pool pool_;
   crash_watch crashes_;
   node_context context_;
@@ -85,6 +86,7 @@
   processor_gauge gauge_;
   std::unique_ptr<peer_exchange> peers_;
   std::unique_ptr<node_pages> pages_;
+  std::unique_ptr<tunnel_server> tunnels_;
   evconnlistener* listener_ = nullptr;
   std::vector<std::unique_ptr<caller_connection>> connections_;
   loop_timer tick_;
--- a/include/citron/node/peer_exchange.h
+++ b/include/citron/node/peer_exchange.h
@@ -13,6 +13,7 @@
 #include "citron/base/time.h"
 #include "citron/node/node_context.h"
 #include "citron/node/peer_report.h"
+#include "citron/node/reach_report.h"
 
 struct event;
 struct sockaddr_in;
@@ -39,6 +40,8 @@
   // What it said last; true if it was never heard.
   bool IsReady(const vm_id& vm) const;
   bool IsNearCapacity(const vm_id& vm) const;
+  // True as long as it has not said otherwise.
+  bool ReachesUpstreams(const vm_id& vm) const;
 
  private:
   struct peer_state {
@@ -55,6 +58,10 @@
   peer_exchange(node_context& context, int descriptor);
   void OnReadable();
   void OnReport(const peer_report& report, monotonic_time now);
+  void OnReachReport(const reach_report& report, const sockaddr_in& source,
+                     monotonic_time now);
+  // Tells all while this VM reaches no upstream, and for a while after.
+  void TellReach(bool reaches_upstreams, monotonic_time now);
   // Whether the datagram is from where the VM is listed.
   bool IsFrom(const vm_id& vm, const sockaddr_in& source) const;
   void OnDatagram(std::string_view bytes, const sockaddr_in& source,
@@ -80,8 +87,12 @@
   monotonic_time tell_all_at_{};
   bool told_ready_ = false;
   bool told_serving_ = false;
+  bool told_reaching_ = true;
+  int reach_reports_left_ = 0;
+  monotonic_time tell_reach_at_{};
   std::map<vm_id, peer_state> peers_;
-  std::map<vm_id, endpoint> readers_;  // Who is told, and where.
+  std::map<vm_id, reach_report> reach_reports_;  // The last of each.
+  std::map<vm_id, endpoint> readers_;            // Who is told, and where.
 };
 
 }  // namespace citron
--- a/include/citron/node/proxied_request.h
+++ b/include/citron/node/proxied_request.h
@@ -60,10 +60,15 @@
   bool IsPoison(monotonic_time now);
   void RefusePoison(monotonic_time now);
   bool IsSuspect(monotonic_time now) const;
-  void SendTo(const selection& choice);
+  void SendTo(const selection& choice, const connection_path& path);
   void SendBodyPiece(std::string_view bytes);
   void OnNotRun(upstream_outcome outcome, const char* reason);
+  // No connection could be opened, and the upstream isn't shown to be at fault.
+  void OnPathFailed(const char* reason);
   void OnMaybeRun(upstream_outcome outcome, const char* reason);
+  bool IsOnOwnConnection() const {
+    return connection_ != nullptr && !connection_->IsRelayed();
+  }
   bool MayTryAgain(bool reached_upstream);
   void EndAttempt(upstream_outcome outcome);
   void KeepConnection();
@@ -103,7 +108,8 @@
   bool sent_as_suspect_ = false;
   bool sent_ = false;  // A byte may have reached the present upstream.
   std::vector<upstream_id> tried_;
-  int reached_ = 0;  // Upstreams that a byte may have reached.
+  std::vector<upstream_id> reached_;  // Those that a byte may have reached.
+  int path_failures_ = 0;
   int connect_failures_ = 0;
   verdict verdict_ = verdict::kNotRun;
   const char* last_reason_ = "";
--- a/include/citron/node/upstream_connection.h
+++ b/include/citron/node/upstream_connection.h
@@ -5,12 +5,12 @@
 #include <string>
 #include <string_view>
 
-#include "citron/base/endpoint.h"
 #include "citron/base/strong_id.h"
 #include "citron/base/time.h"
 #include "citron/net/event_loop.h"
 #include "citron/net/http1_reader.h"
 #include "citron/net/http_types.h"
+#include "citron/node/connection_path.h"
 
 struct bufferevent;
 
@@ -21,11 +21,17 @@
   kConnectTimeout,  // No connection in time; nothing was sent.
   kLost,            // Closed, reset or silent before the whole answer.
   kBadAnswer,       // Bytes that are no answer.
+  kRelayFailed,     // The other VM opened no tunnel; nothing was sent.
 };
 
 std::string_view UpstreamFaultName(upstream_fault fault);
 
-enum class connect_result { kConnected, kRefused, kTimedOut };
+enum class connect_result {
+  kConnected,
+  kRefused,
+  kTimedOut,
+  kRelayFailed,  // Says nothing of the upstream.
+};
 
 std::string_view ToString(connect_result result);
 
@@ -64,13 +70,15 @@
   // `id_header` names the header in which an answer carries its request's id:
   // an answer with another id belongs to an earlier request and is passed over.
   upstream_connection(event_loop& loop, upstream_id upstream,
-                      const endpoint& address, duration connect_limit,
+                      connection_path path, duration connect_limit,
                       std::string id_header, upstream_connection_owner& owner);
   ~upstream_connection() override;
   upstream_connection(const upstream_connection&) = delete;
   upstream_connection& operator=(const upstream_connection&) = delete;
 
   const upstream_id& Upstream() const { return upstream_; }
+  const connection_path& Path() const { return path_; }
+  bool IsRelayed() const { return !path_.relay.IsEmpty(); }
 
   // Sends the head, and the body as far as it is there. `request_id` may be
   // empty. The listener must outlive the call.
@@ -99,6 +107,8 @@
   void OnHead(http1_head head) override;
   void OnBody(std::string_view bytes) override;
 
+  void AskRelay();
+  void OnRelayAnswer();
   void OnConnected();
   void OnReadable();
   void OnEnd(bool reset);
@@ -108,6 +118,7 @@
 
   event_loop& loop_;
   upstream_id upstream_;
+  connection_path path_;
   std::string id_header_;
   upstream_connection_owner& owner_;
   bufferevent* bytes_ = nullptr;
@@ -118,6 +129,7 @@
   std::string unsent_;
   std::string request_id_;
   bool expects_body_ = true;
+  int relay_status_ = 0;
   bool skipping_ = false;  // The answer of an earlier request.
   bool stays_open_ = true;
   bool paused_ = false;
--- /dev/null
+++ b/include/citron/node/upstream_paths.h
@@ -0,0 +1,69 @@
+#ifndef CITRON_NODE_UPSTREAM_PATHS_H_
+#define CITRON_NODE_UPSTREAM_PATHS_H_
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "citron/base/event_log.h"
+#include "citron/config/node_settings.h"
+#include "citron/net/metrics.h"
+#include "citron/node/connection_path.h"
+#include "citron/node/fleet_state.h"
+#include "citron/node/upstream_pool.h"
+#include "citron/policy/relay_choice.h"
+#include "citron/policy/upstream_reach.h"
+
+namespace citron {
+
+class peer_exchange;
+
+// How this VM reaches upstreams: by itself, or through other VMs while it is
+// cut off from all upstreams and others are not.
+class upstream_paths : public connect_listener {
+ public:
+  upstream_paths(const node_settings& settings, fleet_state& fleet,
+                 event_log& log, metrics& stats);
+
+  // Whether connections of this VM's own can be opened, as far as it knows.
+  bool IsReachable() const { return reach_.IsReachable(); }
+  // Empty if no way to the upstream is known. `is_region_bound`: the request
+  // may be handled in some regions only.
+  std::optional<connection_path> PathTo(const upstream_tracker& upstream,
+                                        bool is_region_bound) const;
+
+  // Of connections of the pool, with or without a relay.
+  void OnConnectEnd(const upstream_connection& connection,
+                    connect_result result) override;
+  // Of a connection that this VM opened itself.
+  void OnOwnConnectEnd(const upstream_id& upstream, connect_result result);
+  // Of a request on a connection of this VM's own.
+  void OnAnswered() { reach_.OnAnswered(); }
+  void OnUnanswered(const upstream_id& upstream);
+
+  // Probes upstreams when that is due, and sees which VMs can be relays; to be
+  // called as time passes.
+  void Run(upstream_pool& pool, const peer_exchange& peers, monotonic_time now);
+
+ private:
+  void OnLost(connect_result result, monotonic_time now);
+  void UpdateRelays(upstream_pool& pool, const peer_exchange& peers,
+                    monotonic_time now);
+  // Takes back what was concluded from failures that show the path's fault.
+  void ForgetConnectFailures(monotonic_time since);
+  void Probe(upstream_pool& pool, monotonic_time now);
+
+  const node_settings& settings_;
+  fleet_state& fleet_;
+  event_log& log_;
+  metrics& stats_;
+  upstream_reach reach_;
+  bool kept_connections_work_ = true;  // While the VM is cut off.
+  std::vector<relay_candidate> relays_;
+  std::map<vm_id, monotonic_time> relay_failed_until_;
+};
+
+}  // namespace citron
+
+#endif  // CITRON_NODE_UPSTREAM_PATHS_H_
--- a/include/citron/node/upstream_pool.h
+++ b/include/citron/node/upstream_pool.h
@@ -7,10 +7,10 @@
 #include <string>
 #include <vector>
 
-#include "citron/base/endpoint.h"
 #include "citron/base/strong_id.h"
 #include "citron/base/time.h"
 #include "citron/net/event_loop.h"
+#include "citron/node/connection_path.h"
 #include "citron/node/upstream_connection.h"
 
 namespace citron {
@@ -27,7 +27,7 @@
 class connect_listener {
  public:
   virtual ~connect_listener() = default;
-  virtual void OnConnectEnd(const upstream_id& upstream,
+  virtual void OnConnectEnd(const upstream_connection& connection,
                             connect_result result) = 0;
 };
 
@@ -42,10 +42,10 @@
                 connect_listener& listener,
                 const upstream_pool_options& options = {});
 
-  // An idle connection that the upstream keeps for `margin` at the least, or
-  // one that is being opened.
+  // An idle connection of the path that the upstream keeps for `margin` at the
+  // least, or one that is being opened.
   std::unique_ptr<upstream_connection> Take(const upstream_id& upstream,
-                                            const endpoint& address,
+                                            const connection_path& path,
                                             duration connect_limit,
                                             duration margin,
                                             monotonic_time now);
@@ -53,6 +53,11 @@
   void Give(const upstream_id& upstream,
             std::unique_ptr<upstream_connection> connection,
             monotonic_time now);
+  // Opens a connection for later use, unless one is being opened.
+  void OpenSpare(const upstream_id& upstream, const connection_path& path,
+                 duration connect_limit);
+  // Closes the connections through a relay that no request uses.
+  void CloseIdle(const vm_id& relay);
   // Closes what is too old to be used again, and what belongs to upstreams
   // that `is_known` doesn't know.
   void Sweep(const std::function<bool(const upstream_id&)>& is_known,
@@ -68,10 +73,11 @@
   };
 
   std::unique_ptr<upstream_connection> TakeUnused(upstream_state& state,
+                                                  const connection_path& path,
                                                   duration margin,
                                                   monotonic_time now);
   std::unique_ptr<upstream_connection> Open(const upstream_id& upstream,
-                                            const endpoint& address,
+                                            const connection_path& path,
                                             duration connect_limit);
   void OnConnectEnd(const upstream_connection& connection,
                     connect_result result) override;
--- a/include/citron/node/vm_listing.h
+++ b/include/citron/node/vm_listing.h
@@ -1,6 +1,7 @@
 #ifndef CITRON_NODE_VM_LISTING_H_
 #define CITRON_NODE_VM_LISTING_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -20,6 +21,8 @@
   double link_mbps = 0;
   // Who knows it has read it in the store, and is one of the fleet.
   std::string secret;
+  // Where other VMs ask for tunnels to upstreams; none if it opens none.
+  std::optional<endpoint> tunnels;
 
   friend bool operator==(const vm_listing&, const vm_listing&) = default;
 };
--- a/include/citron/policy/affinity_selector.h
+++ b/include/citron/policy/affinity_selector.h
@@ -103,6 +103,9 @@
   void OnConnected(const zone_id& zone);
   void OnConnectTimeout(const zone_id& zone, monotonic_time now);
 
+  // Takes back what connect failures at or after `since` showed.
+  void ForgetConnectFailures(monotonic_time since);
+
   std::size_t Count() const { return upstreams_.size(); }
 
  private:
--- a/include/citron/policy/upstream_tracker.h
+++ b/include/citron/policy/upstream_tracker.h
@@ -72,6 +72,9 @@
   // Takes the number of requests at the upstream that another VM reports.
   void OnPeerLoadReport(int requests, monotonic_time now);
   void OnDone(upstream_outcome outcome, monotonic_time now);
+  // Takes back what connect failures at or after `since` showed: that the
+  // upstream fails, and may have restarted.
+  void ForgetConnectFailures(monotonic_time since);
   int InFlight() const { return in_flight_; }
   // Returns the requests at the upstream: this VM's in flight and, while the
   // last report is valid, those of other callers.
@@ -93,6 +96,7 @@
  private:
   void UpdateLoad(int requests, int local_in_flight, int slots,
                   monotonic_time now);
+  bool IsRestartPossible(monotonic_time now) const;
   double ColdTokens(monotonic_time now) const;
   void OnConnectFailure(monotonic_time now);
 
@@ -108,6 +112,7 @@
   weight_control weight_;
 
   int connect_failures_ = 0;
+  monotonic_time connect_failing_since_{};
   monotonic_time backoff_until_{};
   double failure_rate_ = 0;
   int samples_ = 0;
--- a/include/citron/policy/vm_choice.h
+++ b/include/citron/policy/vm_choice.h
@@ -18,10 +18,13 @@
   bool has_recent_report = true;  // A recent report was received.
   double link_mbps = 0;
   bool near_capacity = false;  // The processor is near capacity.
+  // The VM reports no partition from all upstreams.
+  bool reaches_upstreams = true;
 };
 
 // Returns the VMs to which callers of a zone are sent: the nearest VMs of the
-// healthiest group (ready with a recent report, ready, any). Of these, only the
+// healthiest group (ready with a recent report and reaching upstreams, ready
+// with a recent report, ready, any). Of these, only the
 // VMs with at least half of the widest link are returned if there are at least
 // two such VMs and none of them is near capacity. The result is empty only if
 // `all` is empty.
--- a/src/node/fleet_state.cc
+++ b/src/node/fleet_state.cc
@@ -328,6 +328,11 @@
   return made;
 }
 
+void fleet_state::ForEachSelector(
+    const std::function<void(affinity_selector&)>& visit) {
+  for (auto& [service, selector] : selectors_) visit(selector);
+}
+
 affinity_selector* fleet_state::SelectorOf(const service_id& service) {
   const auto found = selectors_.find(service);
   return found == selectors_.end() ? nullptr : &found->second;
--- a/src/node/node_pages.cc
+++ b/src/node/node_pages.cc
@@ -80,7 +80,8 @@
         {vm, listing.zone, listing.region, listing.callers,
          own ? condition_().ready : peers_.IsReady(vm),
          own || peers_.IsHeard(vm, now), listing.link_mbps,
-         own ? condition_().near_capacity : peers_.IsNearCapacity(vm)});
+         own ? condition_().near_capacity : peers_.IsNearCapacity(vm),
+         own ? condition_().reaches_upstreams : peers_.ReachesUpstreams(vm)});
   }
   const std::vector<vm_candidate> chosen = ChooseVms(candidates, zone, region);
   LogChoice(zone, chosen, now);
--- a/src/node/node_task.cc
+++ b/src/node/node_task.cc
@@ -61,6 +61,10 @@
       [self = task.get()] { return self->Condition(); });
   if (!IsOk(pages)) return ErrorOf(pages);
   task->pages_ = std::move(ValueOf(pages));
+  result<std::unique_ptr<tunnel_server>> tunnels =
+      tunnel_server::Make(task->context_, task->secret_);
+  if (!IsOk(tunnels)) return ErrorOf(tunnels);
+  task->tunnels_ = std::move(ValueOf(tunnels));
   const status listening = task->Listen();
   if (!IsOk(listening)) return ErrorOf(listening);
   task->OnTick();
@@ -75,10 +79,11 @@
       log_(log),
       fleet_(settings_, *platform.codec, log_),
       feed_(feed_options{}),
-      pool_(loop, platform.names.request_id, *this),
+      paths_(settings_, fleet_, log_, stats_),
+      pool_(loop, platform.names.request_id, paths_),
       crashes_(log_),
-      context_{loop_,  settings_, names_, log_,    stats_,
-               fleet_, feed_,     pool_,  crashes_},
+      context_{loop_,  settings_, names_, log_,     stats_,
+               fleet_, feed_,     pool_,  crashes_, paths_},
       secret_(RandomHex(kSecretBytes)),
       sync_(context_, *platform.store, *platform.codec, secret_),
       relay_(context_, sync_.Index(), secret_),
@@ -171,11 +176,6 @@
   return request;
 }
 
-void node_task::OnConnectEnd(const upstream_id&, connect_result result) {
-  stats_.Count("citron_upstream_connects_total",
-               {{"result", std::string(ToString(result))}});
-}
-
 bool node_task::IsReady() const {
   if (stopped_ || fleet_.Routing() == nullptr) return false;
   // A VM that can't let keys in is of no use to most callers, and sends them
@@ -185,7 +185,7 @@
 }
 
 vm_condition node_task::Condition() const {
-  return {IsReady(), gauge_.IsNearCapacity()};
+  return {IsReady(), gauge_.IsNearCapacity(), paths_.IsReachable()};
 }
 
 void node_task::OnTick() {
@@ -195,6 +195,7 @@
   fleet_.RemoveMissing(now);
   const bool ready = IsReady();
   gauge_.OnSample(ProcessorTime(), now);
+  paths_.Run(pool_, *peers_, now);
   peers_->Run(Condition(), now);
   peers_->TellCrashes(now);
   if (ready != was_ready_) {
@@ -231,6 +232,7 @@
              {{"vm", settings_.vm.Str()}, {"connections", connections_.size()}},
              now);
   sync_.Leave(now);
+  tunnels_->Stop();
   for (const auto& connection : connections_) connection->StopAfterAnswer();
   OnTick();
 }
@@ -244,7 +246,8 @@
   std::vector<caller_connection*> open;
   for (const auto& connection : connections_) open.push_back(connection.get());
   for (caller_connection* connection : open) connection->CloseIfIdle();
-  if (!connections_.empty() && now < end_at_) return;
+  const bool serves = !connections_.empty() || tunnels_->Open() > 0;
+  if (serves && now < end_at_) return;
   log_.Write("node", "stopped",
              {{"vm", settings_.vm.Str()}, {"cut", connections_.size()}}, now);
   stopped_();
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -33,6 +33,8 @@
 constexpr duration kWayAndTick = std::chrono::milliseconds(300);
 // Requests a second below which a workspace counts as asking nothing.
 constexpr double kLeastDemand = 0.05;
+// Reports that tell that the VM reaches upstreams again; some may be lost.
+constexpr int kReachReports = 4;
 // Reports that may be lost in a row before a VM counts as not heard.
 constexpr int kLostReports = 4;
 
@@ -93,6 +95,7 @@
 }
 
 void peer_exchange::Run(const vm_condition& own, monotonic_time now) {
+  TellReach(own.reaches_upstreams, now);
   const bool for_all = now >= tell_all_at_;
   const bool for_serving = now >= tell_serving_at_;
   if (!for_all && !for_serving && own.ready == told_ready_) return;
@@ -202,6 +205,20 @@
   for (const auto& [vm, address] : readers_) SendTo(address, bytes);
 }
 
+void peer_exchange::TellReach(bool reaches_upstreams, monotonic_time now) {
+  const bool changed = reaches_upstreams != told_reaching_;
+  if (changed) reach_reports_left_ = kReachReports;
+  told_reaching_ = reaches_upstreams;
+  const bool has_news = !reaches_upstreams || reach_reports_left_ > 0;
+  if (!has_news || (!changed && now < tell_reach_at_)) return;
+  if (reach_reports_left_ > 0) --reach_reports_left_;
+  tell_reach_at_ = now + IntervalFor(context_.fleet.FleetSize());
+  UpdateReaders(now);
+  const std::string bytes = EncodeWire(reach_report{
+      context_.settings.vm, incarnation_, ++sequence_, reaches_upstreams});
+  for (const auto& [vm, address] : readers_) SendTo(address, bytes);
+}
+
 // One that can't be sent is a lost one; the next follows.
 void peer_exchange::SendTo(const endpoint& address, const std::string& bytes) {
   const sockaddr_in to = SocketAddress(address);
@@ -234,6 +251,8 @@
                                const sockaddr_in& source, monotonic_time now) {
   const result<peer_report> report = DecodeWire<peer_report>(bytes);
   if (IsOk(report)) return OnReport(ValueOf(report), now);
+  const result<reach_report> reach = DecodeWire<reach_report>(bytes);
+  if (IsOk(reach)) return OnReachReport(ValueOf(reach), source, now);
   const result<crash_report> crashes = DecodeWire<crash_report>(bytes);
   if (!IsOk(crashes)) {
     context_.log.Write("peers", "unreadable",
@@ -285,6 +304,30 @@
   }
 }
 
+// A stranger could keep callers away from a VM with it.
+void peer_exchange::OnReachReport(const reach_report& report,
+                                  const sockaddr_in& source,
+                                  monotonic_time now) {
+  UpdateReaders(now);
+  if (!IsFrom(report.vm, source)) {
+    context_.log.Write("peers", "reach_report_refused",
+                       {{"vm", report.vm.Str()}}, now);
+    return;
+  }
+  reach_report& last = reach_reports_[report.vm];
+  if (std::tie(report.incarnation, report.sequence) <=
+      std::tie(last.incarnation, last.sequence)) {
+    return;
+  }
+  if (last.reaches_upstreams != report.reaches_upstreams) {
+    context_.log.Write("peers", "reach_changed",
+                       {{"vm", report.vm.Str()},
+                        {"reaches_upstreams", report.reaches_upstreams}},
+                       now);
+  }
+  last = report;
+}
+
 duration peer_exchange::SilenceLimit() const {
   return IntervalFor(context_.fleet.FleetSize()) * kLostReports;
 }
@@ -299,6 +342,17 @@
   return peer == peers_.end() || peer->second.ready;
 }
 
+// What an earlier start of it said counts no more.
+bool peer_exchange::ReachesUpstreams(const vm_id& vm) const {
+  const auto report = reach_reports_.find(vm);
+  if (report == reach_reports_.end()) return true;
+  const auto peer = peers_.find(vm);
+  const bool has_restarted =
+      peer != peers_.end() &&
+      peer->second.incarnation > report->second.incarnation;
+  return has_restarted || report->second.reaches_upstreams;
+}
+
 bool peer_exchange::IsNearCapacity(const vm_id& vm) const {
   const auto peer = peers_.find(vm);
   return peer != peers_.end() && peer->second.near_capacity;
--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -33,6 +33,9 @@
 // Less than this can't bring an answer back.
 constexpr duration kLeastTimeLeft = std::chrono::milliseconds(15);
 constexpr int kMaxConnectFailures = 3;
+// Failures that show no upstream's fault: the first ones of a partition, and
+// relays that are cut off as well.
+constexpr int kMaxPathFailures = 4;
 
 // When to come back: after a slot at one of the upstreams that are full is
 // likely to have come free, or after failing ones have been tried again.
@@ -173,7 +176,16 @@
                   *none == selection_error::kBusy ? kRetryWhenBusy
                                                   : kRetryWhenUnavailable);
   }
-  SendTo(std::get<selection>(chosen));
+  const selection& choice = std::get<selection>(chosen);
+  const bool is_region_bound =
+      !admitted_.route->homes.empty() ||
+      (admitted_.workspace != nullptr && !admitted_.workspace->homes.empty());
+  const std::optional<connection_path> path =
+      context_.paths.PathTo(*selector->Find(choice.upstream), is_region_bound);
+  if (path) return SendTo(choice, *path);
+  last_reason_ = "no_path";
+  if (verdict_ != verdict::kNotRun) return FailMaybeRun(502, last_reason_);
+  Refuse(503, last_reason_, kRetryWhenUnavailable);
 }
 
 bool proxied_request::IsPoison(monotonic_time now) {
@@ -199,7 +211,8 @@
                                   crash_watch::standing::kSuspect;
 }
 
-void proxied_request::SendTo(const selection& choice) {
+void proxied_request::SendTo(const selection& choice,
+                             const connection_path& path) {
   const monotonic_time now = MonotonicNow();
   upstream_tracker* standing =
       context_.fleet.SelectorOf(service_)->Find(choice.upstream);
@@ -229,12 +242,12 @@
                                          workspace, deadline_ - now, framing);
   if (!framing.chunked) message += body_;
   connection_ =
-      context_.pool.Take(upstream_, standing->Record().address, kConnectLimit,
+      context_.pool.Take(upstream_, path, kConnectLimit,
                          IsRepeatable() ? kIdleMargin : kIdleMarginOnce, now);
   const bool expects_body = head_.method != "HEAD";
   // A kept connection sends at once; a new one reports when it does.
   sent_ = connection_->IsReusable({}, now);
-  if (sent_) ++reached_;
+  if (sent_) reached_.push_back(upstream_);
   connection_->Start(message, expects_body, id_, *this);
   if (framing.chunked) SendBodyPiece(body_);
   if (streaming_body_) body_.clear();
@@ -251,6 +264,7 @@
                       {"cold", choice.cold},
                       {"try", tried_.size()},
                       {"kept_connection", sent_},
+                      {"relay", connection_->Path().relay.Str()},
                       {"left_ms", ToMilliseconds(deadline_ - now)},
                       {"declaration", admitted_.routing->version}},
                      now);
@@ -258,7 +272,7 @@
 
 void proxied_request::OnConnected() {
   sent_ = true;
-  ++reached_;
+  reached_.push_back(upstream_);
   affinity_selector* selector = context_.fleet.SelectorOf(service_);
   if (selector != nullptr) selector->OnConnected(upstream_zone_);
 }
@@ -288,6 +302,7 @@
 
 void proxied_request::OnAnswerHead(http1_head head) {
   ReportLoad(head);
+  if (IsOnOwnConnection()) context_.paths.OnAnswered();
   kind_ = Judge(head);
   answer_ = std::move(head);
 }
@@ -356,6 +371,7 @@
                             MonotonicNow());
   }
   answer_.reset();
+  const bool on_own_connection = IsOnOwnConnection();
   DropConnection();
   if (streaming_answer_) {
     // The caller has a part of it: the rest can only be seen to be missing.
@@ -363,6 +379,11 @@
     exchange_.Abort();
     return Finish(0, name.data());
   }
+  if (sent_ && on_own_connection) context_.paths.OnUnanswered(upstream_);
+  const bool is_path_fault =
+      fault == upstream_fault::kRelayFailed ||
+      (on_own_connection && !context_.paths.IsReachable());
+  if (!sent_ && is_path_fault) return OnPathFailed(name.data());
   if (!sent_) {
     ++connect_failures_;
     affinity_selector* selector = context_.fleet.SelectorOf(service_);
@@ -379,11 +400,31 @@
 bool proxied_request::MayTryAgain(bool reached_upstream) {
   if (!BodyIsReplayable()) return false;
   if (connect_failures_ > kMaxConnectFailures) return false;
-  if (reached_ >= admitted_.route->max_upstreams) return false;
+  if (static_cast<int>(reached_.size()) >= admitted_.route->max_upstreams) {
+    return false;
+  }
   // Upstreams see only what reaches them.
   return !reached_upstream || context_.fleet.RetriesOf(service_).TryTake();
 }
 
+void proxied_request::OnPathFailed(const char* reason) {
+  last_reason_ = reason;
+  EndAttempt(upstream_outcome::kCancelled);
+  context_.log.Write("request", "path_failed",
+                     {{"id", id_},
+                      {"upstream", upstream_.Str()},
+                      {"reason", reason},
+                      {"left_ms", ToMilliseconds(deadline_ - MonotonicNow())}},
+                     MonotonicNow());
+  // Upstreams that could not be reached this way may be reached another way.
+  tried_ = reached_;
+  if (BodyIsReplayable() && ++path_failures_ <= kMaxPathFailures) {
+    return Place();
+  }
+  if (verdict_ != verdict::kNotRun) return FailMaybeRun(502, reason);
+  Refuse(503, reason, kRetryWhenUnavailable);
+}
+
 void proxied_request::OnNotRun(upstream_outcome outcome, const char* reason) {
   const bool reached = sent_;
   last_reason_ = reason;
@@ -500,6 +541,9 @@
   last_reason_ = "deadline";
   if (attempt_open_) {
     if (sent_ && verdict_ == verdict::kNotRun) verdict_ = verdict::kMayHaveRun;
+    if (sent_ && !answer_ && IsOnOwnConnection()) {
+      context_.paths.OnUnanswered(upstream_);
+    }
     EndAttempt(upstream_outcome::kTimedOut);
     DropConnection();
   }
--- a/src/node/store_sync.cc
+++ b/src/node/store_sync.cc
@@ -37,7 +37,7 @@
 vm_listing store_sync::OwnListing() const {
   const node_settings& settings = context_.settings;
   return {settings.vm,   settings.zone,      settings.region, settings.callers,
-          settings.peer, settings.link_mbps, secret_};
+          settings.peer, settings.link_mbps, secret_,         settings.tunnels};
 }
 
 // A plan looks at every VM, which is too much for each tick of a large fleet.
--- a/src/node/upstream_connection.cc
+++ b/src/node/upstream_connection.cc
@@ -11,6 +11,7 @@
 #include <optional>
 #include <utility>
 
+#include "citron/node/tunnel_messages.h"
 #include "node/socket_address.h"
 #include "node/socket_options.h"
 
@@ -49,6 +50,8 @@
       return "connection_lost";
     case upstream_fault::kBadAnswer:
       return "bad_answer";
+    case upstream_fault::kRelayFailed:
+      return "relay_failed";
   }
   return "unknown";
 }
@@ -61,6 +64,8 @@
       return "refused";
     case connect_result::kTimedOut:
       return "timed_out";
+    case connect_result::kRelayFailed:
+      return "relay_failed";
   }
   return "unknown";
 }
@@ -77,26 +82,34 @@
   }
   static void Event(bufferevent*, short what, void* self) {  // NOLINT
     auto* that = static_cast<upstream_connection*>(self);
-    if ((what & BEV_EVENT_CONNECTED) != 0) return that->OnConnected();
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+      return that->IsRelayed() ? that->AskRelay() : that->OnConnected();
+    }
     const bool ended = (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0;
     if (ended) that->OnEnd((what & BEV_EVENT_ERROR) != 0);
   }
 };
 
 upstream_connection::upstream_connection(event_loop& loop, upstream_id upstream,
-                                         const endpoint& address,
+                                         connection_path path,
                                          duration connect_limit,
                                          std::string id_header,
                                          upstream_connection_owner& owner)
     : loop_(loop),
       upstream_(std::move(upstream)),
+      path_(std::move(path)),
       id_header_(std::move(id_header)),
       owner_(owner),
       reader_(http1_reader::direction::kAnswers, kMaxAnswerHeadBytes, *this),
-      connect_timer_(loop, [this] { Fail(upstream_fault::kConnectTimeout); }),
+      connect_timer_(loop,
+                     [this] {
+                       Fail(IsRelayed() ? upstream_fault::kRelayFailed
+                                        : upstream_fault::kConnectTimeout);
+                     }),
       created_at_(MonotonicNow()),
       keep_alive_limit_(kUnstatedKeepAlive) {
-  sockaddr_in to = SocketAddress(address);
+  sockaddr_in to =
+      SocketAddress(IsRelayed() ? path_.relay_address : path_.address);
   bytes_ = bufferevent_socket_new(
       loop.Base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   bufferevent_setcb(bytes_, callbacks::Readable, callbacks::Written,
@@ -163,10 +176,40 @@
   return unsent_.size() + evbuffer_get_length(bufferevent_get_output(bytes_));
 }
 
+void upstream_connection::AskRelay() {
+  if (state_ != state::kConnecting) return;
+  SetSocketOptions(bufferevent_getfd(bytes_));
+  const std::string request =
+      MakeTunnelRequest({upstream_, path_.address}, path_.relay_secret);
+  reader_.ExpectNoBody();
+  bufferevent_write(bytes_, request.data(), request.size());
+  bufferevent_enable(bytes_, EV_READ | EV_WRITE);
+}
+
+void upstream_connection::OnRelayAnswer() {
+  const http1_reader::progress made =
+      reader_.Read(bufferevent_get_input(bytes_));
+  if (made == http1_reader::progress::kNeedsMore) return;
+  if (made == http1_reader::progress::kFault) {
+    return Fail(upstream_fault::kRelayFailed);
+  }
+  reader_.Reset();
+  switch (relay_status_) {
+    case kTunnelOpen:
+      return OnConnected();
+    case kTunnelUpstreamRefused:
+      return Fail(upstream_fault::kConnectFailed);
+    case kTunnelUpstreamTimedOut:
+      return Fail(upstream_fault::kConnectTimeout);
+    default:
+      return Fail(upstream_fault::kRelayFailed);
+  }
+}
+
 void upstream_connection::OnConnected() {
   if (state_ != state::kConnecting) return;
   connect_timer_.Disarm();
-  SetSocketOptions(bufferevent_getfd(bytes_));
+  if (!IsRelayed()) SetSocketOptions(bufferevent_getfd(bytes_));
   idle_since_ = MonotonicNow();
   connect_time_ = idle_since_ - created_at_;
   owner_.OnConnectEnd(*this, connect_result::kConnected);
@@ -184,6 +227,7 @@
 }
 
 void upstream_connection::OnReadable() {
+  if (state_ == state::kConnecting) return OnRelayAnswer();
   if (state_ == state::kIdle) return EndIdle();
   if (state_ != state::kBusy) return;
   while (true) {
@@ -202,6 +246,10 @@
 }
 
 void upstream_connection::OnHead(http1_head head) {
+  if (state_ == state::kConnecting) {
+    relay_status_ = head.status;
+    return;
+  }
   const auto id = FindHeader(head.headers, id_header_);
   // A late second answer to an earlier request, where this one's was due.
   skipping_ = id.has_value() && !request_id_.empty() && *id != request_id_;
@@ -234,7 +282,8 @@
     case state::kIdle:
       return EndIdle();
     case state::kConnecting:
-      return Fail(upstream_fault::kConnectFailed);
+      return Fail(IsRelayed() ? upstream_fault::kRelayFailed
+                              : upstream_fault::kConnectFailed);
     case state::kBusy:
       break;
   }
@@ -256,6 +305,8 @@
     owner_.OnConnectEnd(*this, connect_result::kRefused);
   } else if (fault == upstream_fault::kConnectTimeout) {
     owner_.OnConnectEnd(*this, connect_result::kTimedOut);
+  } else if (fault == upstream_fault::kRelayFailed) {
+    owner_.OnConnectEnd(*this, connect_result::kRelayFailed);
   }
   upstream_call_listener* listener = std::exchange(listener_, nullptr);
   if (listener == nullptr) return owner_.OnIdleEnd(*this);
--- /dev/null
+++ b/src/node/upstream_paths.cc
@@ -0,0 +1,155 @@
+#include "citron/node/upstream_paths.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "citron/node/peer_exchange.h"
+
+namespace citron {
+
+namespace {
+
+// A relay that failed is left alone for so long.
+constexpr duration kRelayBackoff = std::chrono::milliseconds(1000);
+constexpr duration kProbeLimit = std::chrono::milliseconds(500);
+
+}  // namespace
+
+upstream_paths::upstream_paths(const node_settings& settings,
+                               fleet_state& fleet, event_log& log,
+                               metrics& stats)
+    : settings_(settings), fleet_(fleet), log_(log), stats_(stats) {}
+
+std::optional<connection_path> upstream_paths::PathTo(
+    const upstream_tracker& upstream, bool is_region_bound) const {
+  connection_path path;
+  path.address = upstream.Record().address;
+  if (reach_.IsReachable()) return path;
+  const auto relay =
+      ChooseRelay(relays_, {settings_.zone, settings_.region, upstream.Hash(),
+                            upstream.Region(), is_region_bound});
+  if (!relay) return std::nullopt;
+  const auto listing = fleet_.Vms().find(*relay);
+  if (listing == fleet_.Vms().end()) return std::nullopt;
+  path.relay = *relay;
+  path.relay_address = *listing->second.tunnels;
+  path.relay_secret = listing->second.secret;
+  path.may_use_kept = kept_connections_work_;
+  return path;
+}
+
+void upstream_paths::OnConnectEnd(const upstream_connection& connection,
+                                  connect_result result) {
+  const connection_path& path = connection.Path();
+  const bool relayed = !path.relay.IsEmpty();
+  stats_.Count("citron_upstream_connects_total",
+               {{"path", relayed ? "relay" : "own"},
+                {"result", std::string(ToString(result))}});
+  if (!relayed) return OnOwnConnectEnd(connection.Upstream(), result);
+  if (result != connect_result::kRelayFailed) return;
+  const monotonic_time now = MonotonicNow();
+  relay_failed_until_[path.relay] = now + kRelayBackoff;
+  std::erase_if(relays_, [&path](const relay_candidate& relay) {
+    return relay.vm == path.relay;
+  });
+  log_.Write("reach", "relay_failed", {{"vm", path.relay.Str()}}, now);
+}
+
+void upstream_paths::OnOwnConnectEnd(const upstream_id& upstream,
+                                     connect_result result) {
+  const monotonic_time now = MonotonicNow();
+  if (result == connect_result::kConnected) {
+    if (!reach_.IsReachable()) {
+      log_.Write("reach", "regained", {{"upstream", upstream.Str()}}, now);
+    }
+    return reach_.OnConnected();
+  }
+  const auto known = static_cast<std::size_t>(fleet_.UpstreamCount());
+  if (reach_.OnConnectFailed(upstream, known, now)) OnLost(result, now);
+}
+
+void upstream_paths::OnLost(connect_result result, monotonic_time now) {
+  // Where new connections hang, old ones do.
+  kept_connections_work_ = result == connect_result::kRefused;
+  ForgetConnectFailures(reach_.FailingSince());
+  log_.Write("reach", "lost",
+             {{"last_failure", std::string(ToString(result))},
+              {"failing_ms", ToMilliseconds(now - reach_.FailingSince())},
+              {"relays", relays_.size()}},
+             now);
+}
+
+void upstream_paths::OnUnanswered(const upstream_id& upstream) {
+  kept_connections_work_ = false;
+  reach_.OnUnanswered(upstream, MonotonicNow());
+}
+
+void upstream_paths::ForgetConnectFailures(monotonic_time since) {
+  fleet_.ForEachSelector([since](affinity_selector& selector) {
+    selector.ForgetConnectFailures(since);
+  });
+}
+
+void upstream_paths::Run(upstream_pool& pool, const peer_exchange& peers,
+                         monotonic_time now) {
+  UpdateRelays(pool, peers, now);
+  const auto known = static_cast<std::size_t>(fleet_.UpstreamCount());
+  if (reach_.WantsProbes(known, now)) Probe(pool, now);
+}
+
+void upstream_paths::UpdateRelays(upstream_pool& pool,
+                                  const peer_exchange& peers,
+                                  monotonic_time now) {
+  std::vector<relay_candidate> relays;
+  for (const auto& [vm, listing] : fleet_.Vms()) {
+    if (vm == settings_.vm || !listing.tunnels) continue;
+    const bool is_sound = peers.IsHeard(vm, now) && peers.IsReady(vm) &&
+                          peers.ReachesUpstreams(vm);
+    const auto failed = relay_failed_until_.find(vm);
+    const bool failed_lately =
+        failed != relay_failed_until_.end() && now < failed->second;
+    if (is_sound && !failed_lately) {
+      relays.push_back({vm, listing.zone, listing.region});
+    }
+  }
+  std::erase_if(relay_failed_until_,
+                [now](const auto& failed) { return now >= failed.second; });
+  for (const relay_candidate& before : relays_) {
+    const bool still = std::any_of(
+        relays.begin(), relays.end(),
+        [&](const relay_candidate& relay) { return relay.vm == before.vm; });
+    if (still || reach_.IsReachable()) continue;
+    pool.CloseIdle(before.vm);
+    // It may have told of failures that were its own.
+    if (!peers.ReachesUpstreams(before.vm)) {
+      ForgetConnectFailures(reach_.FailingSince());
+    }
+  }
+  relays_ = std::move(relays);
+}
+
+void upstream_paths::Probe(upstream_pool& pool, monotonic_time now) {
+  std::vector<const upstream_tracker*> known;
+  fleet_.ForEachSelector([&known](affinity_selector& selector) {
+    selector.ForEach([&known](upstream_tracker& upstream) {
+      if (!upstream.IsLeaving()) known.push_back(&upstream);
+    });
+  });
+  std::stable_partition(known.begin(), known.end(),
+                        [this](const upstream_tracker* upstream) {
+                          return upstream->Region() == settings_.region;
+                        });
+  std::vector<upstream_id> candidates;
+  for (const upstream_tracker* upstream : known) {
+    candidates.push_back(upstream->Record().id);
+  }
+  for (const upstream_id& id : reach_.TakeProbes(candidates, now)) {
+    const upstream_tracker* upstream = fleet_.FindUpstream(id);
+    connection_path path;
+    path.address = upstream->Record().address;
+    pool.OpenSpare(id, path, kProbeLimit);
+  }
+}
+
+}  // namespace citron
--- a/src/node/upstream_pool.cc
+++ b/src/node/upstream_pool.cc
@@ -21,16 +21,17 @@
       options_(options) {}
 
 std::unique_ptr<upstream_connection> upstream_pool::Take(
-    const upstream_id& upstream, const endpoint& address,
+    const upstream_id& upstream, const connection_path& path,
     duration connect_limit, duration margin, monotonic_time now) {
   upstream_state& state = upstreams_[upstream];
   const bool steady = now - state.taken_at < options_.steady_use;
   state.taken_at = now;
-  std::unique_ptr<upstream_connection> taken = TakeUnused(state, margin, now);
-  if (taken == nullptr) taken = Open(upstream, address, connect_limit);
+  std::unique_ptr<upstream_connection> taken =
+      TakeUnused(state, path, margin, now);
+  if (taken == nullptr) taken = Open(upstream, path, connect_limit);
   const bool is_far = state.connect_time >= options_.slow_handshake;
   if (state.unused.empty() && is_far && steady) {
-    state.unused.push_back(Open(upstream, address, connect_limit));
+    state.unused.push_back(Open(upstream, path, connect_limit));
   }
   return taken;
 }
@@ -38,7 +39,8 @@
 // The idle one that was used first, so that all are used before the upstream
 // closes them; else one that is being opened. Null if there is neither.
 std::unique_ptr<upstream_connection> upstream_pool::TakeUnused(
-    upstream_state& state, duration margin, monotonic_time now) {
+    upstream_state& state, const connection_path& path, duration margin,
+    monotonic_time now) {
   auto& unused = state.unused;
   for (auto& connection : unused) {
     if (connection->IsConnecting() || connection->IsReusable(margin, now)) {
@@ -47,10 +49,17 @@
     CloseLater(std::move(connection));
   }
   std::erase(unused, nullptr);
-  auto taken = std::find_if(unused.begin(), unused.end(), [](const auto& held) {
-    return !held->IsConnecting();
-  });
-  if (taken == unused.end()) taken = unused.begin();
+  const auto is_open = [&](const auto& held) {
+    const bool is_kept = path.may_use_kept && !held->IsRelayed();
+    return !held->IsConnecting() &&
+           (is_kept || held->Path().relay == path.relay);
+  };
+  auto taken = std::find_if(unused.begin(), unused.end(), is_open);
+  if (taken == unused.end()) {
+    taken = std::find_if(unused.begin(), unused.end(), [&](const auto& held) {
+      return held->Path().relay == path.relay;
+    });
+  }
   if (taken == unused.end()) return nullptr;
   std::unique_ptr<upstream_connection> connection = std::move(*taken);
   unused.erase(taken);
@@ -58,11 +67,11 @@
 }
 
 std::unique_ptr<upstream_connection> upstream_pool::Open(
-    const upstream_id& upstream, const endpoint& address,
+    const upstream_id& upstream, const connection_path& path,
     duration connect_limit) {
   upstream_connection_owner& owner = *this;
   return std::make_unique<upstream_connection>(
-      loop_, upstream, address, connect_limit, id_header_, owner);
+      loop_, upstream, path, connect_limit, id_header_, owner);
 }
 
 void upstream_pool::Give(const upstream_id& upstream,
@@ -76,6 +85,26 @@
   state.unused.push_back(std::move(connection));
 }
 
+void upstream_pool::OpenSpare(const upstream_id& upstream,
+                              const connection_path& path,
+                              duration connect_limit) {
+  auto& unused = upstreams_[upstream].unused;
+  const bool is_opening =
+      std::any_of(unused.begin(), unused.end(), [&](const auto& held) {
+        return held->IsConnecting() && held->Path().relay == path.relay;
+      });
+  if (!is_opening) unused.push_back(Open(upstream, path, connect_limit));
+}
+
+void upstream_pool::CloseIdle(const vm_id& relay) {
+  for (auto& [upstream, state] : upstreams_) {
+    for (auto& connection : state.unused) {
+      if (connection->Path().relay == relay) CloseLater(std::move(connection));
+    }
+    std::erase(state.unused, nullptr);
+  }
+}
+
 void upstream_pool::Sweep(
     const std::function<bool(const upstream_id&)>& is_known,
     monotonic_time now) {
@@ -103,7 +132,7 @@
 
 void upstream_pool::OnConnectEnd(const upstream_connection& connection,
                                  connect_result result) {
-  listener_.OnConnectEnd(connection.Upstream(), result);
+  listener_.OnConnectEnd(connection, result);
 }
 
 void upstream_pool::OnIdleEnd(upstream_connection& connection) {
--- a/src/node/vm_listing.cc
+++ b/src/node/vm_listing.cc
@@ -6,10 +6,11 @@
 namespace citron {
 
 std::string EncodeVmListing(const vm_listing& listing) {
-  const nlohmann::json document = {
+  nlohmann::json document = {
       {"zone", listing.zone.Str()},       {"region", listing.region.Str()},
       {"callers", listing.callers.Str()}, {"peer", listing.peer.Str()},
       {"link_mbps", listing.link_mbps},   {"secret", listing.secret}};
+  if (listing.tunnels) document["tunnels"] = listing.tunnels->Str();
   return document.dump();
 }
 
@@ -28,6 +29,13 @@
     }
     listing.callers = *callers;
     listing.peer = *peer;
+    const auto tunnels = document.find("tunnels");
+    if (tunnels != document.end()) {
+      listing.tunnels = ParseEndpoint(tunnels->get<std::string>());
+      if (!listing.tunnels) {
+        return MakeError(error_code::kInvalid, "an address is none");
+      }
+    }
     listing.link_mbps = document.at("link_mbps").get<double>();
     listing.secret = document.at("secret").get<std::string>();
     return listing;
--- a/src/policy/affinity_selector.cc
+++ b/src/policy/affinity_selector.cc
@@ -85,6 +85,11 @@
   }
 }
 
+void affinity_selector::ForgetConnectFailures(monotonic_time since) {
+  paths_.clear();
+  for (auto& [id, upstream] : upstreams_) upstream.ForgetConnectFailures(since);
+}
+
 bool affinity_selector::IsAllowed(const upstream_tracker& upstream,
                                   const selection_request& request) const {
   return AllowsRegion(request.route_allowed_regions, upstream.Region()) &&
--- a/src/policy/upstream_tracker.cc
+++ b/src/policy/upstream_tracker.cc
@@ -132,6 +132,9 @@
 }
 
 void upstream_tracker::OnConnectFailure(monotonic_time now) {
+  const bool may_be_restarting =
+      connect_failures_ > 0 || IsRestartPossible(now);
+  if (!may_be_restarting) connect_failing_since_ = now;
   may_have_restarted_ = true;
   restart_ruled_out_at_ = monotonic_time::max();
   const int doublings = std::min(connect_failures_, 6);
@@ -140,10 +143,24 @@
                                   options_.max_backoff);
 }
 
+// The other outcomes of that time are as much the fault of the path.
+void upstream_tracker::ForgetConnectFailures(monotonic_time since) {
+  const bool has_failed = connect_failures_ > 0 || may_have_restarted_;
+  if (has_failed && connect_failing_since_ < since) return;
+  connect_failures_ = 0;
+  backoff_until_ = {};
+  may_have_restarted_ = false;
+  failure_rate_ = 0;
+  samples_ = 0;
+  ejected_until_ = {};
+}
+
+bool upstream_tracker::IsRestartPossible(monotonic_time now) const {
+  return may_have_restarted_ && now < restart_ruled_out_at_;
+}
+
 bool upstream_tracker::IsCold(monotonic_time now) const {
-  const bool restart_possible =
-      may_have_restarted_ && now < restart_ruled_out_at_;
-  return restart_possible || now < cold_until_;
+  return IsRestartPossible(now) || now < cold_until_;
 }
 
 double upstream_tracker::ColdTokens(monotonic_time now) const {
--- a/src/policy/vm_choice.cc
+++ b/src/policy/vm_choice.cc
@@ -35,10 +35,11 @@
 
 }  // namespace
 
-// Handles VMs that crash, freeze or lose the store. Health goes before
-// distance: the choice falls on VMs that are ready with a recent report, then
-// on VMs that are ready, then on any VM; within each group on the nearest
-// location that has any.
+// Handles VMs that crash, freeze, or lose the store or the upstreams. Health
+// goes before distance: the choice falls on VMs that are ready with a recent
+// report and reach upstreams, then on VMs that are ready with a recent report,
+// then on VMs that are ready, then on any VM; within each group on the nearest
+// location that has any. If no VM reaches upstreams, all are named.
 std::vector<vm_candidate> ChooseVms(const std::vector<vm_candidate>& all,
                                     const zone_id& zone,
                                     const region_id& region) {
@@ -53,9 +54,12 @@
   const filter ready_and_reporting = [](const vm_candidate& vm) {
     return vm.ready && vm.has_recent_report;
   };
+  const filter reaching = [&](const vm_candidate& vm) {
+    return ready_and_reporting(vm) && vm.reaches_upstreams;
+  };
   const filter ready = [](const vm_candidate& vm) { return vm.ready; };
   for (const filter& health :
-       std::array{ready_and_reporting, ready, anywhere}) {
+       std::array{reaching, ready_and_reporting, ready, anywhere}) {
     for (const filter& location : std::array{in_zone, in_region, anywhere}) {
       std::vector<vm_candidate> chosen;
       std::copy_if(
--- a/tests/node/memory_store.h
+++ b/tests/node/memory_store.h
@@ -25,6 +25,9 @@
     events_.push_back({{key, "", ++revision_, ""}, true});
   }
   bool Has(const std::string& key) const { return items_.contains(key); }
+  const std::string& ValueOf(const std::string& key) const {
+    return items_.at(key).value;
+  }
   void SetDown(bool down) { down_ = down; }
   int Calls() const { return calls_; }
 
--- a/tests/node/node_fixture.h
+++ b/tests/node/node_fixture.h
@@ -114,8 +114,9 @@
         &store};
     constexpr int kMostTries = 10;
     for (int i = 0; i < kMostTries; ++i) {
-      for (endpoint* address : {&settings.callers, &settings.readiness,
-                                &settings.lookup, &settings.peer}) {
+      for (endpoint* address :
+           {&settings.callers, &settings.readiness, &settings.lookup,
+            &settings.peer, &settings.tunnels}) {
         *address = {"127.0.0.1", FreePort()};
       }
       settings.metrics = settings.peer;
--- a/tests/node/peer_exchange_test.cc
+++ b/tests/node/peer_exchange_test.cc
@@ -11,6 +11,7 @@
 
 #include "citron/node/crash_report.h"
 #include "citron/node/peer_report.h"
+#include "citron/node/reach_report.h"
 #include "citron/node/vm_listing.h"
 #include "citron/policy/request_fingerprint.h"
 #include "citron/wire/codec.h"
@@ -147,6 +148,33 @@
   BOOST_TEST(!HeaderIn(answer, "Retry-After").empty());
 }
 
+// Guards against look-ups that name a VM that says that it reaches no upstream,
+// against a stranger who says so for it, and against a VM that stays left out
+// after its restart.
+BOOST_AUTO_TEST_CASE(AVmThatReachesNoUpstreamIsNotNamed) {
+  BOOST_REQUIRE(RunUntil([this] { return peer_.Take().has_value(); }));
+  report_.ready = true;
+  const auto is_named = [this] {
+    Tell();
+    return Page(settings_.lookup, "/lookup?zone=z1&region=r1")
+               .find(peer_.Address().Str()) != std::string::npos;
+  };
+  BOOST_REQUIRE(RunUntil(is_named));
+  const reach_report lost{vm_id("vm2"), 1, 100, false};
+  peer_socket_of_test stranger;
+  stranger.Tell(settings_.peer, lost);
+  BOOST_REQUIRE(RunUntil([this] { return HasLine("reach_report_refused"); }));
+  BOOST_TEST(is_named());
+  peer_.Tell(settings_.peer, lost);
+  BOOST_TEST(RunUntil([&] { return !is_named(); }));
+  peer_.Tell(settings_.peer, reach_report{vm_id("vm2"), 1, 101, true});
+  BOOST_TEST(RunUntil(is_named));
+  peer_.Tell(settings_.peer, reach_report{vm_id("vm2"), 1, 102, false});
+  BOOST_REQUIRE(RunUntil([&] { return !is_named(); }));
+  report_.incarnation = 2;
+  BOOST_TEST(RunUntil(is_named));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/node/upstream_pool_test.cc
+++ b/tests/node/upstream_pool_test.cc
@@ -30,7 +30,7 @@
 
 class ignoring_connect_listener : public connect_listener {
  public:
-  void OnConnectEnd(const upstream_id&, connect_result) override {}
+  void OnConnectEnd(const upstream_connection&, connect_result) override {}
 };
 
 class upstream_pool_fixture : public loop_fixture {
@@ -50,7 +50,7 @@
 
   std::unique_ptr<upstream_connection> Take(upstream_pool& pool,
                                             monotonic_time now) {
-    return pool.Take(kUpstream, upstream_.Address(), std::chrono::seconds(10),
+    return pool.Take(kUpstream, {upstream_.Address()}, std::chrono::seconds(10),
                      duration::zero(), now);
   }
 
@@ -129,7 +129,7 @@
   upstream_pool pool = MakePool(true);
   const monotonic_time now = MonotonicNow();
   Call(pool, now);
-  const endpoint nobody{"127.0.0.1", 1};
+  const connection_path nobody{{"127.0.0.1", 1}};
   const auto first = pool.Take(kUpstream, nobody, std::chrono::seconds(10),
                                duration::zero(), now);
   BOOST_TEST(RunUntil([&] { return pool.IdleConnections() == 0; }));
--- a/tests/policy/upstream_standing_test.cc
+++ b/tests/policy/upstream_standing_test.cc
@@ -130,6 +130,34 @@
   BOOST_TEST(!upstream.IsCold(now_ + milliseconds(2500)));
 }
 
+// Guards against upstreams that are left alone and taken for cold after a
+// partition between this VM and all of them.
+BOOST_AUTO_TEST_CASE(FailuresOfThePathAreTakenBack) {
+  upstream_tracker upstream = MakeStanding();
+  const monotonic_time partition = now_;
+  for (int i = 0; i < 8; ++i) {
+    CompleteRequest(upstream, upstream_outcome::kConnectFailedNotRun);
+  }
+  upstream.ForgetConnectFailures(partition);
+  BOOST_TEST(!upstream.IsInBackoff(now_));
+  BOOST_TEST(!upstream.IsOnProbation());
+  BOOST_TEST(!upstream.IsEjected(now_));
+  BOOST_TEST(!upstream.IsCold(now_));
+}
+
+// Guards against a restarted upstream that gets all of its load while it is
+// cold, since a partition came after its crash.
+BOOST_AUTO_TEST_CASE(FailuresBeforeThePartitionStand) {
+  upstream_tracker upstream = MakeStanding();
+  CompleteRequest(upstream, upstream_outcome::kConnectFailedNotRun);
+  now_ += milliseconds(100);
+  const monotonic_time partition = now_;
+  CompleteRequest(upstream, upstream_outcome::kConnectFailedNotRun);
+  upstream.ForgetConnectFailures(partition);
+  BOOST_TEST(upstream.IsInBackoff(now_));
+  BOOST_TEST(upstream.IsCold(now_));
+}
+
 // A healthy upstream loses answers. Treating it as cold would leave most of its
 // slots unused.
 BOOST_AUTO_TEST_CASE(ALostAnswerIsNotARestart) {
--- a/tests/policy/vm_choice_test.cc
+++ b/tests/policy/vm_choice_test.cc
@@ -39,6 +39,29 @@
              "b ");
 }
 
+vm_candidate UnreachingVm(const char* id, const char* zone,
+                          const char* region) {
+  vm_candidate vm = Vm(id, zone, region);
+  vm.reaches_upstreams = false;
+  return vm;
+}
+
+// Guards against callers who are sent to a VM that is cut off from all
+// upstreams while others aren't.
+BOOST_AUTO_TEST_CASE(VmThatReachesNoUpstreamIsLeftOut) {
+  BOOST_TEST(Choose({UnreachingVm("a", "z1", "r1"), Vm("b", "z1", "r1")}) ==
+             "b ");
+  BOOST_TEST(Choose({UnreachingVm("a", "z1", "r1"), Vm("c", "z2", "r1")}) ==
+             "c ");
+}
+
+// Guards against look-ups that name nobody while the upstreams are down.
+BOOST_AUTO_TEST_CASE(IfNoVmReachesUpstreamsTheNearestAreNamed) {
+  BOOST_TEST(
+      Choose({UnreachingVm("a", "z1", "r1"), UnreachingVm("b", "z1", "r1"),
+              UnreachingVm("c", "z2", "r1")}) == "a b ");
+}
+
 // No VM is known to be healthy, for example just after a restart of the whole
 // fleet. An address that may fail is better than no address.
 BOOST_AUTO_TEST_CASE(ResultIsNotEmptyWhileAnyVmIsKnown) {
