An attempt to connect that began before a success says nothing of the path

Cause: probes that began before the end fail 500 ms later, after another one has succeeded. Four of them made the VM count as cut off again, and what relays that were cut off as well had said of upstreams stood.

Now a failure counts only if its attempt began after the last success; a failure that a relay tells of counts against the upstream only while the relay is one; what was told is taken back when the VM reaches upstreams again. New cases: all VMs cut off, reset and hanging (look-ups name somebody, all is served from the stable window after the end on), and a relay that is stopped while it carries requests (nothing is cut).

The time in a tunnel no longer counts as the upstream's service time.

--- a/include/citron/node/upstream_connection.h
+++ b/include/citron/node/upstream_connection.h
@@ -96,6 +96,7 @@
   bool IsReusable(duration margin, monotonic_time now) const;
   // Not connected yet; a request that is started now is sent once it is.
   bool IsConnecting() const { return state_ == state::kConnecting; }
+  monotonic_time CreatedAt() const { return created_at_; }
   // Zero until it is connected.
   duration ConnectTime() const { return connect_time_; }
   std::size_t PendingBytes() const;
--- a/include/citron/node/upstream_paths.h
+++ b/include/citron/node/upstream_paths.h
@@ -33,11 +33,15 @@
   std::optional<connection_path> PathTo(const upstream_tracker& upstream,
                                         bool is_region_bound) const;
 
+  // Whether the VM can be a relay, as far as this VM knows.
+  bool IsRelay(const vm_id& vm) const;
+
   // Of connections of the pool, with or without a relay.
   void OnConnectEnd(const upstream_connection& connection,
                     connect_result result) override;
-  // Of a connection that this VM opened itself.
-  void OnOwnConnectEnd(const upstream_id& upstream, connect_result result);
+  // Of a connection that this VM began to open itself at `began`.
+  void OnOwnConnectEnd(const upstream_id& upstream, monotonic_time began,
+                       connect_result result);
   // Of a request on a connection of this VM's own.
   void OnAnswered() { reach_.OnAnswered(); }
   void OnUnanswered(const upstream_id& upstream);
--- a/include/citron/policy/upstream_reach.h
+++ b/include/citron/policy/upstream_reach.h
@@ -30,11 +30,12 @@
  public:
   explicit upstream_reach(const upstream_reach_options& options = {});
 
-  void OnConnected();
-  // `known`: the number of upstreams that there are. Returns whether the VM is
-  // cut off since this failure.
-  bool OnConnectFailed(const upstream_id& upstream, std::size_t known,
-                       monotonic_time now);
+  void OnConnected(monotonic_time now);
+  // `began`: when the attempt began; it says nothing if another one succeeded
+  // since. `known`: the number of upstreams that there are. Returns whether the
+  // VM is cut off since this failure.
+  bool OnConnectFailed(const upstream_id& upstream, monotonic_time began,
+                       std::size_t known, monotonic_time now);
   // A request got no answer, or its connection was lost.
   void OnUnanswered(const upstream_id& upstream, monotonic_time now);
   // An answer came on a connection of this VM's own. It refutes suspicions, but
@@ -57,6 +58,7 @@
   std::set<upstream_id> failed_;
   std::set<upstream_id> suspected_;  // Those that failed included.
   std::set<upstream_id> probed_;
+  monotonic_time connected_at_{};
   monotonic_time failing_since_{};
   monotonic_time probe_at_{};
 };
--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -244,6 +244,8 @@
   connection_ =
       context_.pool.Take(upstream_, path, kConnectLimit,
                          IsRepeatable() ? kIdleMargin : kIdleMarginOnce, now);
+  // The time in a tunnel is not the upstream's.
+  if (connection_->IsRelayed()) found_free_slot_ = false;
   const bool expects_body = head_.method != "HEAD";
   // A kept connection sends at once; a new one reports when it does.
   sent_ = connection_->IsReusable({}, now);
@@ -371,7 +373,8 @@
                             MonotonicNow());
   }
   answer_.reset();
-  const bool on_own_connection = IsOnOwnConnection();
+  const vm_id relay = connection_->Path().relay;
+  const bool on_own_connection = relay.IsEmpty();
   DropConnection();
   if (streaming_answer_) {
     // The caller has a part of it: the rest can only be seen to be missing.
@@ -380,9 +383,10 @@
     return Finish(0, name.data());
   }
   if (sent_ && on_own_connection) context_.paths.OnUnanswered(upstream_);
+  const bool path_is_sound = on_own_connection ? context_.paths.IsReachable()
+                                               : context_.paths.IsRelay(relay);
   const bool is_path_fault =
-      fault == upstream_fault::kRelayFailed ||
-      (on_own_connection && !context_.paths.IsReachable());
+      fault == upstream_fault::kRelayFailed || !path_is_sound;
   if (!sent_ && is_path_fault) return OnPathFailed(name.data());
   if (!sent_) {
     ++connect_failures_;
--- a/src/node/tunnel.cc
+++ b/src/node/tunnel.cc
@@ -83,7 +83,8 @@
   upstream_side_ = bufferevent_socket_new(
       loop_.Base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   callbacks::Attach(upstream_side_, this);
-  timer_.Arm(MonotonicNow() + kConnectLimit);
+  connect_began_ = MonotonicNow();
+  timer_.Arm(connect_began_ + kConnectLimit);
   sockaddr_in to = SocketAddress(request_.address);
   // A failure at once is reported as an event all the same.
   bufferevent_socket_connect(upstream_side_, reinterpret_cast<sockaddr*>(&to),
@@ -95,7 +96,8 @@
 void tunnel::OnConnected() {
   timer_.Disarm();
   SetSocketOptions(bufferevent_getfd(upstream_side_));
-  host_.OnConnectEnd(request_.upstream, connect_result::kConnected);
+  host_.OnConnectEnd(request_.upstream, connect_began_,
+                     connect_result::kConnected);
   state_ = state::kOpen;
   bufferevent_enable(upstream_side_, EV_READ | EV_WRITE);
   const std::string answer = MakeTunnelAnswer(kTunnelOpen);
@@ -104,7 +106,7 @@
 
 void tunnel::OnConnectFailed(connect_result result) {
   bufferevent_disable(upstream_side_, EV_READ | EV_WRITE);
-  host_.OnConnectEnd(request_.upstream, result);
+  host_.OnConnectEnd(request_.upstream, connect_began_, result);
   Refuse(result == connect_result::kTimedOut ? kTunnelUpstreamTimedOut
                                              : kTunnelUpstreamRefused);
 }
--- a/src/node/tunnel.h
+++ b/src/node/tunnel.h
@@ -21,7 +21,7 @@
   virtual ~tunnel_host() = default;
   // The upstream to connect to, or the status of the refusal.
   virtual std::variant<tunnel_request, int> Admit(const http1_head& head) = 0;
-  virtual void OnConnectEnd(const upstream_id& upstream,
+  virtual void OnConnectEnd(const upstream_id& upstream, monotonic_time began,
                             connect_result result) = 0;
   // The last call; it may not destroy the tunnel at once.
   virtual void OnEnd(tunnel& ended) = 0;
@@ -65,6 +65,7 @@
   state state_ = state::kReadingHead;
   std::optional<http1_head> head_;
   tunnel_request request_;
+  monotonic_time connect_began_{};
 };
 
 }  // namespace citron
--- a/src/node/tunnel_server.cc
+++ b/src/node/tunnel_server.cc
@@ -45,11 +45,11 @@
     return request;
   }
 
-  void OnConnectEnd(const upstream_id& upstream,
+  void OnConnectEnd(const upstream_id& upstream, monotonic_time began,
                     connect_result result) override {
     server_.context_.stats.Count("citron_tunnels_total",
                                  {{"result", std::string(ToString(result))}});
-    server_.context_.paths.OnOwnConnectEnd(upstream, result);
+    server_.context_.paths.OnOwnConnectEnd(upstream, began, result);
   }
 
   void OnEnd(tunnel& ended) override {
--- a/src/node/upstream_paths.cc
+++ b/src/node/upstream_paths.cc
@@ -39,6 +39,12 @@
   return path;
 }
 
+bool upstream_paths::IsRelay(const vm_id& vm) const {
+  return std::any_of(
+      relays_.begin(), relays_.end(),
+      [&vm](const relay_candidate& relay) { return relay.vm == vm; });
+}
+
 void upstream_paths::OnConnectEnd(const upstream_connection& connection,
                                   connect_result result) {
   const connection_path& path = connection.Path();
@@ -46,7 +52,10 @@
   stats_.Count("citron_upstream_connects_total",
                {{"path", relayed ? "relay" : "own"},
                 {"result", std::string(ToString(result))}});
-  if (!relayed) return OnOwnConnectEnd(connection.Upstream(), result);
+  if (!relayed) {
+    return OnOwnConnectEnd(connection.Upstream(), connection.CreatedAt(),
+                           result);
+  }
   if (result != connect_result::kRelayFailed) return;
   const monotonic_time now = MonotonicNow();
   relay_failed_until_[path.relay] = now + kRelayBackoff;
@@ -57,16 +66,19 @@
 }
 
 void upstream_paths::OnOwnConnectEnd(const upstream_id& upstream,
+                                     monotonic_time began,
                                      connect_result result) {
   const monotonic_time now = MonotonicNow();
   if (result == connect_result::kConnected) {
     if (!reach_.IsReachable()) {
       log_.Write("reach", "regained", {{"upstream", upstream.Str()}}, now);
+      // Relays that were cut off as well told of failures, too.
+      ForgetConnectFailures(reach_.FailingSince());
     }
-    return reach_.OnConnected();
+    return reach_.OnConnected(now);
   }
   const auto known = static_cast<std::size_t>(fleet_.UpstreamCount());
-  if (reach_.OnConnectFailed(upstream, known, now)) OnLost(result, now);
+  if (reach_.OnConnectFailed(upstream, began, known, now)) OnLost(result, now);
 }
 
 void upstream_paths::OnLost(connect_result result, monotonic_time now) {
--- a/src/policy/upstream_reach.cc
+++ b/src/policy/upstream_reach.cc
@@ -11,7 +11,8 @@
 upstream_reach::upstream_reach(const upstream_reach_options& options)
     : options_(options) {}
 
-void upstream_reach::OnConnected() {
+void upstream_reach::OnConnected(monotonic_time now) {
+  connected_at_ = now;
   is_reachable_ = true;
   failed_.clear();
   suspected_.clear();
@@ -19,7 +20,9 @@
 }
 
 bool upstream_reach::OnConnectFailed(const upstream_id& upstream,
-                                     std::size_t known, monotonic_time now) {
+                                     monotonic_time began, std::size_t known,
+                                     monotonic_time now) {
+  if (began < connected_at_) return false;
   OnUnanswered(upstream, now);
   failed_.insert(upstream);
   const bool was_reachable = is_reachable_;
--- a/tests/adapter/settings_file_test.cc
+++ b/tests/adapter/settings_file_test.cc
@@ -45,6 +45,7 @@
   BOOST_TEST(settings.zones.at(zone_id("s-a")).Str() == "south");
   BOOST_TEST(settings.callers.Str() == "10.1.0.8:8206");
   BOOST_TEST(settings.peer.Str() == "10.1.0.8:7600");
+  BOOST_TEST(settings.tunnels.Str() == "10.1.0.8:7601");
   BOOST_TEST(settings.store.Str() == "10.200.1.7:8205");
   BOOST_TEST(settings.max_descriptors == 4100);
   BOOST_CHECK(settings.bounds.grace_period == FromSeconds(1.5));
@@ -61,6 +62,8 @@
              "limits.maxFds is not a whole number from 256 to 1048576");
   BOOST_TEST(ProblemOf(Replaced("budgetSlack=44", "budgetSlack=lots")) ==
              "bounds has a bad value in \"budgetSlack=lots\"");
+  BOOST_TEST(ProblemOf(Replaced("[7600,7615]", "[7600,7600]")) ==
+             "internalPorts[1] is not a whole number from 7601 to 65535");
   BOOST_TEST(!ProblemOf("nodeName = ").empty());
 }
 
--- a/tests/integration/node_unreachable_upstreams_test.cc
+++ b/tests/integration/node_unreachable_upstreams_test.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -47,10 +49,12 @@
 // a proxy, which a store of its own tells it; the records of the VMs stand in
 // both stores. Half of the callers ask a look-up page again and again, the
 // others keep to the VM of their zone.
-class unreachable_upstreams_fixture : public node_fleet {
+class partitioned_fleet : public node_fleet {
  public:
-  unreachable_upstreams_fixture()
-      : load_(
+  // `all_behind_proxy`: the other VMs, too, reach the upstreams through it.
+  explicit partitioned_fleet(bool all_behind_proxy)
+      : all_behind_proxy_(all_behind_proxy),
+        load_(
             Caller(), kCallers, [this](int caller) { return Next(caller); },
             [this](int caller, const planned_call&, const caller_call& call) {
               OnEnd(caller, call);
@@ -82,47 +86,72 @@
       BOOST_REQUIRE(Caller().WaitFor([&] { return IsListed(vm); }));
     }
     for (int vm = 1; vm <= kVms; ++vm) {
-      const bool is_shared = vm != kUnreachingVm;
+      if (all_behind_proxy_) continue;
       Copy(fmt::format("vms/vm{}", vm), StoreOf(vm),
-           is_shared ? own_store_ : shared_store_);
+           vm == kUnreachingVm ? shared_store_ : own_store_);
     }
   }
 
-  // Runs the load before, during and after the fault, and checks the rule.
-  void Play(const std::vector<json>& faults) {
+  using action = std::function<void()>;
+
+  // Runs the load before, during and after the fault; `at_stable_window` comes
+  // when the fault has lasted so long.
+  void Run(const std::vector<json>& faults, const action& at_stable_window) {
     RunFor(kLookupLifetime);
     Print("before");
     for (const json& fault : faults) SetFault(fault);
     RunFor(kStableWindow);
     Print("stable window");
+    if (at_stable_window) at_stable_window();
     RunFor(kObserved);
-    const try_counts during = here_;
-    const try_counts during_elsewhere = elsewhere_;
-    named_during_ = named_;
-    lookups_during_ = lookups_;
+    during_ = {here_, elsewhere_, asked_, lookups_, named_};
     Print("later");
     SetFault({{"route", "*"}});
     RunFor(kStableWindow);
-    const try_counts after = here_;
-    const try_counts after_elsewhere = elsewhere_;
+    after_ = {here_, elsewhere_, asked_, lookups_, named_};
     Print("after the end");
     RunFor(kObserved);
-    const int named_at_end = named_;
+    at_end_ = {here_, elsewhere_, asked_, lookups_, named_};
     Print("at the end");
     BOOST_REQUIRE(load_.Stop());
-    BOOST_TEST(during.tries > 0);
-    BOOST_TEST(during_elsewhere.tries > 0);
-    BOOST_TEST(IsServedLikeOthers(during, during_elsewhere));
-    BOOST_TEST(IsServedLikeOthers(after, after_elsewhere));
-    BOOST_TEST(named_at_end > 0);
     BOOST_TEST(BookingsThatRanTwice() == 0);
   }
 
+  // The same, and checks the rule.
+  void Play(const std::vector<json>& faults,
+            const action& at_stable_window = {}) {
+    Run(faults, at_stable_window);
+    BOOST_TEST(during_.here.tries > 0);
+    BOOST_TEST(during_.elsewhere.tries > 0);
+    BOOST_TEST(IsServedLikeOthers(during_.here, during_.elsewhere));
+    BOOST_TEST(IsServedLikeOthers(after_.here, after_.elsewhere));
+    BOOST_TEST(at_end_.named > 0);
+  }
+
   void CheckThatLookupsNameOthers() const {
-    BOOST_TEST(lookups_during_ > 0);
-    BOOST_TEST(named_during_ == 0);
+    BOOST_TEST(during_.lookups > 0);
+    BOOST_TEST(during_.named == 0);
   }
 
+  void CheckThatLookupsNameSomebody() const {
+    BOOST_TEST(during_.asked > 0);
+    BOOST_TEST(during_.lookups == during_.asked);
+  }
+
+ protected:
+  struct phase_counts {
+    try_counts here;
+    try_counts elsewhere;
+    // By callers in the zone of the VM behind the proxy.
+    int asked = 0;
+    int lookups = 0;  // That named somebody.
+    int named = 0;    // That named this VM first.
+  };
+
+  phase_counts during_;
+  phase_counts after_;
+  phase_counts at_end_;
+
  private:
   struct caller_state {
     int vm = 0;  // 0: that of its zone.
@@ -135,7 +164,8 @@
   static endpoint Proxied(int upstream) { return At(9300 + upstream, 250); }
   static int ZoneOf(int caller) { return 1 + caller % kVms; }
   endpoint StoreOf(int vm) const {
-    return vm == kUnreachingVm ? own_store_ : shared_store_;
+    return all_behind_proxy_ || vm == kUnreachingVm ? own_store_
+                                                    : shared_store_;
   }
   int VmOf(int caller) const {
     return callers_[caller].vm == 0 ? ZoneOf(caller) : callers_[caller].vm;
@@ -186,7 +216,7 @@
     }
     fmt::print("\n");
     here_ = elsewhere_ = {};
-    named_ = lookups_ = 0;
+    named_ = lookups_ = asked_ = 0;
     failures_.clear();
   }
 
@@ -232,13 +262,15 @@
   }
 
   void OnLookup(int caller, const caller_call& call) {
+    const bool counts = ZoneOf(caller) == kUnreachingVm;
+    if (counts) ++asked_;
     if (!call.answered || call.response.head.status != 200) return;
     const json body = json::parse(call.response.body);
     const std::string first = body.at("addresses").at(0);
     for (int vm = 1; vm <= kVms; ++vm) {
       if (first == Callers(vm).Str()) callers_[caller].vm = vm;
     }
-    if (ZoneOf(caller) != kUnreachingVm) return;
+    if (!counts) return;
     ++lookups_;
     named_ += callers_[caller].vm == kUnreachingVm ? 1 : 0;
   }
@@ -257,6 +289,7 @@
                       [](const auto& run) { return run.second > 1; }));
   }
 
+  bool all_behind_proxy_;
   endpoint proxy_;
   endpoint shared_store_;
   endpoint own_store_;
@@ -265,13 +298,30 @@
   std::map<std::string, int> failures_;
   try_counts here_;
   try_counts elsewhere_;
-  int lookups_ = 0;  // By callers in the zone of the VM behind the proxy.
-  int named_ = 0;    // Of these, that named this VM first.
-  int lookups_during_ = 0;
-  int named_during_ = 0;
+  int asked_ = 0;
+  int lookups_ = 0;
+  int named_ = 0;
   int sent_ = 0;
 };
 
+class unreachable_upstreams_fixture : public partitioned_fleet {
+ public:
+  unreachable_upstreams_fixture() : partitioned_fleet(false) {}
+};
+
+class no_reachable_upstreams_fixture : public partitioned_fleet {
+ public:
+  no_reachable_upstreams_fixture() : partitioned_fleet(true) {}
+
+  // From the stable window after the end on.
+  void CheckThatAllAreServedAtTheEnd() const {
+    for (const try_counts& tries : {at_end_.here, at_end_.elsewhere}) {
+      BOOST_TEST(tries.tries > 0);
+      BOOST_TEST(tries.Failed() == 0);
+    }
+  }
+};
+
 BOOST_FIXTURE_TEST_SUITE(unreachable_upstreams, unreachable_upstreams_fixture)
 
 // Guards against callers of a VM that reaches no upstream, as connections are
@@ -295,6 +345,32 @@
         {{"route", "u3"}, {"refuse", true}, {"reset", true}}});
 }
 
+// Guards against requests that are cut as the VM that carries them stops.
+BOOST_AUTO_TEST_CASE(AStoppingRelay) {
+  Play({{{"route", "*"}, {"cut", true}, {"refuse", true}, {"reset", true}}},
+       [this] { Process("node1").Signal(SIGTERM); });
+  BOOST_TEST(during_.here.Failed() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(no_reachable_upstreams, no_reachable_upstreams_fixture)
+
+// Guards against look-ups that name nobody, and VMs that go on refusing, when
+// all VMs were partitioned from all upstreams.
+BOOST_AUTO_TEST_CASE(ResetEverywhere) {
+  Run({{{"route", "*"}, {"cut", true}, {"refuse", true}, {"reset", true}}}, {});
+  CheckThatLookupsNameSomebody();
+  CheckThatAllAreServedAtTheEnd();
+}
+
+// The same, while connections hang.
+BOOST_AUTO_TEST_CASE(HangingEverywhere) {
+  Run({{{"route", "*"}, {"cut", true}, {"drop_connects", true}}}, {});
+  CheckThatLookupsNameSomebody();
+  CheckThatAllAreServedAtTheEnd();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/node/vm_listing_test.cc
+++ b/tests/node/vm_listing_test.cc
@@ -21,6 +21,22 @@
   BOOST_CHECK(ValueOf(read) == listing);
 }
 
+// Guards against VMs of two versions that don't read each other's listings.
+BOOST_AUTO_TEST_CASE(TheAddressOfTunnelsMayBeMissing) {
+  vm_listing listing{vm_id("vm1"),     zone_id("z1"),    region_id("r1"),
+                     {"10.0.0.1", 80}, {"10.0.0.1", 81}, 200,
+                     "s3cret"};
+  const auto read_back = [&listing] {
+    const result<vm_listing> read =
+        DecodeVmListing(vm_id("vm1"), EncodeVmListing(listing));
+    BOOST_REQUIRE(IsOk(read));
+    return ValueOf(read).tunnels;
+  };
+  BOOST_TEST(!read_back().has_value());
+  listing.tunnels = endpoint{"10.0.0.1", 82};
+  BOOST_CHECK(read_back() == listing.tunnels);
+}
+
 // Another writer used the key. Nothing of it may be taken for a VM.
 BOOST_AUTO_TEST_CASE(AnythingElseIsAnError) {
   for (const char* text :
--- a/tests/policy/upstream_reach_test.cc
+++ b/tests/policy/upstream_reach_test.cc
@@ -24,19 +24,20 @@
 BOOST_AUTO_TEST_CASE(FailuresAtFourUpstreamsAreAPartition) {
   upstream_reach reach;
   for (int i = 0; i < 3; ++i) {
-    BOOST_TEST(!reach.OnConnectFailed(Id(i), kKnown, At(i)));
+    BOOST_TEST(!reach.OnConnectFailed(Id(i), At(i), kKnown, At(i)));
   }
   BOOST_TEST(reach.IsReachable());
-  BOOST_TEST(reach.OnConnectFailed(Id(3), kKnown, At(3)));
+  BOOST_TEST(reach.OnConnectFailed(Id(3), At(3), kKnown, At(3)));
   BOOST_TEST(!reach.IsReachable());
   BOOST_TEST((reach.FailingSince() == At(0)));
-  BOOST_TEST(!reach.OnConnectFailed(Id(4), kKnown, At(4)));
+  BOOST_TEST(!reach.OnConnectFailed(Id(4), At(4), kKnown, At(4)));
 }
 
 // Guards against a VM that takes one crashed upstream for a partition.
 BOOST_AUTO_TEST_CASE(OneUpstreamThatFailsAgainAndAgainIsNoPartition) {
   upstream_reach reach;
-  for (int i = 0; i < 50; ++i) reach.OnConnectFailed(Id(0), kKnown, At(i));
+  for (int i = 0; i < 50; ++i)
+    reach.OnConnectFailed(Id(0), At(i), kKnown, At(i));
   BOOST_TEST(reach.IsReachable());
   BOOST_TEST(!reach.WantsProbes(kKnown, At(100)));
 }
@@ -44,25 +45,40 @@
 // Guards against a VM that takes upstreams that crash together for a partition.
 BOOST_AUTO_TEST_CASE(OneSuccessRefutesTheSuspicion) {
   upstream_reach reach;
-  for (int i = 0; i < 3; ++i) reach.OnConnectFailed(Id(i), kKnown, At(i));
-  reach.OnConnected();
-  for (int i = 3; i < 6; ++i) reach.OnConnectFailed(Id(i), kKnown, At(i));
+  for (int i = 0; i < 3; ++i)
+    reach.OnConnectFailed(Id(i), At(i), kKnown, At(i));
+  reach.OnConnected(At(3));
+  for (int i = 3; i < 6; ++i)
+    reach.OnConnectFailed(Id(i), At(i), kKnown, At(i));
   BOOST_TEST(reach.IsReachable());
 }
 
 BOOST_AUTO_TEST_CASE(OneSuccessEndsThePartition) {
   upstream_reach reach;
-  for (int i = 0; i < 4; ++i) reach.OnConnectFailed(Id(i), kKnown, At(i));
+  for (int i = 0; i < 4; ++i)
+    reach.OnConnectFailed(Id(i), At(i), kKnown, At(i));
   BOOST_REQUIRE(!reach.IsReachable());
-  reach.OnConnected();
+  reach.OnConnected(At(3));
   BOOST_TEST(reach.IsReachable());
   BOOST_TEST(!reach.WantsProbes(kKnown, At(1000)));
 }
 
+// Guards against attempts from before the end of a partition that fail after it
+// and are taken for another one.
+BOOST_AUTO_TEST_CASE(AttemptsThatBeganBeforeASuccessSayNothing) {
+  upstream_reach reach;
+  reach.OnConnected(At(100));
+  for (int i = 0; i < 8; ++i) {
+    BOOST_TEST(!reach.OnConnectFailed(Id(i), At(99), kKnown, At(500)));
+  }
+  BOOST_TEST(reach.IsReachable());
+  BOOST_TEST(!reach.WantsProbes(kKnown, At(500)));
+}
+
 BOOST_AUTO_TEST_CASE(AllOfAFewUpstreamsAreAPartition) {
   upstream_reach reach;
-  BOOST_TEST(!reach.OnConnectFailed(Id(0), 2, At(0)));
-  BOOST_TEST(reach.OnConnectFailed(Id(1), 2, At(1)));
+  BOOST_TEST(!reach.OnConnectFailed(Id(0), At(0), 2, At(0)));
+  BOOST_TEST(reach.OnConnectFailed(Id(1), At(1), 2, At(1)));
 }
 
 // Guards against a VM that learns of hanging connections only as requests need
@@ -82,7 +98,7 @@
 BOOST_AUTO_TEST_CASE(AnswersOnOldConnectionsDontEndThePartition) {
   upstream_reach reach;
   for (int i = 0; i < 4; ++i) {
-    reach.OnConnectFailed(Id(i), kKnown, At(i));
+    reach.OnConnectFailed(Id(i), At(i), kKnown, At(i));
     reach.OnAnswered();
   }
   BOOST_TEST(!reach.IsReachable());
@@ -94,7 +110,8 @@
 // partition has ended.
 BOOST_AUTO_TEST_CASE(ProbesGoOnAndReachEachUpstreamInTurn) {
   upstream_reach reach;
-  for (int i = 0; i < 4; ++i) reach.OnConnectFailed(Id(i), kKnown, At(i));
+  for (int i = 0; i < 4; ++i)
+    reach.OnConnectFailed(Id(i), At(i), kKnown, At(i));
   std::vector<upstream_id> probed;
   for (int round = 0; round < 4; ++round) {
     const monotonic_time now = At(1000 + 250 * round);
