No request waits for a probe

At the end of a partition that hung connections, one run of ten of integration_node_unreachable_upstreams_test was red: 1,201 of 1,713 requests at the VM that had been cut off were refused as unavailable.

Cause: the pool handed out probes that were still connecting. One that began before the end times out after it; two such failures close the zone for a second, and the upstreams count as failing and cold. A probe is now kept apart until it is open. Whether kept connections work follows from the attempts since the last success, not from the kind of the last failure.

--- a/include/citron/node/upstream_paths.h
+++ b/include/citron/node/upstream_paths.h
@@ -63,7 +63,8 @@
   event_log& log_;
   metrics& stats_;
   upstream_reach reach_;
-  bool kept_connections_work_ = true;  // While the VM is cut off.
+  // Since the last connect that succeeded, as far as requests have shown.
+  bool kept_connections_work_ = true;
   std::vector<relay_candidate> relays_;
   std::map<vm_id, monotonic_time> relay_failed_until_;
 };
--- a/include/citron/node/upstream_pool.h
+++ b/include/citron/node/upstream_pool.h
@@ -53,9 +53,10 @@
   void Give(const upstream_id& upstream,
             std::unique_ptr<upstream_connection> connection,
             monotonic_time now);
-  // Opens a connection for later use, unless one is being opened.
-  void OpenSpare(const upstream_id& upstream, const connection_path& path,
-                 duration connect_limit);
+  // Opens a connection to learn whether the upstream can be reached, unless
+  // that is under way. No request waits for it; it is kept once it is open.
+  void Probe(const upstream_id& upstream, const connection_path& path,
+             duration connect_limit);
   // Closes the connections through a relay that no request uses.
   void CloseIdle(const vm_id& relay);
   // Closes what is too old to be used again, and what belongs to upstreams
@@ -68,6 +69,7 @@
   struct upstream_state {
     // Those that were given back last stand at the end.
     std::vector<std::unique_ptr<upstream_connection>> unused;
+    std::unique_ptr<upstream_connection> probe;  // Not open yet.
     duration connect_time{};  // Of the connection that was given back last.
     monotonic_time taken_at{};
   };
--- a/src/node/upstream_paths.cc
+++ b/src/node/upstream_paths.cc
@@ -70,6 +70,7 @@
                                      connect_result result) {
   const monotonic_time now = MonotonicNow();
   if (result == connect_result::kConnected) {
+    kept_connections_work_ = true;
     if (!reach_.IsReachable()) {
       log_.Write("reach", "regained", {{"upstream", upstream.Str()}}, now);
       // Relays that were cut off as well told of failures, too.
@@ -77,13 +78,13 @@
     }
     return reach_.OnConnected(now);
   }
+  // Where new connections hang, old ones do.
+  if (result == connect_result::kTimedOut) kept_connections_work_ = false;
   const auto known = static_cast<std::size_t>(fleet_.UpstreamCount());
   if (reach_.OnConnectFailed(upstream, began, known, now)) OnLost(result, now);
 }
 
 void upstream_paths::OnLost(connect_result result, monotonic_time now) {
-  // Where new connections hang, old ones do.
-  kept_connections_work_ = result == connect_result::kRefused;
   ForgetConnectFailures(reach_.FailingSince());
   log_.Write("reach", "lost",
              {{"last_failure", std::string(ToString(result))},
@@ -160,7 +161,7 @@
     const upstream_tracker* upstream = fleet_.FindUpstream(id);
     connection_path path;
     path.address = upstream->Record().address;
-    pool.OpenSpare(id, path, kProbeLimit);
+    pool.Probe(id, path, kProbeLimit);
   }
 }
 
--- a/src/node/upstream_pool.cc
+++ b/src/node/upstream_pool.cc
@@ -85,15 +85,11 @@
   state.unused.push_back(std::move(connection));
 }
 
-void upstream_pool::OpenSpare(const upstream_id& upstream,
-                              const connection_path& path,
-                              duration connect_limit) {
-  auto& unused = upstreams_[upstream].unused;
-  const bool is_opening =
-      std::any_of(unused.begin(), unused.end(), [&](const auto& held) {
-        return held->IsConnecting() && held->Path().relay == path.relay;
-      });
-  if (!is_opening) unused.push_back(Open(upstream, path, connect_limit));
+void upstream_pool::Probe(const upstream_id& upstream,
+                          const connection_path& path, duration connect_limit) {
+  upstream_state& state = upstreams_[upstream];
+  if (state.probe != nullptr) return;
+  state.probe = Open(upstream, path, connect_limit);
 }
 
 void upstream_pool::CloseIdle(const vm_id& relay) {
@@ -132,11 +128,17 @@
 
 void upstream_pool::OnConnectEnd(const upstream_connection& connection,
                                  connect_result result) {
+  upstream_state& state = upstreams_[connection.Upstream()];
+  const bool is_open_probe =
+      result == connect_result::kConnected && state.probe.get() == &connection;
+  if (is_open_probe) state.unused.push_back(std::move(state.probe));
   listener_.OnConnectEnd(connection, result);
 }
 
 void upstream_pool::OnIdleEnd(upstream_connection& connection) {
-  auto& unused = upstreams_[connection.Upstream()].unused;
+  upstream_state& state = upstreams_[connection.Upstream()];
+  if (state.probe.get() == &connection) CloseLater(std::move(state.probe));
+  auto& unused = state.unused;
   const auto found =
       std::find_if(unused.begin(), unused.end(),
                    [&](const auto& held) { return held.get() == &connection; });
--- a/tests/node/upstream_pool_test.cc
+++ b/tests/node/upstream_pool_test.cc
@@ -73,8 +73,10 @@
 
   const upstream_id kUpstream{"u1"};
 
- private:
+ protected:
   scripted_upstream upstream_;
+
+ private:
   ignoring_connect_listener connects_;
   counting_listener listener_;
 };
@@ -135,6 +137,29 @@
   BOOST_TEST(RunUntil([&] { return pool.IdleConnections() == 0; }));
 }
 
+// Guards against requests that wait for a probe that began before the path came
+// back, and is bound to fail.
+BOOST_AUTO_TEST_CASE(NoRequestWaitsForAProbe) {
+  upstream_pool pool = MakePool(false);
+  const monotonic_time now = MonotonicNow();
+  pool.Probe(kUpstream, {upstream_.Address()}, std::chrono::seconds(10));
+  const auto taken = Take(pool, now);
+  BOOST_REQUIRE(RunUntil([&] { return Upstream().Accepted() == 2; }));
+  BOOST_REQUIRE(RunUntil([&] { return pool.IdleConnections() == 1; }));
+  BOOST_TEST(!Take(pool, now)->IsConnecting());
+}
+
+// A probe that fails is not kept, and the next one is begun.
+BOOST_AUTO_TEST_CASE(AFailedProbeMakesWayForTheNext) {
+  upstream_pool pool = MakePool(false);
+  pool.Probe(kUpstream, {{"127.0.0.1", 1}}, std::chrono::seconds(10));
+  BOOST_REQUIRE(RunUntil([&] {
+    pool.Probe(kUpstream, {upstream_.Address()}, std::chrono::seconds(10));
+    return pool.IdleConnections() == 1;
+  }));
+  BOOST_TEST(Upstream().Accepted() == 1);
+}
+
 // One of two connections is used all the time, and the upstream closes the
 // other one before a request needs it.
 BOOST_AUTO_TEST_CASE(IdleConnectionsAreUsedInTurn) {
