A VM without the store still carries tunnels

What callers saw: at a VM that reaches no upstream, requests were refused (`503 no_path`) although other VMs reached the upstreams, while those were not ready for callers of their own.

Cause: a relay had to be ready, which says whether a VM lets callers in. A tunnel asks for less: the VM at its head has checked key and contract. Of the reasons not to be ready, only a stop speaks against a tunnel, and then the relay refuses it at once and another one is tried.

Now readiness is a preference: a ready VM goes first, a VM that isn't is the last resort; its idle tunnels are still closed when it stops being ready.

Tests: RelaysWithoutTheStore closes the store of the other two VMs. AVmThatIsNotReadyIsTheLastResort covers the choice.

Ruled out: a relay that fails (no `relay_failed` line), one that is not heard (silent 1.8 s later, and that is vm1), one that says that it reaches nothing.

--- a/include/citron/policy/relay_choice.h
+++ b/include/citron/policy/relay_choice.h
@@ -15,6 +15,9 @@
   vm_id vm;
   zone_id zone;
   region_id region;
+  // Whether it lets callers in. One that doesn't may be about to stop, but may
+  // as well have lost the store only.
+  bool is_ready = true;
 };
 
 struct relay_request {
@@ -27,9 +30,10 @@
   bool is_region_bound = false;
 };
 
-// Returns the VM through which to reach an upstream: one in the upstream's
-// region, in this VM's zone if there is any; else, unless the request is bound
-// to regions, the nearest. Equal ones share the upstreams by hash.
+// Returns the VM through which to reach an upstream, a ready one if there is
+// any: one in the upstream's region, in this VM's zone if there is any; else,
+// unless the request is bound to regions, the nearest. Equal ones share the
+// upstreams by hash.
 std::optional<vm_id> ChooseRelay(const std::vector<relay_candidate>& candidates,
                                  const relay_request& request);
 
--- a/src/node/upstream_paths.cc
+++ b/src/node/upstream_paths.cc
@@ -117,21 +117,21 @@
   std::vector<relay_candidate> relays;
   for (const auto& [vm, listing] : fleet_.Vms()) {
     if (vm == settings_.vm || !listing.tunnels) continue;
-    const bool is_sound = peers.IsHeard(vm, now) && peers.IsReady(vm) &&
-                          peers.ReachesUpstreams(vm);
+    const bool is_sound = peers.IsHeard(vm, now) && peers.ReachesUpstreams(vm);
     const auto failed = relay_failed_until_.find(vm);
     const bool failed_lately =
         failed != relay_failed_until_.end() && now < failed->second;
     if (is_sound && !failed_lately) {
-      relays.push_back({vm, listing.zone, listing.region});
+      relays.push_back({vm, listing.zone, listing.region, peers.IsReady(vm)});
     }
   }
   std::erase_if(relay_failed_until_,
                 [now](const auto& failed) { return now >= failed.second; });
   for (const relay_candidate& before : relays_) {
     const bool still = std::any_of(
-        relays.begin(), relays.end(),
-        [&](const relay_candidate& relay) { return relay.vm == before.vm; });
+        relays.begin(), relays.end(), [&](const relay_candidate& relay) {
+          return relay.vm == before.vm && relay.is_ready >= before.is_ready;
+        });
     if (still || reach_.IsReachable()) continue;
     pool.CloseIdle(before.vm);
     // It may have told of failures that were its own.
--- a/src/policy/relay_choice.cc
+++ b/src/policy/relay_choice.cc
@@ -1,6 +1,6 @@
 #include "citron/policy/relay_choice.h"
 
-#include <limits>
+#include <tuple>
 
 #include "citron/base/digest.h"
 #include "citron/policy/rendezvous.h"
@@ -25,20 +25,17 @@
 std::optional<vm_id> ChooseRelay(const std::vector<relay_candidate>& candidates,
                                  const relay_request& request) {
   std::optional<vm_id> best;
-  int best_distance = std::numeric_limits<int>::max();
-  double best_cost = 0;
+  std::tuple<bool, int, double> best_cost;
   for (const relay_candidate& candidate : candidates) {
     const bool is_allowed =
         !request.is_region_bound || candidate.region == request.upstream_region;
     if (!is_allowed) continue;
-    const int distance = Distance(candidate, request);
-    const double cost =
-        RendezvousCost(request.upstream_hash, HashBytes(candidate.vm.Str()), 1);
-    const bool is_better = distance < best_distance ||
-                           (distance == best_distance && cost < best_cost);
-    if (!is_better) continue;
+    const std::tuple<bool, int, double> cost = {
+        !candidate.is_ready, Distance(candidate, request),
+        RendezvousCost(request.upstream_hash, HashBytes(candidate.vm.Str()),
+                       1)};
+    if (best && cost >= best_cost) continue;
     best = candidate.vm;
-    best_distance = distance;
     best_cost = cost;
   }
   return best;
--- a/tests/integration/node_unreachable_upstreams_test.cc
+++ b/tests/integration/node_unreachable_upstreams_test.cc
@@ -128,6 +128,12 @@
     BOOST_TEST(at_end_.named > 0);
   }
 
+  // To all VMs but the last one.
+  void CloseStoreOfOthers() {
+    BOOST_REQUIRE(
+        Caller().PostJson(shared_store_, "/admin/fault", {{"outage", true}}));
+  }
+
   void CheckThatLookupsNameOthers() const {
     BOOST_TEST(during_.lookups > 0);
     BOOST_TEST(during_.named == 0);
@@ -352,6 +358,14 @@
   BOOST_TEST(during_.here.Failed() == 0);
 }
 
+// Guards against refusals while the VMs that reach upstreams have lost the
+// store, and are not ready for callers of their own.
+BOOST_AUTO_TEST_CASE(RelaysWithoutTheStore) {
+  Play({{{"route", "*"}, {"cut", true}, {"refuse", true}, {"reset", true}}},
+       [this] { CloseStoreOfOthers(); });
+  BOOST_TEST(during_.here.Failed() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(no_reachable_upstreams, no_reachable_upstreams_fixture)
--- a/tests/policy/relay_choice_test.cc
+++ b/tests/policy/relay_choice_test.cc
@@ -49,6 +49,16 @@
   BOOST_TEST(Choose(others, ToRegion("r3", true)) == "c");
 }
 
+// Guards against a tunnel through a VM that is about to stop, and against none
+// at all where the others have lost the store.
+BOOST_AUTO_TEST_CASE(AVmThatIsNotReadyIsTheLastResort) {
+  relay_candidate near = Vm("a", "z1", "r1");
+  near.is_ready = false;
+  BOOST_TEST(Choose({near, Vm("b", "z3", "r2")}, ToRegion("r1")) == "b");
+  BOOST_TEST(Choose({near, Vm("b", "z3", "r2")}, ToRegion("r1", true)) == "a");
+  BOOST_TEST(Choose({near}, ToRegion("r1")) == "a");
+}
+
 // Guards against one VM that carries all of another one's load.
 BOOST_AUTO_TEST_CASE(EqualVmsShareTheUpstreams) {
   std::set<std::string> used;
