Without a relay, connections that live on are used

What callers saw, where all VMs are cut off from the upstreams, or none in touch may be a relay, and old connections live on: every request was refused (`503 no_path`), also those that an open connection could have carried.

Cause, found by reading and then shown: `PathTo` gave no path without a relay, and a request asked for one upstream only.

Test: RefusedNewConnectionsEverywhere (new connections refused everywhere, connections to three of four upstreams reset, those to the fourth live on).

With a relay, own connections are used as before: none after one was lost.

--- a/include/citron/node/connection_path.h
+++ b/include/citron/node/connection_path.h
@@ -17,6 +17,8 @@
   std::string relay_secret;
   // With a relay: open connections of this VM's own still work and go first.
   bool may_use_kept = false;
+  // Otherwise only a connection that is open already may be used.
+  bool can_open = true;
 };
 
 }  // namespace citron
--- a/include/citron/node/proxied_request.h
+++ b/include/citron/node/proxied_request.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 #include "citron/base/time.h"
@@ -56,11 +57,16 @@
   answer_kind Judge(const http1_head& head) const;
   void ReportLoad(const http1_head& head);
   void Place();
+  std::variant<selection, selection_error> Choose(
+      const std::vector<upstream_id>& left_out, monotonic_time now) const;
+  // Takes a connection to the upstream; false if there is no way to it.
+  bool Connect(const upstream_id& upstream, monotonic_time now);
+  void OnNoUpstream(selection_error error);
   // Whether it crashed upstreams before, so that no other one may run it.
   bool IsPoison(monotonic_time now);
   void RefusePoison(monotonic_time now);
   bool IsSuspect(monotonic_time now) const;
-  void SendTo(const selection& choice, const connection_path& path);
+  void SendTo(const selection& choice);
   void SendBodyPiece(std::string_view bytes);
   void OnNotRun(upstream_outcome outcome, const char* reason);
   // No connection could be opened, and the upstream isn't shown to be at fault.
--- a/include/citron/node/upstream_paths.h
+++ b/include/citron/node/upstream_paths.h
@@ -42,8 +42,10 @@
   // Of a connection that this VM began to open itself at `began`.
   void OnOwnConnectEnd(const upstream_id& upstream, monotonic_time began,
                        connect_result result);
-  // Of a request on a connection of this VM's own.
+  // Of a request on a connection of this VM's own: it was answered, lost its
+  // connection, or had no answer by its deadline.
   void OnAnswered() { reach_.OnAnswered(); }
+  void OnConnectionLost(const upstream_id& upstream);
   void OnUnanswered(const upstream_id& upstream);
 
   // Probes upstreams when that is due, and sees which VMs can be relays; to be
@@ -51,6 +53,14 @@
   void Run(upstream_pool& pool, const peer_exchange& peers, monotonic_time now);
 
  private:
+  // What is known of this VM's own open connections while it can't open new
+  // ones.
+  enum class kept_state {
+    kSound,
+    kSomeLost,  // Those that are left may work.
+    kHanging,
+  };
+
   void OnLost(connect_result result, monotonic_time now);
   void UpdateRelays(upstream_pool& pool, const peer_exchange& peers,
                     monotonic_time now);
@@ -63,8 +73,8 @@
   event_log& log_;
   metrics& stats_;
   upstream_reach reach_;
-  // Since the last connect that succeeded, as far as requests have shown.
-  bool kept_connections_work_ = true;
+  // Since the last connect that succeeded.
+  kept_state kept_ = kept_state::kSound;
   std::vector<relay_candidate> relays_;
   std::map<vm_id, monotonic_time> relay_failed_until_;
 };
--- a/include/citron/node/upstream_pool.h
+++ b/include/citron/node/upstream_pool.h
@@ -43,7 +43,8 @@
                 const upstream_pool_options& options = {});
 
   // An idle connection of the path that the upstream keeps for `margin` at the
-  // least, or one that is being opened.
+  // least, or one that is being opened; null if there is no idle one and the
+  // path can't open any.
   std::unique_ptr<upstream_connection> Take(const upstream_id& upstream,
                                             const connection_path& path,
                                             duration connect_limit,
--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -154,7 +154,27 @@
     if (verdict_ != verdict::kNotRun) return FailMaybeRun(502, kReason);
     return Refuse(503, kReason, kRetryWhenBusy);
   }
-  affinity_selector* selector = context_.fleet.SelectorOf(service_);
+  std::vector<upstream_id> left_out = tried_;
+  if (suspect) context_.crashes.AddUpstreamsWithSuspects(left_out);
+  for (int without_way = 0; without_way <= kMaxPathFailures; ++without_way) {
+    const auto chosen = Choose(left_out, now);
+    if (const auto* none = std::get_if<selection_error>(&chosen)) {
+      if (without_way > 0) break;
+      return OnNoUpstream(*none);
+    }
+    const selection& choice = std::get<selection>(chosen);
+    if (Connect(choice.upstream, now)) return SendTo(choice);
+    left_out.push_back(choice.upstream);
+  }
+  last_reason_ = "no_path";
+  if (verdict_ != verdict::kNotRun) return FailMaybeRun(502, last_reason_);
+  Refuse(503, last_reason_, kRetryWhenUnavailable);
+}
+
+std::variant<selection, selection_error> proxied_request::Choose(
+    const std::vector<upstream_id>& left_out, monotonic_time now) const {
+  const affinity_selector* selector = context_.fleet.SelectorOf(service_);
+  if (selector == nullptr) return selection_error::kNoneKnown;
   selection_request request;
   request.object = object_;
   request.large_answer = admitted_.route->repeats == repetition::kDownload;
@@ -163,29 +183,29 @@
   if (admitted_.workspace != nullptr) {
     request.workspace_allowed_regions = &admitted_.workspace->homes;
   }
-  std::vector<upstream_id> left_out = tried_;
-  if (suspect) context_.crashes.AddUpstreamsWithSuspects(left_out);
   request.excluded_upstreams = &left_out;
-  const std::variant<selection, selection_error> chosen =
-      selector == nullptr ? selection_error::kNoneKnown
-                          : selector->Choose(request, now);
-  if (const auto* none = std::get_if<selection_error>(&chosen)) {
-    last_reason_ = ToString(*none).data();
-    if (verdict_ != verdict::kNotRun) return FailMaybeRun(502, last_reason_);
-    return Refuse(503, last_reason_,
-                  *none == selection_error::kBusy ? kRetryWhenBusy
-                                                  : kRetryWhenUnavailable);
-  }
-  const selection& choice = std::get<selection>(chosen);
+  return selector->Choose(request, now);
+}
+
+bool proxied_request::Connect(const upstream_id& upstream, monotonic_time now) {
   const bool is_region_bound =
       !admitted_.route->homes.empty() ||
       (admitted_.workspace != nullptr && !admitted_.workspace->homes.empty());
-  const std::optional<connection_path> path =
-      context_.paths.PathTo(*selector->Find(choice.upstream), is_region_bound);
-  if (path) return SendTo(choice, *path);
-  last_reason_ = "no_path";
+  const std::optional<connection_path> path = context_.paths.PathTo(
+      *context_.fleet.FindUpstream(upstream), is_region_bound);
+  if (!path) return false;
+  connection_ =
+      context_.pool.Take(upstream, *path, kConnectLimit,
+                         IsRepeatable() ? kIdleMargin : kIdleMarginOnce, now);
+  return connection_ != nullptr;
+}
+
+void proxied_request::OnNoUpstream(selection_error error) {
+  last_reason_ = ToString(error).data();
   if (verdict_ != verdict::kNotRun) return FailMaybeRun(502, last_reason_);
-  Refuse(503, last_reason_, kRetryWhenUnavailable);
+  Refuse(
+      503, last_reason_,
+      error == selection_error::kBusy ? kRetryWhenBusy : kRetryWhenUnavailable);
 }
 
 bool proxied_request::IsPoison(monotonic_time now) {
@@ -211,8 +231,7 @@
                                   crash_watch::standing::kSuspect;
 }
 
-void proxied_request::SendTo(const selection& choice,
-                             const connection_path& path) {
+void proxied_request::SendTo(const selection& choice) {
   const monotonic_time now = MonotonicNow();
   upstream_tracker* standing =
       context_.fleet.SelectorOf(service_)->Find(choice.upstream);
@@ -241,9 +260,6 @@
   std::string message = MakeUpstreamHead(head_, context_.names, upstream_,
                                          workspace, deadline_ - now, framing);
   if (!framing.chunked) message += body_;
-  connection_ =
-      context_.pool.Take(upstream_, path, kConnectLimit,
-                         IsRepeatable() ? kIdleMargin : kIdleMarginOnce, now);
   // The time in a tunnel is not the upstream's.
   if (connection_->IsRelayed()) found_free_slot_ = false;
   const bool expects_body = head_.method != "HEAD";
@@ -382,7 +398,7 @@
     exchange_.Abort();
     return Finish(0, name.data());
   }
-  if (sent_ && on_own_connection) context_.paths.OnUnanswered(upstream_);
+  if (sent_ && on_own_connection) context_.paths.OnConnectionLost(upstream_);
   const bool path_is_sound = on_own_connection ? context_.paths.IsReachable()
                                                : context_.paths.IsRelay(relay);
   const bool is_path_fault =
--- a/src/node/upstream_paths.cc
+++ b/src/node/upstream_paths.cc
@@ -29,13 +29,16 @@
   const auto relay =
       ChooseRelay(relays_, {settings_.zone, settings_.region, upstream.Hash(),
                             upstream.Region(), is_region_bound});
-  if (!relay) return std::nullopt;
-  const auto listing = fleet_.Vms().find(*relay);
-  if (listing == fleet_.Vms().end()) return std::nullopt;
+  const auto listing = relay ? fleet_.Vms().find(*relay) : fleet_.Vms().end();
+  if (listing == fleet_.Vms().end()) {
+    if (kept_ == kept_state::kHanging) return std::nullopt;
+    path.can_open = false;
+    return path;
+  }
   path.relay = *relay;
   path.relay_address = *listing->second.tunnels;
   path.relay_secret = listing->second.secret;
-  path.may_use_kept = kept_connections_work_;
+  path.may_use_kept = kept_ == kept_state::kSound;
   return path;
 }
 
@@ -70,7 +73,7 @@
                                      connect_result result) {
   const monotonic_time now = MonotonicNow();
   if (result == connect_result::kConnected) {
-    kept_connections_work_ = true;
+    kept_ = kept_state::kSound;
     if (!reach_.IsReachable()) {
       log_.Write("reach", "regained", {{"upstream", upstream.Str()}}, now);
       // Relays that were cut off as well told of failures, too.
@@ -79,7 +82,7 @@
     return reach_.OnConnected(now);
   }
   // Where new connections hang, old ones do.
-  if (result == connect_result::kTimedOut) kept_connections_work_ = false;
+  if (result == connect_result::kTimedOut) kept_ = kept_state::kHanging;
   const auto known = static_cast<std::size_t>(fleet_.UpstreamCount());
   if (reach_.OnConnectFailed(upstream, began, known, now)) OnLost(result, now);
 }
@@ -93,8 +96,13 @@
              now);
 }
 
+void upstream_paths::OnConnectionLost(const upstream_id& upstream) {
+  kept_ = std::max(kept_, kept_state::kSomeLost);
+  reach_.OnUnanswered(upstream, MonotonicNow());
+}
+
 void upstream_paths::OnUnanswered(const upstream_id& upstream) {
-  kept_connections_work_ = false;
+  kept_ = kept_state::kHanging;
   reach_.OnUnanswered(upstream, MonotonicNow());
 }
 
--- a/src/node/upstream_pool.cc
+++ b/src/node/upstream_pool.cc
@@ -28,6 +28,7 @@
   state.taken_at = now;
   std::unique_ptr<upstream_connection> taken =
       TakeUnused(state, path, margin, now);
+  if (!path.can_open) return taken;
   if (taken == nullptr) taken = Open(upstream, path, connect_limit);
   const bool is_far = state.connect_time >= options_.slow_handshake;
   if (state.unused.empty() && is_far && steady) {
@@ -55,7 +56,7 @@
            (is_kept || held->Path().relay == path.relay);
   };
   auto taken = std::find_if(unused.begin(), unused.end(), is_open);
-  if (taken == unused.end()) {
+  if (taken == unused.end() && path.can_open) {
     taken = std::find_if(unused.begin(), unused.end(), [&](const auto& held) {
       return held->Path().relay == path.relay;
     });
--- a/tests/integration/node_unreachable_upstreams_test.cc
+++ b/tests/integration/node_unreachable_upstreams_test.cc
@@ -378,7 +378,20 @@
   CheckThatAllAreServedAtTheEnd();
 }
 
-// The same, while connections hang.
+// Guards against refusals of what old connections that live on could carry.
+BOOST_AUTO_TEST_CASE(RefusedNewConnectionsEverywhere) {
+  Run({{{"route", "*"}, {"refuse", true}},
+       {{"route", "u1"}, {"refuse", true}, {"reset", true}},
+       {{"route", "u2"}, {"refuse", true}, {"reset", true}},
+       {{"route", "u3"}, {"refuse", true}, {"reset", true}}},
+      {});
+  BOOST_TEST(during_.here.served > 0);
+  BOOST_TEST(during_.elsewhere.served > 0);
+  CheckThatLookupsNameSomebody();
+  CheckThatAllAreServedAtTheEnd();
+}
+
+// The same as ResetEverywhere, while connections hang.
 BOOST_AUTO_TEST_CASE(HangingEverywhere) {
   Run({{{"route", "*"}, {"cut", true}, {"drop_connects", true}}}, {});
   CheckThatLookupsNameSomebody();
--- a/tests/node/upstream_pool_test.cc
+++ b/tests/node/upstream_pool_test.cc
@@ -160,6 +160,25 @@
   BOOST_TEST(Upstream().Accepted() == 1);
 }
 
+// Guards against requests that are refused while an open connection could carry
+// them, and against connects that are known to fail.
+BOOST_AUTO_TEST_CASE(APathThatCannotOpenTakesIdleConnectionsOnly) {
+  upstream_pool pool = MakePool(false);
+  const monotonic_time now = MonotonicNow();
+  connection_path path{upstream_.Address()};
+  path.can_open = false;
+  const auto take = [&] {
+    return pool.Take(kUpstream, path, std::chrono::seconds(10),
+                     duration::zero(), now);
+  };
+  BOOST_TEST(take() == nullptr);
+  Call(pool, now);
+  const auto taken = take();
+  BOOST_TEST(taken != nullptr);
+  BOOST_TEST(take() == nullptr);
+  BOOST_TEST(Upstream().Accepted() == 1);
+}
+
 // One of two connections is used all the time, and the upstream closes the
 // other one before a request needs it.
 BOOST_AUTO_TEST_CASE(IdleConnectionsAreUsedInTurn) {
