Relays are looked for less often while none is needed

At the start of a partition the list is up to 250 ms old; a relay that is gone fails as before and another one is tried.

By reading; worked out, not measured at that size.

--- a/include/citron/node/upstream_paths.h
+++ b/include/citron/node/upstream_paths.h
@@ -76,6 +76,7 @@
   // Since the last connect that succeeded.
   kept_state kept_ = kept_state::kSound;
   std::vector<relay_candidate> relays_;
+  monotonic_time look_for_relays_at_{};
   std::map<vm_id, monotonic_time> relay_failed_until_;
 };
 
--- a/src/node/upstream_paths.cc
+++ b/src/node/upstream_paths.cc
@@ -12,6 +12,8 @@
 
 // A relay that failed is left alone for so long.
 constexpr duration kRelayBackoff = std::chrono::milliseconds(1000);
+// Between two looks for relays while none is needed.
+constexpr duration kRelayInterval = std::chrono::milliseconds(250);
 constexpr duration kProbeLimit = std::chrono::milliseconds(500);
 
 }  // namespace
@@ -51,7 +53,7 @@
 void upstream_paths::OnConnectEnd(const upstream_connection& connection,
                                   connect_result result) {
   const connection_path& path = connection.Path();
-  const bool relayed = !path.relay.IsEmpty();
+  const bool relayed = connection.IsRelayed();
   stats_.Count("citron_upstream_connects_total",
                {{"path", relayed ? "relay" : "own"},
                 {"result", std::string(ToString(result))}});
@@ -122,6 +124,8 @@
 void upstream_paths::UpdateRelays(upstream_pool& pool,
                                   const peer_exchange& peers,
                                   monotonic_time now) {
+  if (reach_.IsReachable() && now < look_for_relays_at_) return;
+  look_for_relays_at_ = now + kRelayInterval;
   std::vector<relay_candidate> relays;
   for (const auto& [vm, listing] : fleet_.Vms()) {
     if (vm == settings_.vm || !listing.tunnels) continue;
