A relay whose record changed is no relay at once

A path read the tunnel address of the relay's record, which may be that of a VM of an earlier version, without one, since the list of relays was worked out (up to 250 ms before).

--- a/src/node/upstream_paths.cc
+++ b/src/node/upstream_paths.cc
@@ -32,7 +32,7 @@
       ChooseRelay(relays_, {settings_.zone, settings_.region, upstream.Hash(),
                             upstream.Region(), is_region_bound});
   const auto listing = relay ? fleet_.Vms().find(*relay) : fleet_.Vms().end();
-  if (listing == fleet_.Vms().end()) {
+  if (listing == fleet_.Vms().end() || !listing->second.tunnels) {
     if (kept_ == kept_state::kHanging) return std::nullopt;
     path.can_open = false;
     return path;
