--- a/standins/platform/kv_store.cc
+++ b/standins/platform/kv_store.cc
@@ -59,6 +59,11 @@
   return {write_outcome::kDone, revision_};
 }
 
+void kv_store::ForgetHistory() {
+  compacted_revision_ = revision_;
+  history_.clear();
+}
+
 std::uint64_t kv_store::Grant(duration ttl, monotonic_time now) {
   leases_[++last_lease_] = {ttl, now + ttl};
   return last_lease_;
--- a/standins/platform/kv_store.h
+++ b/standins/platform/kv_store.h
@@ -54,6 +54,8 @@
  public:
   explicit kv_store(std::size_t history_bound);
 
+  // Drops the whole history: EventsAfter an older revision is compacted.
+  void ForgetHistory();
   std::uint64_t Revision() const { return revision_; }
   const kv_item* Find(const std::string& key) const;
   std::vector<kv_item> Range(const std::string& prefix) const;
--- a/standins/platform/platform_server.cc
+++ b/standins/platform/platform_server.cc
@@ -175,7 +175,11 @@
 
 bool platform_server::AnswerWatch(const waiting_watch& watch,
                                   bool even_if_empty) {
-  const kv_history history = store_.EventsAfter(watch.after, watch.prefix);
+  if (faults_.stall_watches && !faults_.outage) return even_if_empty;
+  kv_history history;
+  if (!faults_.mute_watches) {
+    history = store_.EventsAfter(watch.after, watch.prefix);
+  }
   const bool has_news = history.compacted || !history.events.empty();
   if (!has_news && !even_if_empty) return false;
   if (faults_.outage) {
@@ -197,6 +201,11 @@
   std::erase_if(watches_, [id](const waiting_watch& w) { return w.id == id; });
 }
 
+void platform_server::CutWatches() {
+  for (const waiting_watch& watch : watches_) watch.exchange->Abort();
+  watches_.clear();
+}
+
 http_response platform_server::Answer(const http_request& request) {
   if (published_calls::IsOne(request)) return published_.Answer(request);
   const std::string_view path = request.Path();
@@ -335,13 +344,17 @@
   reader.Milliseconds("delay_ms", changed.delay, 0, kMaxFaultMs);
   reader.Int("lose_answers", changed.lose_answers, 0, 1000000);
   reader.Milliseconds("list_lag_ms", changed.list_lag, 0, kMaxFaultMs);
+  reader.Bool("mute_watches", changed.mute_watches);
+  reader.Bool("stall_watches", changed.stall_watches);
   status finished = reader.Finish();
   if (!IsOk(finished)) return finished;
+  const bool was_mute = faults_.mute_watches;
   faults_ = changed;
   // Whoever waits for an event must notice the outage, too.
-  if (faults_.outage) {
-    for (const waiting_watch& watch : watches_) watch.exchange->Abort();
-    watches_.clear();
+  if (faults_.outage) CutWatches();
+  if (was_mute && !faults_.mute_watches) {
+    store_.ForgetHistory();
+    CutWatches();
   }
   return finished;
 }
--- a/standins/platform/platform_server.h
+++ b/standins/platform/platform_server.h
@@ -25,6 +25,11 @@
   duration delay{};  // Before a call takes effect.
   int lose_answers = 0;
   duration list_lag{};
+  // Watches hear of no change and end with the newest revision. When this ends
+  // the history is dropped and the watches are cut.
+  bool mute_watches = false;
+  // Watches are held and never answered; other calls are.
+  bool stall_watches = false;
 };
 
 // The platform's service over HTTP, with faults on command; README.md has the
@@ -63,6 +68,7 @@
   void AnswerWatches();
   bool AnswerWatch(const waiting_watch& watch, bool even_if_empty);
   void EndWatch(std::uint64_t id);
+  void CutWatches();
 
   http_response Answer(const http_request& request);
   http_response Get(const http_request& request) const;
