Changes travel between VMs in the order in which they were learned

What callers see: after watches of the store told nothing for a moment, a confirmed declaration never comes into force at VMs that read through another VM: 401 or 404 for its keys and routes, withdrawn keys that go on working, requests sent to upstreams that leave.

Cause: readers asked for the changes after a revision of the store. A source whose empty watch had raised its revision to 9 filed a change of revision 7, which it learned by a later full copy, under 7; readers at 9 counted it as had. Class: replication by deltas whose cursor is the origin's, not the order in which the source learned, with nothing that compares the copies afterwards.

Now each VM's change_index numbers what it learns itself, and readers ask from such a position. A reader that comes from another VM or process goes by the revision once. Each answer carries a digest over all keys and their revisions; where it differs the reader gets the source's whole copy, and the store's if that doesn't help, at most each two seconds. What arrives on two ways is taken by the key's revision, so that an older event or copy takes nothing back (the state of upstreams had no such check).

Ruled out: that the missing changes come with the next 410 (the cursor is not older than the compaction). An empty watch that doesn't move the revision would do for this case only, and cost a full read by each VM after each compaction.

--- a/include/citron/node/feed_client.h
+++ b/include/citron/node/feed_client.h
@@ -19,8 +19,9 @@
 
   feed_client(event_loop& loop, const vm_id& own);
 
-  // An error if no answer to this very question came by the deadline.
-  void Ask(const vm_listing& relay, store_revision after, duration wait,
+  // Sets the question's asker and number. An error if no answer to this very
+  // question came by the deadline.
+  void Ask(const vm_listing& relay, feed_question question,
            monotonic_time deadline, on_answer done);
 
  private:
--- a/include/citron/node/feed_messages.h
+++ b/include/citron/node/feed_messages.h
@@ -14,21 +14,26 @@
 
 namespace citron {
 
-// One VM asks another for the changes of the store after a revision.
+// One VM asks another for the changes of the store that it lacks.
 struct feed_question {
   vm_id asker;
   std::uint64_t number = 0;  // The answer repeats it.
-  store_revision after = 0;
+  log_position after;        // Head of the last answer from any VM.
+  // Of the asker's copy; counts if `after` is of another log.
+  store_revision revision = 0;
+  bool wants_whole_copy = false;
   duration wait{};  // How long to wait for changes.
 };
 
 struct feed_answer {
   std::uint64_t number = 0;
-  bool history_gone = false;  // The asker needs a whole copy.
+  bool is_whole_copy = false;  // Keys that `changes` lacks were removed.
   store_revision revision = 0;
-  duration held{};         // From the question's arrival to this answer.
-  duration proof_age{};    // Of the answering VM's copy.
-  duration lapsed_left{};  // What was removed may come back for so long.
+  log_position head;
+  std::uint64_t digest = 0;  // Of the answering VM's copy.
+  duration held{};           // From the question's arrival to this answer.
+  duration proof_age{};      // Of the answering VM's copy.
+  duration lapsed_left{};    // What was removed may come back for so long.
   std::vector<key_change> changes;
 };
 
--- a/include/citron/node/feed_relay.h
+++ b/include/citron/node/feed_relay.h
@@ -2,6 +2,7 @@
 #define CITRON_NODE_FEED_RELAY_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,8 @@
   };
 
   bool IsCurrent(monotonic_time now) const;
+  std::optional<std::vector<key_change>> ChangesFor(
+      const feed_question& question) const;
   void Answer(const waiting_question& waiting, monotonic_time now);
 
   node_context& context_;
--- a/include/citron/node/fleet_state.h
+++ b/include/citron/node/fleet_state.h
@@ -18,6 +18,7 @@
 #include "citron/policy/affinity_selector.h"
 #include "citron/policy/retry_budget.h"
 #include "citron/policy/service_split.h"
+#include "citron/protocol/change_index.h"
 #include "citron/protocol/workspace_quota.h"
 
 namespace citron {
@@ -32,10 +33,10 @@
   // Null until the operator's declaration was read.
   std::shared_ptr<const routing_config> Routing() const { return routing_; }
 
-  // Everything that the store holds. What is missing and was known before is
-  // removed, at `keep_missing_until` at the soonest.
-  void ApplyRange(const std::vector<store_item>& items,
-                  monotonic_time keep_missing_until, monotonic_time now);
+  // What a full copy of the store changes. What it lacks is removed, at
+  // `keep_missing_until` at the soonest.
+  void ApplyCopy(const std::vector<key_change>& changes,
+                 monotonic_time keep_missing_until, monotonic_time now);
   // True if it says something new.
   bool ApplyEvent(const store_event& event, monotonic_time keep_missing_until,
                   monotonic_time now);
@@ -96,7 +97,6 @@
   std::uint64_t vms_version_ = 1;
   std::map<upstream_id, int> heard_loads_;
   bool fleet_changed_ = false;  // Since the size was last told on.
-  std::set<std::string> keys_;  // All that is known.
   std::map<std::string, monotonic_time> missing_;     // Key, removed then.
   std::map<std::string, store_revision> unreadable_;  // Logged once each.
 };
--- a/include/citron/node/store_sync.h
+++ b/include/citron/node/store_sync.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "citron/base/time.h"
 #include "citron/node/feed_client.h"
@@ -36,7 +37,11 @@
   void AskRelay(const vm_listing& relay, const fleet_feed::feed_call& order,
                 monotonic_time now);
   void OnRelayed(const vm_id& relay, const result<feed_answer>& answer);
+  void CompareCopies(const vm_id& relay, const feed_answer& answer,
+                     monotonic_time now);
   void Apply(const key_change& change, monotonic_time now);
+  void ApplyCopy(const std::vector<store_item>& items, store_revision revision,
+                 monotonic_time now);
   void RunRegistration(monotonic_time now);
   void OnRange(const result<store_range>& range);
   void OnEvents(const result<store_events>& events);
@@ -52,6 +57,9 @@
   feed_sources sources_;
   std::uint64_t planned_version_ = 0;  // Of the list of VMs.
   change_index index_;
+  log_position relay_head_;  // Of the last answer from another VM.
+  bool wants_whole_copy_ = false;
+  monotonic_time next_whole_copy_at_{};
   vm_registration registration_;
   bool in_touch_ = false;
   bool leaving_ = false;
--- a/src/node/feed_client.cc
+++ b/src/node/feed_client.cc
@@ -15,9 +15,10 @@
       last_number_(HashBytes(RandomHex(8))),
       client_(loop) {}
 
-void feed_client::Ask(const vm_listing& relay, store_revision after,
-                      duration wait, monotonic_time deadline, on_answer done) {
-  const feed_question question{own_, ++last_number_, after, wait};
+void feed_client::Ask(const vm_listing& relay, feed_question question,
+                      monotonic_time deadline, on_answer done) {
+  question.asker = own_;
+  question.number = ++last_number_;
   client_.Call(
       relay.peer, MakeFeedRequest(question, relay.secret), deadline,
       [done = std::move(done), secret = relay.secret, number = question.number](
--- a/src/node/feed_messages.cc
+++ b/src/node/feed_messages.cc
@@ -11,15 +11,19 @@
 namespace citron {
 
 // Found by the codec as functions of this namespace.
+auto WireFields(log_position& position) {
+  return std::tie(position.log, position.offset);
+}
+
 auto WireFields(feed_question& question) {
   return std::tie(question.asker, question.number, question.after,
-                  question.wait);
+                  question.revision, question.wants_whole_copy, question.wait);
 }
 
 auto WireFields(feed_answer& answer) {
-  return std::tie(answer.number, answer.history_gone, answer.revision,
-                  answer.held, answer.proof_age, answer.lapsed_left,
-                  answer.changes);
+  return std::tie(answer.number, answer.is_whole_copy, answer.revision,
+                  answer.head, answer.digest, answer.held, answer.proof_age,
+                  answer.lapsed_left, answer.changes);
 }
 
 auto WireFields(store_item& item) {
--- a/src/node/feed_relay.cc
+++ b/src/node/feed_relay.cc
@@ -54,6 +54,7 @@
   const auto is_due = [&](const waiting_question& waiting) {
     const duration wait = std::min(waiting.question.wait, kLongestHold);
     return !current || now >= waiting.asked_at + wait ||
+           waiting.question.wants_whole_copy ||
            index_.HasChangesAfter(waiting.question.after);
   };
   // An answer may bring the next question before this returns.
@@ -71,17 +72,27 @@
   }
 }
 
+// Returns std::nullopt if only a whole copy helps.
+std::optional<std::vector<key_change>> feed_relay::ChangesFor(
+    const feed_question& question) const {
+  if (question.wants_whole_copy) return std::nullopt;
+  auto changes = index_.ChangesAfter(question.after);
+  return changes ? changes : index_.ChangesSince(question.revision);
+}
+
 void feed_relay::Answer(const waiting_question& waiting, monotonic_time now) {
   feed_answer answer;
   answer.number = waiting.question.number;
   answer.revision = index_.Revision();
+  answer.head = index_.Head();
+  answer.digest = index_.Digest();
   answer.held = now - waiting.asked_at;
   answer.proof_age = now - *context_.feed.ProvenAt();
   answer.lapsed_left =
       std::max(duration::zero(), context_.feed.ExpiryGraceUntil() - now);
-  auto changes = index_.ChangesAfter(waiting.question.after);
-  answer.history_gone = !changes.has_value();
-  if (changes) answer.changes = std::move(*changes);
+  std::optional<std::vector<key_change>> changes = ChangesFor(waiting.question);
+  answer.is_whole_copy = !changes.has_value();
+  answer.changes = changes ? std::move(*changes) : index_.WholeCopy();
   context_.stats.Count("citron_feed_answers_total", {});
   waiting.exchange->Reply(MakeFeedResponse(answer, secret_));
 }
--- a/src/node/fleet_state.cc
+++ b/src/node/fleet_state.cc
@@ -37,16 +37,15 @@
                          const fleet_codec& codec, event_log& log)
     : settings_(settings), codec_(codec), log_(log) {}
 
-void fleet_state::ApplyRange(const std::vector<store_item>& items,
-                             monotonic_time keep_missing_until,
-                             monotonic_time now) {
-  std::set<std::string> present;
-  for (const store_item& item : items) {
-    present.insert(item.key);
-    ApplyItem(item, now);
-  }
-  for (const std::string& key : keys_) {
-    if (!present.contains(key)) missing_.emplace(key, keep_missing_until);
+void fleet_state::ApplyCopy(const std::vector<key_change>& changes,
+                            monotonic_time keep_missing_until,
+                            monotonic_time now) {
+  for (const key_change& change : changes) {
+    if (change.what == key_change::kind::kRemoved) {
+      missing_.emplace(change.item.key, keep_missing_until);
+    } else {
+      ApplyItem(change.item, now);
+    }
   }
   RemoveMissing(now);
 }
@@ -86,7 +85,6 @@
 }
 
 bool fleet_state::ApplyItem(const store_item& item, monotonic_time now) {
-  keys_.insert(item.key);
   const bool was_missing = missing_.erase(item.key) > 0;
   const store_key key = codec_.ReadKey(item.key);
   switch (key.kind) {
@@ -109,7 +107,6 @@
 }
 
 void fleet_state::Remove(const std::string& name, monotonic_time now) {
-  keys_.erase(name);
   unreadable_.erase(name);
   const store_key key = codec_.ReadKey(name);
   switch (key.kind) {
--- a/src/node/store_sync.cc
+++ b/src/node/store_sync.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include "citron/base/digest.h"
 #include "citron/node/vm_listing.h"
 
 namespace citron {
@@ -17,6 +18,9 @@
 // Of a question to another VM, beyond the time that it may be held: a round
 // trip between regions and one packet that is lost on a new connection.
 constexpr duration kRelayLimit = std::chrono::milliseconds(450);
+// Least time between two whole copies that are read since copies differ.
+constexpr duration kWholeCopyInterval = std::chrono::milliseconds(2000);
+constexpr std::size_t kLogIdBytes = 8;
 
 }  // namespace
 
@@ -27,6 +31,7 @@
       codec_(codec),
       secret_(std::move(secret)),
       relays_(context.loop, context.settings.vm),
+      index_(HashBytes(RandomHex(kLogIdBytes))),
       registration_(registration_options{}) {}
 
 void store_sync::Run(monotonic_time now) {
@@ -84,7 +89,12 @@
                           const fleet_feed::feed_call& order,
                           monotonic_time now) {
   const monotonic_time deadline = now + order.wait + kRelayLimit;
-  relays_.Ask(relay, order.after, order.wait, deadline,
+  feed_question question;
+  question.after = relay_head_;
+  question.revision = index_.Revision();
+  question.wants_whole_copy = std::exchange(wants_whole_copy_, false);
+  question.wait = order.wait;
+  relays_.Ask(relay, question, deadline,
               [this, vm = relay.vm](const result<feed_answer>& answer) {
                 OnRelayed(vm, answer);
               });
@@ -108,35 +118,71 @@
   }
   sources_.OnAnswered(relay);
   const feed_answer& got = ValueOf(answer);
-  if (got.history_gone) {
-    context_.log.Write(
-        "relay", "history_gone",
-        {{"vm", relay.Str()}, {"revision", context_.feed.Revision()}}, now);
-    context_.feed.OnCompacted(now);
-    return Run(now);
-  }
+  const bool was_behind = index_.Revision() <= got.revision;
   context_.feed.OnRelayed(got.revision, got.held, got.proof_age,
                           got.lapsed_left, now);
-  for (const key_change& change : got.changes) Apply(change, now);
-  index_.OnRevision(got.revision);
+  relay_head_ = got.head;
+  if (got.is_whole_copy) {
+    std::vector<store_item> items;
+    for (const key_change& change : got.changes) items.push_back(change.item);
+    ApplyCopy(items, got.revision, now);
+  } else {
+    for (const key_change& change : got.changes) Apply(change, now);
+    index_.OnRevision(got.revision);
+  }
   NoteTouch(true, "", now);
+  if (was_behind) CompareCopies(relay, got, now);
+}
+
+// Whatever way a change got lost, the copies of this VM and its source differ
+// after an answer, and the next question gets all of the source's. If that
+// doesn't help, the store decides.
+void store_sync::CompareCopies(const vm_id& relay, const feed_answer& answer,
+                               monotonic_time now) {
+  if (answer.digest == index_.Digest()) return;
+  if (!answer.is_whole_copy && now < next_whole_copy_at_) return;
+  next_whole_copy_at_ = now + kWholeCopyInterval;
+  context_.stats.Count("citron_copy_mismatches_total", {});
+  context_.log.Write("relay", "copies_differ",
+                     {{"vm", relay.Str()},
+                      {"revision", answer.revision},
+                      {"after_whole_copy", answer.is_whole_copy}},
+                     now);
+  if (answer.is_whole_copy) {
+    context_.feed.OnCompacted(now);
+  } else {
+    wants_whole_copy_ = true;
+  }
 }
 
 void store_sync::Apply(const key_change& change, monotonic_time now) {
+  const store_item& item = change.item;
+  if (!index_.IsNewer(item.key, item.revision)) return;
   const monotonic_time lapsed_until = context_.feed.ExpiryGraceUntil();
   switch (change.what) {
-    case key_change::kind::kWritten:
-      context_.fleet.ApplyEvent({change.item, false}, lapsed_until, now);
-      return index_.OnWritten(change.item);
+    case key_change::kind::kWritten: {
+      const bool is_new =
+          context_.fleet.ApplyEvent({item, false}, lapsed_until, now);
+      if (!is_new && index_.OnConfirmed(item.key, item.revision)) return;
+      return index_.OnWritten(item);
+    }
     case key_change::kind::kRemoved:
-      context_.fleet.ApplyEvent({change.item, true}, lapsed_until, now);
-      return index_.OnRemoved(change.item.key, change.item.revision);
+      context_.fleet.ApplyEvent({item, true}, lapsed_until, now);
+      return index_.OnRemoved(item.key, item.revision);
     case key_change::kind::kConfirmed:
-      context_.fleet.Confirm(change.item.key, now);
-      return index_.OnConfirmed(change.item.key, change.item.revision);
+      if (index_.OnConfirmed(item.key, item.revision)) {
+        context_.fleet.Confirm(item.key, now);
+      }
+      return;
   }
 }
 
+void store_sync::ApplyCopy(const std::vector<store_item>& items,
+                           store_revision revision, monotonic_time now) {
+  context_.fleet.ApplyCopy(index_.OnFullCopy(items, revision),
+                           context_.feed.ExpiryGraceUntil(), now);
+}
+
 void store_sync::OnRange(const result<store_range>& range) {
   const monotonic_time now = MonotonicNow();
   if (!IsOk(range)) {
@@ -144,9 +190,7 @@
     return NoteTouch(false, ErrorOf(range).message, now);
   }
   context_.feed.OnRange(ValueOf(range).revision, now);
-  context_.fleet.ApplyRange(ValueOf(range).items,
-                            context_.feed.ExpiryGraceUntil(), now);
-  index_.OnFullCopy(ValueOf(range).items, ValueOf(range).revision);
+  ApplyCopy(ValueOf(range).items, ValueOf(range).revision, now);
   NoteTouch(true, "", now);
   Run(now);
 }
@@ -165,17 +209,9 @@
     return Run(now);
   }
   context_.feed.OnEvents(got.revision, !got.events.empty(), now);
-  const monotonic_time lapsed_until = context_.feed.ExpiryGraceUntil();
   for (const store_event& event : got.events) {
-    const store_item& item = event.item;
-    const bool is_new = context_.fleet.ApplyEvent(event, lapsed_until, now);
-    if (event.removed) {
-      index_.OnRemoved(item.key, item.revision);
-    } else if (is_new) {
-      index_.OnWritten(item);
-    } else {
-      index_.OnConfirmed(item.key, item.revision);
-    }
+    using kind = key_change::kind;
+    Apply({event.removed ? kind::kRemoved : kind::kWritten, event.item}, now);
   }
   index_.OnRevision(got.revision);
   NoteTouch(true, "", now);
--- a/tests/node/feed_relay_test.cc
+++ b/tests/node/feed_relay_test.cc
@@ -18,6 +18,8 @@
       : store_(store), loop_(loop) {}
 
   void SetCut(bool cut) { cut_ = cut; }
+  // Full copies that are read here lack this key.
+  void Hide(const std::string& key) { hidden_ = key; }
   int Watches() const { return watches_; }
 
   void Get(const std::string&, monotonic_time, on_lookup) override {}
@@ -32,7 +34,16 @@
   void Range(const std::string& prefix, monotonic_time deadline,
              on_range done) override {
     if (cut_) return Fail(std::move(done));
-    store_.Range(prefix, deadline, std::move(done));
+    store_.Range(
+        prefix, deadline,
+        [done = std::move(done), hidden = hidden_](result<store_range> range) {
+          if (IsOk(range)) {
+            std::erase_if(ValueOf(range).items, [&](const store_item& item) {
+              return item.key == hidden;
+            });
+          }
+          done(std::move(range));
+        });
   }
   void Watch(const std::string& prefix, store_revision after,
              monotonic_time wait_until, monotonic_time deadline,
@@ -68,6 +79,7 @@
   memory_store& store_;
   event_loop& loop_;
   bool cut_ = false;
+  std::string hidden_;
   int watches_ = 0;
 };
 
@@ -201,10 +213,24 @@
   }));
 }
 
+// Guards against a VM that lacks a change for good although it has the same
+// revision as its source.
+BOOST_AUTO_TEST_CASE(AVmThatMissedAChangeGetsItFromItsSource) {
+  AddUpstream("u1", [](const std::string& request) {
+    return scripted_answer{GoodAnswer(request, "x"), false};
+  });
+  BOOST_REQUIRE(RunUntil([this] { return StatusAt(0, "key1") == "200"; }));
+  vms_[1].reset();
+  paths_[1]->Hide("upstreams/u1");
+  vms_[1] = MakeNode(vm_settings_[1], *paths_[1]);
+  BOOST_TEST(RunUntil([this] { return StatusAt(1, "key1") == "200"; }));
+  BOOST_TEST(HasLine("part=relay event=copies_differ"));
+}
+
 // Whoever reaches the port for the inside could ask for all keys.
 BOOST_AUTO_TEST_CASE(AStrangersQuestionIsRefused) {
   const http_request request =
-      MakeFeedRequest({vm_id("vm9"), 1, 0, {}}, "a guess");
+      MakeFeedRequest({vm_id("vm9"), 1, {}, 0, false, {}}, "a guess");
   raw_caller caller(vm_settings_[0].peer);
   caller.Send("POST /feed HTTP/1.1\r\nHost: x\r\nCitron-Seal: " +
               std::string(FindHeader(request.headers, "Citron-Seal").value()) +
@@ -220,11 +246,14 @@
 
 // What a message says comes back as it was, and only with the same secret.
 BOOST_AUTO_TEST_CASE(FeedMessagesAreSealed) {
-  const feed_question question{vm_id("vm1"), 7, 41, FromMilliseconds(500)};
+  const feed_question question{vm_id("vm1"), 7,    {3, 41},
+                               40,           true, FromMilliseconds(500)};
   http_request request = MakeFeedRequest(question, "s");
   const auto read = ReadFeedRequest(request, "s");
   BOOST_REQUIRE(IsOk(read));
-  BOOST_TEST(ValueOf(read).after == 41u);
+  BOOST_CHECK(ValueOf(read).after == question.after);
+  BOOST_TEST(ValueOf(read).revision == 40u);
+  BOOST_TEST(ValueOf(read).wants_whole_copy);
   BOOST_CHECK(ValueOf(read).wait == question.wait);
   BOOST_TEST(!IsOk(ReadFeedRequest(request, "t")));
   BOOST_TEST(!IsOk(ReadFeedRequest(request, "")));
@@ -234,10 +263,14 @@
   feed_answer answer;
   answer.number = 7;
   answer.revision = 44;
+  answer.head = {3, 42};
+  answer.digest = 5;
   answer.changes = {{key_change::kind::kRemoved, {"k", "", 43, ""}}};
   const http_response response = MakeFeedResponse(answer, "s");
   const auto got = ReadFeedResponse(response, "s");
   BOOST_REQUIRE(IsOk(got));
+  BOOST_CHECK(ValueOf(got).head == answer.head);
+  BOOST_TEST(ValueOf(got).digest == 5u);
   BOOST_TEST(ValueOf(got).changes.size() == 1u);
   BOOST_CHECK(ValueOf(got).changes[0].what == key_change::kind::kRemoved);
   BOOST_TEST(ValueOf(got).changes[0].item.revision == 43u);
