One deadline bounds the age of a VM's copy of the store

What callers see: a confirmed declaration comes into force up to 3.3 s after its acknowledgement where 2.5 s are allowed, while calls that wait for changes go silent: 401 or 404 for its keys and routes, withdrawn keys that work.

Cause: time-outs in a row. A silent watch ends after up to 0.8 or 2 s of waiting and 1 s more, the next call starts 0.3 s later; readers hear of it once their source's proof is 2 s old, and then start a watch that may stall as well. Each wait is sensible, their sum was never held against the bound. Class: a silent channel taken for one without news.

Now all waits are parts of the bound (configApplyS, or 0.8 of revokeS), and the age of the proof decides: at 0.64 of the bound (0.48 at a VM that others read from, so that it gets the change for them) the store is read by a second call that can't wait, whatever else is pending, again after 0.16 until one is answered. Watches wait 0.32 of the bound, less where the store is slow. A VM answers its readers with each newer proof, so that proofs don't age by a wait a hop; it says "not current" at the age at which its readers look themselves.

A source that loses the store without a word: new case of node_feed_relay_test. Ruled out: shorter time-outs alone, since two VMs and a watch in a row still add up; a read of the declaration's key alone, since closed zones and leaving upstreams have bounds of their own.

Changed tests: a watch of a default feed waits 0.8 s, not 2 s (the test takes what the call says); after an outage it is the refresh that reads the store.

--- a/include/citron/config/node_settings.h
+++ b/include/citron/config/node_settings.h
@@ -14,6 +14,8 @@
 // defaults are those of deployments that say nothing.
 struct fleet_bounds {
   duration grace_period = FromSeconds(6);
+  // A declaration is in force this long after the store acknowledged it.
+  duration config_apply = FromSeconds(2.5);
   // Keys that were withdrawn stop working within this, also on a VM that has
   // lost the store, if revocation is strict.
   bool strict_revocation = true;
--- a/include/citron/node/feed_relay.h
+++ b/include/citron/node/feed_relay.h
@@ -22,8 +22,9 @@
              std::string secret);
 
   void OnQuestion(http_exchange& exchange);
-  // Answers the questions that have waited long enough or have news; to be
-  // called as time passes and after each change.
+  // Answers the questions that have waited long enough or for which there are
+  // changes or a newer proof; to be called as time passes and after each
+  // change.
   void Run(monotonic_time now);
 
  private:
@@ -32,8 +33,11 @@
     http_exchange* exchange = nullptr;
     feed_question question;
     monotonic_time asked_at;
+    monotonic_time proven_at;  // Of this VM's copy when it was asked.
   };
 
+  // Those who ask a VM that lost its own source should ask another one while
+  // their copies are still good.
   bool IsCurrent(monotonic_time now) const;
   std::optional<std::vector<key_change>> ChangesFor(
       const feed_question& question) const;
--- a/include/citron/node/store_sync.h
+++ b/include/citron/node/store_sync.h
@@ -43,7 +43,9 @@
   void ApplyCopy(const std::vector<store_item>& items, store_revision revision,
                  monotonic_time now);
   void RunRegistration(monotonic_time now);
+  void Refresh(monotonic_time now);
   void OnRange(const result<store_range>& range);
+  void OnRefreshed(const result<store_range>& range, monotonic_time sent_at);
   void OnEvents(const result<store_events>& events);
   void OnWritten(const write_result& written);
   void OnLost(std::string_view call, const error& problem, monotonic_time now);
@@ -62,6 +64,7 @@
   monotonic_time next_whole_copy_at_{};
   vm_registration registration_;
   bool in_touch_ = false;
+  bool is_refreshing_ = false;
   bool leaving_ = false;
 };
 
--- a/include/citron/protocol/fleet_feed.h
+++ b/include/citron/protocol/fleet_feed.h
@@ -8,30 +8,40 @@
 
 namespace citron {
 
+// Waits of a fleet_feed for a bound of 2.5 s; ForBound scales them.
 struct feed_options {
+  // Returns the options with which a change is in force within `bound` of its
+  // acknowledgement by the store, if the store answers reads.
+  static feed_options ForBound(duration bound);
+
+  // Age of the proof of the local copy at which the store is read, whatever
+  // other call is pending: any call that waits for changes may go silent. What
+  // is left of the bound is for reads that fail or are slow.
+  duration refresh_age = FromMilliseconds(1600);
+  // The same on a VM that other VMs read from, which gets the changes for them
+  // before each of them reads the store.
+  duration shared_refresh_age = FromMilliseconds(1200);
+  // Time from one such read to the next, while none is answered.
+  duration refresh_interval = FromMilliseconds(400);
   // Least time from the start of an answered call to the next call: changes
   // come in bursts, and each call is paid for. In a small fleet a change
   // reaches all VMs after a third of a second. With more VMs each change costs
-  // more calls, so the interval grows, up to less than half of what the bounds
-  // allow.
+  // more calls, so the interval grows.
   duration min_interval = FromMilliseconds(300);
   duration max_interval = FromMilliseconds(1100);
   // Number of VMs up to which min_interval applies.
   int small_fleet = 12;
   // Time that a watch waits in the store while nothing changes. Each watch is
   // a call, and its answer proves up to which moment the local copy was
-  // current. A longer wait would leave a VM without a proof for more than half
-  // of what fleet_bounds::revocation allows.
-  duration watch_wait = FromMilliseconds(2000);
-  // Wait of a watch on a VM that other VMs read from. Their proofs are older by
-  // the time of their own requests and must still be young enough.
-  duration shared_watch_wait = FromMilliseconds(800);
-  // Time that a request to another VM waits there for changes.
-  duration relay_wait = FromMilliseconds(500);
+  // current.
+  duration watch_wait = FromMilliseconds(800);
+  // Time that a request to another VM waits there for changes or a newer proof.
+  duration relay_wait = FromMilliseconds(900);
+  // Step of the proof with which such a request is answered.
+  duration proof_step = FromMilliseconds(400);
   // A watch that ends with a change proves only its start. The next watch
-  // waits less, at least min_wait, to keep the proof younger than this age
-  // plus the time that an answer takes.
-  duration max_proof_age = FromMilliseconds(2400);
+  // waits less, at least min_wait, to keep the proof younger than this.
+  duration max_proof_age = FromMilliseconds(1000);
   duration min_wait = FromMilliseconds(100);
   duration retry_interval = FromMilliseconds(300);
   // Time after an outage for which missing entries of the store are kept, as
@@ -47,7 +57,8 @@
 // history and is unreachable for seconds. Without the intervals each write of
 // an upstream is a call by each VM. Without the proof a VM that lost the store
 // would go on with withdrawn keys, seen only by requests that run for callers
-// without access.
+// without access. Without the refresh the time-outs of silent calls add up
+// along the VMs that read from each other, and a change comes after its bound.
 class fleet_feed {
  public:
   enum class call { kRange, kWatch };
@@ -61,6 +72,8 @@
   };
 
   explicit fleet_feed(const feed_options& options);
+  void SetOptions(const feed_options& options);
+  const feed_options& Options() const { return options_; }
 
   // Sets the number of VMs that make calls to the store like this VM.
   void SetFleetSize(int vms);
@@ -70,6 +83,9 @@
   // `may_relay` the call goes to another VM if there is a local copy that the
   // answer can add to.
   std::optional<feed_call> NextCall(monotonic_time now, bool may_relay = false);
+  // Returns whether to read a full copy from the store now, beside any call
+  // that is pending, and counts it as started.
+  bool StartRefresh(monotonic_time now);
   // Returns when Next may return a call if none is in flight.
   monotonic_time NextAt() const { return next_at_; }
 
@@ -87,6 +103,10 @@
   void OnRelayFailed(monotonic_time now);
   void OnCompacted(monotonic_time now);
   void OnFailed(monotonic_time now);
+  // Take the end of a read that StartRefresh ordered at `sent_at`.
+  void OnRefreshed(std::uint64_t revision, monotonic_time sent_at,
+                   monotonic_time now);
+  void OnRefreshFailed(monotonic_time sent_at);
 
   // Returns whether a full copy was ever read.
   bool HasCopy() const { return has_copy_; }
@@ -105,20 +125,29 @@
  private:
   void RecordAnswer(std::uint64_t revision, monotonic_time proven_at,
                     monotonic_time now);
+  void RecordCopy(monotonic_time sent_at, monotonic_time now);
+  bool NeedsRefresh(monotonic_time now) const;
 
   feed_options options_;
+  int fleet_size_ = 1;
   duration interval_;
   bool in_flight_ = false;
   bool has_copy_ = false;
   bool needs_range_ = true;
   // Set when only a full copy from the store helps, not a relayed answer.
   bool needs_store_copy_ = true;
+  // Only a full copy that was requested since then helps.
+  monotonic_time copy_needed_since_{};
   bool is_shared_ = false;
   int failures_ = 0;
+  int pending_refreshes_ = 0;
+  monotonic_time next_refresh_at_{};
   std::uint64_t revision_ = 0;
   monotonic_time next_at_{};
   monotonic_time sent_at_{};
   duration wait_{};  // Wait of the last watch sent to the store.
+  // Time that the store last took to answer, beside the wait.
+  duration answer_delay_{};
   monotonic_time expiry_grace_until_{};
   std::optional<monotonic_time> proven_at_;
 };
--- a/src/node/feed_relay.cc
+++ b/src/node/feed_relay.cc
@@ -7,9 +7,6 @@
 
 namespace {
 
-// A VM whose own proof is older has lost its source; those who ask it should
-// ask another one while their copies are still good.
-constexpr duration kOldestProof = std::chrono::milliseconds(2000);
 // Whatever is asked for: connections of those who have gone without a word must
 // not pile up.
 constexpr duration kLongestHold = std::chrono::milliseconds(2000);
@@ -25,7 +22,7 @@
     : context_(context), index_(index), secret_(std::move(secret)) {}
 
 bool feed_relay::IsCurrent(monotonic_time now) const {
-  return context_.feed.IsProvenWithin(kOldestProof, now);
+  return context_.feed.IsProvenWithin(context_.feed.Options().refresh_age, now);
 }
 
 void feed_relay::OnQuestion(http_exchange& exchange) {
@@ -40,7 +37,8 @@
   }
   if (!IsCurrent(now)) return exchange.Reply(Refusal(503, "not_current"));
   const std::uint64_t place = ++last_place_;
-  waiting_.push_back({place, &exchange, std::move(ValueOf(read)), now});
+  waiting_.push_back({place, &exchange, std::move(ValueOf(read)), now,
+                      *context_.feed.ProvenAt()});
   exchange.OnGone([this, place] {
     std::erase_if(waiting_, [place](const waiting_question& waiting) {
       return waiting.place == place;
@@ -53,7 +51,10 @@
   const bool current = IsCurrent(now);
   const auto is_due = [&](const waiting_question& waiting) {
     const duration wait = std::min(waiting.question.wait, kLongestHold);
-    return !current || now >= waiting.asked_at + wait ||
+    const bool has_new_proof =
+        current && *context_.feed.ProvenAt() - waiting.proven_at >=
+                       context_.feed.Options().proof_step;
+    return !current || now >= waiting.asked_at + wait || has_new_proof ||
            waiting.question.wants_whole_copy ||
            index_.HasChangesAfter(waiting.question.after);
   };
--- a/src/node/node_task.cc
+++ b/src/node/node_task.cc
@@ -36,6 +36,15 @@
   return ToDuration(used.ru_utime) + ToDuration(used.ru_stime);
 }
 
+// Returns the time within which the copy of the store follows it: a withdrawn
+// key has a bound of its own, of which a part is left to refuse keys in time.
+duration CopyBound(const fleet_bounds& bounds) {
+  constexpr double kRevocationPart = 0.8;
+  if (!bounds.strict_revocation) return bounds.config_apply;
+  return std::min(bounds.config_apply,
+                  FromSeconds(kRevocationPart * ToSeconds(bounds.revocation)));
+}
+
 // Descriptors for upstreams, the store, pages and files.
 constexpr int kKeptDescriptors = 1200;
 // Of the grace period: callers use what they were told for three times the
@@ -78,7 +87,7 @@
       names_(platform.names),
       log_(log),
       fleet_(settings_, *platform.codec, log_),
-      feed_(feed_options{}),
+      feed_(feed_options::ForBound(CopyBound(settings_.bounds))),
       paths_(settings_, fleet_, log_, stats_),
       pool_(loop, platform.names.request_id, paths_),
       crashes_(log_),
@@ -219,6 +228,7 @@
 
 void node_task::Reload(const node_settings& settings) {
   settings_.bounds = settings.bounds;
+  feed_.SetOptions(feed_options::ForBound(CopyBound(settings_.bounds)));
   log_.Write("node", "reloaded", {{"vm", settings_.vm.Str()}}, MonotonicNow());
 }
 
--- a/src/node/store_sync.cc
+++ b/src/node/store_sync.cc
@@ -67,6 +67,7 @@
 
 void store_sync::RunFeed(monotonic_time now) {
   PlanSources();
+  if (context_.feed.StartRefresh(now)) Refresh(now);
   const std::optional<vm_id> source = sources_.Next(now);
   const std::optional<fleet_feed::feed_call> order =
       context_.feed.NextCall(now, source.has_value());
@@ -195,6 +196,39 @@
   Run(now);
 }
 
+void store_sync::Refresh(monotonic_time now) {
+  if (!is_refreshing_) {
+    context_.log.Write("store", "refresh_started",
+                       {{"store_age_ms", StoreAgeMs(context_, now)},
+                        {"revision", context_.feed.Revision()}},
+                       now);
+  }
+  is_refreshing_ = true;
+  store_.Range("", now + kAnswerLimit,
+               [this, sent_at = now](const result<store_range>& range) {
+                 OnRefreshed(range, sent_at);
+               });
+}
+
+void store_sync::OnRefreshed(const result<store_range>& range,
+                             monotonic_time sent_at) {
+  const monotonic_time now = MonotonicNow();
+  const bool ok = IsOk(range);
+  context_.stats.Count("citron_store_calls_total",
+                       {{"call", "refresh"}, {"ok", ok ? "true" : "false"}});
+  if (!ok) return context_.feed.OnRefreshFailed(sent_at);
+  context_.feed.OnRefreshed(ValueOf(range).revision, sent_at, now);
+  ApplyCopy(ValueOf(range).items, ValueOf(range).revision, now);
+  if (is_refreshing_) {
+    context_.log.Write("store", "refreshed",
+                       {{"revision", context_.feed.Revision()},
+                        {"ms", ToMilliseconds(now - sent_at)}},
+                       now);
+  }
+  is_refreshing_ = false;
+  Run(now);
+}
+
 void store_sync::OnEvents(const result<store_events>& events) {
   const monotonic_time now = MonotonicNow();
   if (!IsOk(events)) {
--- a/src/protocol/fleet_feed.cc
+++ b/src/protocol/fleet_feed.cc
@@ -4,36 +4,106 @@
 
 namespace citron {
 
+namespace {
+
+// One may be lost and another one slow.
+constexpr int kMaxPendingRefreshes = 3;
+
+}  // namespace
+
+feed_options feed_options::ForBound(duration bound) {
+  constexpr duration kDefaultBound = std::chrono::milliseconds(2500);
+  constexpr duration kLeastBound = std::chrono::milliseconds(1000);
+  const double scale =
+      ToSeconds(std::max(bound, kLeastBound)) / ToSeconds(kDefaultBound);
+  feed_options options;
+  for (duration feed_options::*wait :
+       {&feed_options::refresh_age, &feed_options::shared_refresh_age,
+        &feed_options::refresh_interval, &feed_options::max_interval,
+        &feed_options::watch_wait, &feed_options::relay_wait,
+        &feed_options::proof_step, &feed_options::max_proof_age,
+        &feed_options::min_wait}) {
+    options.*wait = FromSeconds(scale * ToSeconds(options.*wait));
+  }
+  return options;
+}
+
 fleet_feed::fleet_feed(const feed_options& options)
     : options_(options), interval_(options.min_interval) {}
 
+void fleet_feed::SetOptions(const feed_options& options) {
+  options_ = options;
+  SetFleetSize(fleet_size_);
+}
+
 void fleet_feed::SetFleetSize(int vms) {
+  fleet_size_ = vms;
   const duration stretched = options_.min_interval * vms / options_.small_fleet;
   interval_ =
-      std::clamp(stretched, options_.min_interval, options_.max_interval);
+      std::clamp(stretched, options_.min_interval,
+                 std::max(options_.min_interval, options_.max_interval));
 }
 
 std::optional<fleet_feed::feed_call> fleet_feed::NextCall(monotonic_time now,
                                                           bool may_relay) {
   if (in_flight_ || now < next_at_) return std::nullopt;
+  const bool relayed = may_relay && !needs_store_copy_;
+  if (!relayed && NeedsRefresh(now)) return std::nullopt;
   in_flight_ = true;
   sent_at_ = now;
-  if (may_relay && !needs_store_copy_) {
+  if (relayed) {
     return feed_call{call::kWatch, revision_, options_.relay_wait, true};
   }
   if (needs_range_) return feed_call{call::kRange, 0, {}, false};
-  const duration left = options_.max_proof_age - (now - *proven_at_);
-  const duration longest =
-      is_shared_ ? options_.shared_watch_wait : options_.watch_wait;
-  wait_ = std::clamp(left, options_.min_wait, longest);
+  const duration left =
+      options_.max_proof_age - (now - *proven_at_) - answer_delay_;
+  wait_ = std::clamp(left, options_.min_wait, options_.watch_wait);
   return feed_call{call::kWatch, revision_, wait_, false};
 }
 
+bool fleet_feed::NeedsRefresh(monotonic_time now) const {
+  const duration age =
+      is_shared_ ? options_.shared_refresh_age : options_.refresh_age;
+  return proven_at_.has_value() && now - *proven_at_ >= age;
+}
+
+bool fleet_feed::StartRefresh(monotonic_time now) {
+  if (!NeedsRefresh(now) || now < next_refresh_at_) return false;
+  if (pending_refreshes_ >= kMaxPendingRefreshes) return false;
+  ++pending_refreshes_;
+  next_refresh_at_ = now + options_.refresh_interval;
+  return true;
+}
+
+void fleet_feed::OnRefreshed(std::uint64_t revision, monotonic_time sent_at,
+                             monotonic_time now) {
+  --pending_refreshes_;
+  revision_ = std::max(revision_, revision);
+  proven_at_ = std::max(*proven_at_, sent_at);
+  RecordCopy(sent_at, now);
+}
+
+void fleet_feed::OnRefreshFailed(monotonic_time sent_at) {
+  --pending_refreshes_;
+  if (*proven_at_ < sent_at) ++failures_;
+}
+
 void fleet_feed::OnRange(std::uint64_t revision, monotonic_time now) {
   has_copy_ = true;
-  needs_store_copy_ = false;
   revision_ = revision;
-  RecordAnswer(revision, sent_at_, now);
+  RecordAnswer(revision, std::max(sent_at_, proven_at_.value_or(sent_at_)),
+               now);
+  answer_delay_ = now - sent_at_;
+  RecordCopy(sent_at_, now);
+}
+
+void fleet_feed::RecordCopy(monotonic_time sent_at, monotonic_time now) {
+  if (sent_at >= copy_needed_since_) {
+    needs_range_ = false;
+    needs_store_copy_ = false;
+  }
+  if (failures_ > 0) expiry_grace_until_ = now + options_.expiry_grace;
+  failures_ = 0;
 }
 
 // The other VM received the request after it was sent and held it for a known
@@ -59,7 +129,9 @@
 void fleet_feed::OnEvents(std::uint64_t revision, bool any,
                           monotonic_time now) {
   const monotonic_time held = std::min(now, sent_at_ + wait_);
-  RecordAnswer(revision, any ? sent_at_ : held, now);
+  if (!any) answer_delay_ = now - held;
+  const monotonic_time proven = any ? sent_at_ : held;
+  RecordAnswer(revision, std::max(proven, *proven_at_), now);
 }
 
 // Records an answer that proves the local copy up to `proven_at`. For a full
@@ -68,7 +140,7 @@
 void fleet_feed::RecordAnswer(std::uint64_t revision, monotonic_time proven_at,
                               monotonic_time now) {
   in_flight_ = false;
-  needs_range_ = false;
+  if (!needs_store_copy_) needs_range_ = false;
   revision_ = std::max(revision_, revision);
   proven_at_ = proven_at;
   if (failures_ > 0) expiry_grace_until_ = now + options_.expiry_grace;
@@ -80,15 +152,22 @@
   in_flight_ = false;
   needs_range_ = true;
   needs_store_copy_ = true;
+  copy_needed_since_ = now;
   next_at_ = now;
 }
 
 void fleet_feed::OnFailed(monotonic_time now) {
   in_flight_ = false;
+  // A refresh that was requested later was answered meanwhile.
+  if (proven_at_ && *proven_at_ > sent_at_) {
+    next_at_ = now;
+    return;
+  }
   ++failures_;
   // A watch that broke off may have missed earlier changes, so the next call
   // to the store reads everything, unless another VM answers first.
   needs_range_ = true;
+  copy_needed_since_ = sent_at_;
   next_at_ = now + options_.retry_interval;
 }
 
--- a/tests/node/feed_relay_test.cc
+++ b/tests/node/feed_relay_test.cc
@@ -18,6 +18,8 @@
       : store_(store), loop_(loop) {}
 
   void SetCut(bool cut) { cut_ = cut; }
+  // Calls are taken and never answered.
+  void SetSilent(bool silent) { silent_ = silent; }
   // Full copies that are read here lack this key.
   void Hide(const std::string& key) { hidden_ = key; }
   int Watches() const { return watches_; }
@@ -33,6 +35,7 @@
   }
   void Range(const std::string& prefix, monotonic_time deadline,
              on_range done) override {
+    if (silent_) return;
     if (cut_) return Fail(std::move(done));
     store_.Range(
         prefix, deadline,
@@ -49,6 +52,7 @@
              monotonic_time wait_until, monotonic_time deadline,
              on_events done) override {
     ++watches_;
+    if (silent_) return;
     if (cut_) return Fail(std::move(done));
     store_.Watch(prefix, after, wait_until, deadline, std::move(done));
   }
@@ -79,6 +83,7 @@
   memory_store& store_;
   event_loop& loop_;
   bool cut_ = false;
+  bool silent_ = false;
   std::string hidden_;
   int watches_ = 0;
 };
@@ -213,6 +218,22 @@
   }));
 }
 
+// Guards against a VM that keeps an old declaration since its source lost the
+// store without a word.
+BOOST_AUTO_TEST_CASE(AChangeIsInForceInTimeBehindASilentSource) {
+  AddUpstream("u1", [](const std::string& request) {
+    return scripted_answer{GoodAnswer(request, "x"), false};
+  });
+  WaitUntilRelayed();
+  paths_[0]->SetSilent(true);
+  routing_.version = 2;
+  routing_.workspaces[0].keys = {"key2"};
+  PutRouting();
+  const monotonic_time bound = MonotonicNow() + settings_.bounds.config_apply;
+  BOOST_TEST(RunUntil([this] { return StatusAt(1, "key2") == "200"; }));
+  BOOST_TEST(ToSeconds(bound - MonotonicNow()) > 0);
+}
+
 // Guards against a VM that lacks a change for good although it has the same
 // revision as its source.
 BOOST_AUTO_TEST_CASE(AVmThatMissedAChangeGetsItFromItsSource) {
--- a/tests/protocol/fleet_feed_test.cc
+++ b/tests/protocol/fleet_feed_test.cc
@@ -1,6 +1,7 @@
 #include "citron/protocol/fleet_feed.h"
 
 #include <boost/test/unit_test.hpp>
+#include <vector>
 
 namespace citron {
 namespace {
@@ -58,10 +59,11 @@
   ReadCopy(5);
   now_ += milliseconds(300);
   const monotonic_time sent = now_;
-  BOOST_REQUIRE(feed_.NextCall(now_));
+  const auto order = feed_.NextCall(now_);
+  BOOST_REQUIRE(order);
   now_ += seconds(9);
   feed_.OnEvents(5, false, now_);
-  BOOST_CHECK(feed_.ProvenAt() == sent + seconds(2));
+  BOOST_CHECK(feed_.ProvenAt() == sent + order->wait);
 }
 
 BOOST_AUTO_TEST_CASE(AnAnswerWithChangesProvesOnlyItsStart) {
@@ -151,8 +153,8 @@
   BOOST_REQUIRE(feed_.NextCall(now_));
   feed_.OnFailed(now_);
   now_ += seconds(4);
-  BOOST_REQUIRE(feed_.NextCall(now_));
-  feed_.OnRange(9, now_);
+  BOOST_REQUIRE(feed_.StartRefresh(now_));
+  feed_.OnRefreshed(9, now_, now_);
   BOOST_CHECK(feed_.ExpiryGraceUntil() == now_ + milliseconds(2100));
   BOOST_TEST(feed_.IsConnected());
 }
@@ -274,6 +276,70 @@
   BOOST_TEST(ToSeconds(oldest) < 2.5);
 }
 
+// Guards against a watch that goes silent: the store is read by a second call
+// before the bound of 2.5 s, and again while that isn't answered.
+BOOST_AUTO_TEST_CASE(ASilentCallIsNotWaitedFor) {
+  ReadCopy(5);
+  const monotonic_time proven = *feed_.ProvenAt();
+  now_ += milliseconds(300);
+  BOOST_REQUIRE(feed_.NextCall(now_));
+  std::vector<monotonic_time> starts;
+  while (now_ < proven + milliseconds(2500)) {
+    if (feed_.StartRefresh(now_)) starts.push_back(now_);
+    now_ += milliseconds(10);
+  }
+  BOOST_REQUIRE(starts.size() == 3u);
+  feed_.OnRefreshFailed(starts[0]);
+  feed_.OnRefreshed(9, starts[1], now_);
+  BOOST_CHECK(feed_.ProvenAt() == starts[1]);
+  BOOST_TEST(feed_.Revision() == 9u);
+  // The watch that began before says no more when it breaks off.
+  feed_.OnFailed(now_);
+  BOOST_TEST(feed_.IsConnected());
+  BOOST_CHECK(feed_.NextCall(now_)->what == fleet_feed::call::kWatch);
+}
+
+// The VM that others read from reads the store before each of them does.
+BOOST_AUTO_TEST_CASE(ASourceIsRefreshedBeforeItsReaders) {
+  fleet_feed reader(feed_options{});
+  BOOST_REQUIRE(reader.NextCall(now_));
+  reader.OnRange(5, now_);
+  ReadCopy(5);
+  feed_.SetServesOthers(true);
+  now_ += milliseconds(1200);
+  BOOST_TEST(feed_.StartRefresh(now_));
+  BOOST_TEST(!reader.StartRefresh(now_));
+  now_ += milliseconds(400);
+  BOOST_TEST(reader.StartRefresh(now_));
+}
+
+// The store takes long for each answer. Watches wait less, so that the copy
+// isn't refreshed all the time.
+BOOST_AUTO_TEST_CASE(ASlowStoreNeedsNoRefresh) {
+  feed_.SetServesOthers(true);
+  const duration delay = milliseconds(330);
+  BOOST_REQUIRE(feed_.NextCall(now_));
+  now_ += delay;
+  feed_.OnRange(5, now_);
+  for (int i = 0; i < 20; ++i) {
+    now_ = std::max(now_, feed_.NextAt());
+    const auto order = feed_.NextCall(now_);
+    BOOST_REQUIRE(order);
+    now_ += order->wait + delay;
+    BOOST_TEST(!feed_.StartRefresh(now_));
+    feed_.OnEvents(5, false, now_);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AllWaitsAreScaledToTheBound) {
+  const feed_options six = feed_options::ForBound(seconds(6));
+  BOOST_TEST(ToSeconds(six.refresh_age) < 6 - 3 * 0.4);
+  BOOST_TEST(ToSeconds(six.watch_wait) > 1.5);
+  const feed_options one = feed_options::ForBound(seconds(1));
+  BOOST_TEST(ToSeconds(one.refresh_age) < 0.7);
+  BOOST_TEST(ToSeconds(one.watch_wait) < ToSeconds(one.refresh_age));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
