VMs keep together to the request rate that an upstream names

Cause: the header was not read (hypothesis 1: requests of each VM are the same before and after 8.0 s; the code didn't know the name). Class: a fleet-wide limit that reaches one VM at a time, through answers.

Now a VM reads it from answers (a plain decimal number; what can't be read is logged and ignored, and only a signed answer without it ends the limit), tells all others at once and each 0.4 s for 12 VMs, and each takes a part of the rate by its demand (policy/upstream_rate_limit). A silent VM keeps its part as long as it is listed. An upstream at its limit is full, not failed; requests beyond it go to the next upstream of the same region, and are rejected at once where all are at their limits, with the time of the next saved request.

--- a/include/citron/node/fleet_state.h
+++ b/include/citron/node/fleet_state.h
@@ -7,12 +7,15 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "citron/base/event_log.h"
 #include "citron/config/node_settings.h"
 #include "citron/config/routing_config.h"
 #include "citron/node/fleet_codec.h"
+#include "citron/node/rate_limit_report.h"
 #include "citron/node/vm_listing.h"
 #include "citron/platform/platform_store.h"
 #include "citron/policy/affinity_selector.h"
@@ -54,6 +57,20 @@
                       monotonic_time now);
   // The last of them of each upstream since this was asked, for other VMs.
   std::map<upstream_id, int> TakeHeardLoads();
+  // Takes what an answer showed of an upstream's rate limit, to this VM or
+  // another one. Returns whether the limit in force changed.
+  bool OnRateLimit(const upstream_id& upstream,
+                   const rate_limit_observation& seen, monotonic_time now);
+  // A limit that can't be read changes nothing.
+  void OnUnreadableRateLimit(const upstream_id& upstream, std::string_view text,
+                             monotonic_time now);
+  // Returns whether an answer to this VM changed a limit since the last call.
+  bool TakeRateLimitNews() { return std::exchange(rate_limit_news_, false); }
+  // Takes the demand of another VM for an upstream with a rate limit.
+  void OnPeerDemand(const upstream_id& upstream, const vm_id& vm, double per_s,
+                    monotonic_time now);
+  // What is known of rate limits, for other VMs.
+  std::vector<rate_limit_line> RateLimitLines(monotonic_time now);
   service_split& SplitOf(const route_config& route);
   retry_budget& RetriesOf(const service_id& service);
   // Null where the workspace isn't declared.
@@ -77,8 +94,11 @@
   void Remove(const std::string& key, monotonic_time now);
   void RemoveUpstream(const upstream_id& id);
   void SetClosedZones();
-  void SetFleetSize();
+  void SetFleetSize(monotonic_time now);
   void SetColdAllowances();
+  void SetRateLimitFleet(monotonic_time now);
+  // Visits the limits in force.
+  void ForEachRateLimit(const std::function<void(upstream_rate_limit&)>& visit);
   cold_allowance AllowanceFor(const upstream_tracker& upstream) const;
   affinity_selector& MakeSelector(const service_id& service);
 
@@ -96,6 +116,9 @@
   std::map<vm_id, vm_listing> vms_;
   std::uint64_t vms_version_ = 1;
   std::map<upstream_id, int> heard_loads_;
+  std::set<upstream_id> rate_limited_;  // Now, or a short time ago.
+  bool rate_limit_news_ = false;
+  std::map<upstream_id, std::string> unreadable_rate_limits_;  // Last logged.
   bool fleet_changed_ = false;  // Since the size was last told on.
   std::map<std::string, monotonic_time> missing_;     // Key, removed then.
   std::map<std::string, store_revision> unreadable_;  // Logged once each.
--- a/include/citron/node/header_names.h
+++ b/include/citron/node/header_names.h
@@ -15,6 +15,7 @@
   std::string workspace;          // Whose request it is, for the upstream.
   std::string expected_upstream;  // Any other one answers "not run".
   std::string load;               // Running, waiting, slots.
+  std::string rate_limit;         // Requests a second from all VMs together.
   std::string not_run;            // The upstream did not run the request.
   std::string upstream;           // Which upstream answered.
   std::string cold_ms;            // How long it stays cold.
--- a/include/citron/node/peer_exchange.h
+++ b/include/citron/node/peer_exchange.h
@@ -13,6 +13,7 @@
 #include "citron/base/time.h"
 #include "citron/node/node_context.h"
 #include "citron/node/peer_report.h"
+#include "citron/node/rate_limit_report.h"
 #include "citron/node/reach_report.h"
 
 struct event;
@@ -60,6 +61,11 @@
   void OnReport(const peer_report& report, monotonic_time now);
   void OnReachReport(const reach_report& report, const sockaddr_in& source,
                      monotonic_time now);
+  void OnRateLimitReport(const rate_limit_report& report,
+                         const sockaddr_in& source, monotonic_time now);
+  // Tells what is known of upstreams' rate limits, at once if this VM has
+  // learned something.
+  void TellRateLimits(monotonic_time now);
   // Tells all while this VM reaches no upstream, and for a while after.
   void TellReach(bool reaches_upstreams, monotonic_time now);
   // Whether the datagram is from where the VM is listed.
@@ -90,9 +96,11 @@
   bool told_reaching_ = true;
   int reach_reports_left_ = 0;
   monotonic_time tell_reach_at_{};
+  monotonic_time tell_rate_limits_at_{};
   std::map<vm_id, peer_state> peers_;
-  std::map<vm_id, reach_report> reach_reports_;  // The last of each.
-  std::map<vm_id, endpoint> readers_;            // Who is told, and where.
+  std::map<vm_id, reach_report> reach_reports_;            // The last of each.
+  std::map<vm_id, rate_limit_report> rate_limit_reports_;  // The same.
+  std::map<vm_id, endpoint> readers_;  // Who is told, and where.
 };
 
 }  // namespace citron
--- a/include/citron/node/proxied_request.h
+++ b/include/citron/node/proxied_request.h
@@ -56,12 +56,15 @@
   bool BodyIsReplayable() const { return !streaming_body_; }
   answer_kind Judge(const http1_head& head) const;
   void ReportLoad(const http1_head& head);
+  void ReportRateLimit(const http1_head& head);
   void Place();
   std::variant<selection, selection_error> Choose(
-      const std::vector<upstream_id>& left_out, monotonic_time now) const;
+      const std::vector<upstream_id>& left_out, monotonic_time now);
   // Takes a connection to the upstream; false if there is no way to it.
   bool Connect(const upstream_id& upstream, monotonic_time now);
   void OnNoUpstream(selection_error error);
+  // Logs the limits of the upstreams and returns when to come back.
+  duration OnRateLimited(monotonic_time now);
   // Whether it crashed upstreams before, so that no other one may run it.
   bool IsPoison(monotonic_time now);
   void RefusePoison(monotonic_time now);
--- a/include/citron/policy/affinity_selector.h
+++ b/include/citron/policy/affinity_selector.h
@@ -62,6 +62,7 @@
   kNotAllowed,   // No upstream is in a region where the request may run.
   kUnavailable,  // No allowed upstream can take the request now.
   kBusy,         // No replica of the object has room for the request.
+  kRateLimited,  // All upstreams that can take it are at their rate limits.
 };
 
 std::string_view ToString(selection_error error);
@@ -91,7 +92,7 @@
   void SetClosedZones(const std::set<zone_id>& zones);
 
   std::variant<selection, selection_error> Choose(
-      const selection_request& request, monotonic_time now) const;
+      const selection_request& request, monotonic_time now);
 
   // Records the service time of a request for which this VM counted a free slot
   // at the upstream, without the network delay in either direction.
@@ -111,7 +112,7 @@
  private:
   struct candidate {
     double cost = 0;
-    const upstream_tracker* upstream = nullptr;
+    upstream_tracker* upstream = nullptr;
   };
   struct path_state {
     int failures = 0;
@@ -123,6 +124,7 @@
   bool IsAvailable(const upstream_tracker& upstream,
                    const selection_request& request, bool include_ejected,
                    monotonic_time now) const;
+  void DropRateLimited(std::vector<candidate>& candidates, monotonic_time now);
   void KeepPreferredReplicas(std::vector<candidate>& candidates) const;
   // Returns null if no replica has spare capacity.
   const upstream_tracker* FindSpareReplica(
--- a/include/citron/policy/upstream_tracker.h
+++ b/include/citron/policy/upstream_tracker.h
@@ -2,11 +2,13 @@
 #define CITRON_POLICY_UPSTREAM_TRACKER_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "citron/base/strong_id.h"
 #include "citron/base/time.h"
 #include "citron/config/routing_config.h"
 #include "citron/policy/upstream_chooser.h"
+#include "citron/policy/upstream_rate_limit.h"
 #include "citron/policy/weight_control.h"
 
 namespace citron {
@@ -19,6 +21,13 @@
   int slots = 0;
 };
 
+// Request rate limit that an upstream named, or that it named none.
+struct rate_limit_observation {
+  std::optional<double> per_s;
+  vm_id told_by;  // The VM that got the answer.
+  monotonic_time observed_at{};
+};
+
 // Requests that this VM may send to a cold upstream. The allowances of all VMs
 // add up to what the upstream can take while it is cold.
 struct cold_allowance {
@@ -67,6 +76,18 @@
   // Treats the upstream as cold for at least `left`, whatever it announced.
   void MarkCold(duration left, monotonic_time now);
 
+  // Takes what an answer showed of the rate limit, to this VM or another one.
+  // Older observations are ignored. Returns whether the limit in force changed.
+  bool OnRateLimit(const rate_limit_observation& seen, monotonic_time now);
+  // Returns null while the upstream names no limit.
+  upstream_rate_limit* RateLimit() {
+    return rate_limit_ ? &*rate_limit_ : nullptr;
+  }
+  // Returns the last observation, if the upstream ever named a limit.
+  const std::optional<rate_limit_observation>& RateLimitSeen() const {
+    return rate_limit_seen_;
+  }
+
   void OnSent(monotonic_time now);
   void OnReport(const load_report& report, monotonic_time now);
   // Takes the number of requests at the upstream that another VM reports.
@@ -122,6 +143,9 @@
   bool may_have_restarted_ = false;
   // monotonic_time::max() until the first answer after a connect failure.
   monotonic_time restart_ruled_out_at_{};
+  std::optional<upstream_rate_limit> rate_limit_;
+  std::optional<rate_limit_observation> rate_limit_seen_;
+
   cold_allowance allowance_;
   double cold_tokens_ = 0;
   monotonic_time cold_tokens_at_{};
--- a/src/node/fleet_state.cc
+++ b/src/node/fleet_state.cc
@@ -28,6 +28,9 @@
 // requests in than one counter would, and each that one would have let in and
 // they refuse is a request refused inside the rate.
 constexpr double kQuotaOvershootPart = 0.5;
+// Time for which other VMs are told that a rate limit has ended; some reports
+// may be lost.
+constexpr duration kTellEndFor = std::chrono::seconds(5);
 // Upstreams of a zone that was closed come back cold without a word of it.
 constexpr duration kReopenedColdSpell = std::chrono::seconds(3);
 
@@ -81,7 +84,7 @@
     Remove(it->first, now);
     it = missing_.erase(it);
   }
-  SetFleetSize();
+  SetFleetSize(now);
 }
 
 bool fleet_state::ApplyItem(const store_item& item, monotonic_time now) {
@@ -119,6 +122,9 @@
       for (auto& [workspace, quota] : quotas_) {
         quota.OnVmUnlisted(vm_id(key.name), now);
       }
+      ForEachRateLimit([&](upstream_rate_limit& limit) {
+        limit.OnVmGone(vm_id(key.name), now);
+      });
       log_.Write("fleet", "vm_gone", {{"vm", key.name}}, now);
       fleet_changed_ = true;
       return;
@@ -251,6 +257,7 @@
   const auto selector = selectors_.find(known->second);
   if (selector != selectors_.end()) selector->second.RemoveUpstream(id);
   service_of_.erase(known);
+  unreadable_rate_limits_.erase(id);
 }
 
 void fleet_state::SetClosedZones() {
@@ -270,12 +277,13 @@
 
 // Once for all that came together: a whole copy names each VM and upstream, and
 // each VM concerns all of them.
-void fleet_state::SetFleetSize() {
+void fleet_state::SetFleetSize(monotonic_time now) {
   if (!fleet_changed_) return;
   fleet_changed_ = false;
   const int vms = FleetSize();
   for (auto& [workspace, quota] : quotas_) quota.SetFleetSize(vms);
   SetColdAllowances();
+  SetRateLimitFleet(now);
 }
 
 void fleet_state::SetColdAllowances() {
@@ -353,6 +361,76 @@
   return std::exchange(heard_loads_, {});
 }
 
+bool fleet_state::OnRateLimit(const upstream_id& id,
+                              const rate_limit_observation& seen,
+                              monotonic_time now) {
+  upstream_tracker* upstream = FindUpstream(id);
+  if (upstream == nullptr || !upstream->OnRateLimit(seen, now)) return false;
+  rate_limited_.insert(id);
+  rate_limit_news_ = rate_limit_news_ || seen.told_by == settings_.vm;
+  SetRateLimitFleet(now);
+  log_.Write("upstream", seen.per_s ? "rate_limit" : "rate_limit_ended",
+             {{"upstream", id.Str()},
+              {"per_s", seen.per_s.value_or(0)},
+              {"told_by", seen.told_by.Str()},
+              {"age_ms", ToMilliseconds(now - seen.observed_at)}},
+             now);
+  return true;
+}
+
+void fleet_state::OnUnreadableRateLimit(const upstream_id& id,
+                                        std::string_view text,
+                                        monotonic_time now) {
+  std::string& logged = unreadable_rate_limits_[id];
+  if (logged == text) return;
+  logged = text;
+  log_.Write("upstream", "rate_limit_unreadable",
+             {{"upstream", id.Str()}, {"text", text}}, now);
+}
+
+void fleet_state::OnPeerDemand(const upstream_id& id, const vm_id& vm,
+                               double per_s, monotonic_time now) {
+  upstream_tracker* upstream = FindUpstream(id);
+  upstream_rate_limit* limit =
+      upstream == nullptr ? nullptr : upstream->RateLimit();
+  if (limit != nullptr) limit->OnPeerDemand(vm, per_s, now);
+}
+
+std::vector<rate_limit_line> fleet_state::RateLimitLines(monotonic_time now) {
+  std::vector<rate_limit_line> lines;
+  std::erase_if(rate_limited_, [&](const upstream_id& id) {
+    upstream_tracker* upstream = FindUpstream(id);
+    if (upstream == nullptr || !upstream->RateLimitSeen()) return true;
+    const rate_limit_observation& seen = *upstream->RateLimitSeen();
+    const duration age = now - seen.observed_at;
+    if (!seen.per_s && age >= kTellEndFor) return true;
+    rate_limit_line line{id, seen.per_s.has_value(), seen.per_s.value_or(0),
+                         static_cast<std::uint32_t>(ToMilliseconds(age)), 0};
+    upstream_rate_limit* limit = upstream->RateLimit();
+    if (limit != nullptr) line.demand_per_s = limit->ReportDemand(now);
+    lines.push_back(std::move(line));
+    return false;
+  });
+  return lines;
+}
+
+void fleet_state::ForEachRateLimit(
+    const std::function<void(upstream_rate_limit&)>& visit) {
+  for (const upstream_id& id : rate_limited_) {
+    upstream_tracker* upstream = FindUpstream(id);
+    upstream_rate_limit* limit =
+        upstream == nullptr ? nullptr : upstream->RateLimit();
+    if (limit != nullptr) visit(*limit);
+  }
+}
+
+void fleet_state::SetRateLimitFleet(monotonic_time now) {
+  const int vms = FleetSize();
+  ForEachRateLimit([&](upstream_rate_limit& limit) {
+    limit.SetFleet(settings_.vm, vms, now);
+  });
+}
+
 service_split& fleet_state::SplitOf(const route_config& route) {
   return splits_[route.id];
 }
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -96,6 +96,7 @@
 
 void peer_exchange::Run(const vm_condition& own, monotonic_time now) {
   TellReach(own.reaches_upstreams, now);
+  TellRateLimits(now);
   const bool for_all = now >= tell_all_at_;
   const bool for_serving = now >= tell_serving_at_;
   if (!for_all && !for_serving && own.ready == told_ready_) return;
@@ -219,6 +220,20 @@
   for (const auto& [vm, address] : readers_) SendTo(address, bytes);
 }
 
+void peer_exchange::TellRateLimits(monotonic_time now) {
+  const bool is_news = context_.fleet.TakeRateLimitNews();
+  if (!is_news && now < tell_rate_limits_at_) return;
+  tell_rate_limits_at_ = now + IntervalFor(context_.fleet.FleetSize());
+  const rate_limit_report report{context_.settings.vm, incarnation_,
+                                 sequence_ + 1,
+                                 context_.fleet.RateLimitLines(now)};
+  if (report.lines.empty()) return;
+  ++sequence_;
+  UpdateReaders(now);
+  const std::string bytes = EncodeWire(report);
+  for (const auto& [vm, address] : readers_) SendTo(address, bytes);
+}
+
 // One that can't be sent is a lost one; the next follows.
 void peer_exchange::SendTo(const endpoint& address, const std::string& bytes) {
   const sockaddr_in to = SocketAddress(address);
@@ -253,6 +268,8 @@
   if (IsOk(report)) return OnReport(ValueOf(report), now);
   const result<reach_report> reach = DecodeWire<reach_report>(bytes);
   if (IsOk(reach)) return OnReachReport(ValueOf(reach), source, now);
+  const result<rate_limit_report> limits = DecodeWire<rate_limit_report>(bytes);
+  if (IsOk(limits)) return OnRateLimitReport(ValueOf(limits), source, now);
   const result<crash_report> crashes = DecodeWire<crash_report>(bytes);
   if (!IsOk(crashes)) {
     context_.log.Write("peers", "unreadable",
@@ -328,6 +345,37 @@
   last = report;
 }
 
+// A stranger could starve an upstream with it.
+void peer_exchange::OnRateLimitReport(const rate_limit_report& report,
+                                      const sockaddr_in& source,
+                                      monotonic_time now) {
+  UpdateReaders(now);
+  if (!IsFrom(report.vm, source)) {
+    context_.log.Write("peers", "rate_limit_report_refused",
+                       {{"vm", report.vm.Str()}}, now);
+    return;
+  }
+  rate_limit_report& last = rate_limit_reports_[report.vm];
+  if (std::tie(report.incarnation, report.sequence) <=
+      std::tie(last.incarnation, last.sequence)) {
+    return;
+  }
+  last = report;
+  for (const rate_limit_line& line : report.lines) {
+    if (!(line.per_s >= 0) || !(line.demand_per_s >= 0)) continue;
+    rate_limit_observation seen;
+    if (line.is_limited) seen.per_s = line.per_s;
+    seen.told_by = report.vm;
+    seen.observed_at = now - std::chrono::milliseconds(line.age_ms);
+    if (context_.fleet.OnRateLimit(line.upstream, seen, now)) {
+      context_.stats.Count("citron_upstream_rate_limit_changes_total",
+                           {{"from", "vm"}});
+    }
+    context_.fleet.OnPeerDemand(line.upstream, report.vm, line.demand_per_s,
+                                now);
+  }
+}
+
 duration peer_exchange::SilenceLimit() const {
   return IntervalFor(context_.fleet.FleetSize()) * kLostReports;
 }
--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 #include "citron/base/digest.h"
@@ -41,6 +42,8 @@
 // likely to have come free, or after failing ones have been tried again.
 constexpr duration kRetryWhenBusy = std::chrono::milliseconds(250);
 constexpr duration kRetryWhenUnavailable = std::chrono::milliseconds(400);
+// Upstreams at their rate limits: a limit may end at any moment.
+constexpr duration kLongestRetryWhenLimited = std::chrono::milliseconds(2000);
 
 std::optional<std::int64_t> ReadWhole(std::string_view text) {
   std::int64_t value = 0;
@@ -64,6 +67,17 @@
   return report;
 }
 
+// A plain decimal number of requests a second.
+std::optional<double> ReadRateLimit(std::string_view text) {
+  double per_s = 0;
+  const char* const end = text.data() + text.size();
+  const auto [rest, failure] =
+      std::from_chars(text.data(), end, per_s, std::chars_format::fixed);
+  if (failure != std::errc() || rest != end) return std::nullopt;
+  if (!std::isfinite(per_s) || std::signbit(per_s)) return std::nullopt;
+  return per_s;
+}
+
 std::string HeaderOr(const http_headers& headers, const std::string& name) {
   const auto value = FindHeader(headers, name);
   return value ? std::string(*value) : std::string();
@@ -172,8 +186,8 @@
 }
 
 std::variant<selection, selection_error> proxied_request::Choose(
-    const std::vector<upstream_id>& left_out, monotonic_time now) const {
-  const affinity_selector* selector = context_.fleet.SelectorOf(service_);
+    const std::vector<upstream_id>& left_out, monotonic_time now) {
+  affinity_selector* selector = context_.fleet.SelectorOf(service_);
   if (selector == nullptr) return selection_error::kNoneKnown;
   selection_request request;
   request.object = object_;
@@ -202,10 +216,42 @@
 
 void proxied_request::OnNoUpstream(selection_error error) {
   last_reason_ = ToString(error).data();
+  duration retry_after = kRetryWhenUnavailable;
+  if (error == selection_error::kBusy) retry_after = kRetryWhenBusy;
+  if (error == selection_error::kRateLimited) {
+    retry_after = OnRateLimited(MonotonicNow());
+  }
   if (verdict_ != verdict::kNotRun) return FailMaybeRun(502, last_reason_);
-  Refuse(
-      503, last_reason_,
-      error == selection_error::kBusy ? kRetryWhenBusy : kRetryWhenUnavailable);
+  Refuse(503, last_reason_, retry_after);
+}
+
+duration proxied_request::OnRateLimited(monotonic_time now) {
+  double limit = 0;
+  double part = 0;
+  double demand = 0;
+  int upstreams = 0;
+  std::string_view told_by;
+  monotonic_time retry_at = now + kLongestRetryWhenLimited;
+  context_.fleet.SelectorOf(service_)->ForEach([&](upstream_tracker& upstream) {
+    const upstream_rate_limit* rate_limit = upstream.RateLimit();
+    if (rate_limit == nullptr) return;
+    ++upstreams;
+    limit += rate_limit->RatePerS();
+    part += rate_limit->PartPerS();
+    demand += rate_limit->FleetDemandPerS();
+    told_by = upstream.RateLimitSeen()->told_by.Str();
+    retry_at = std::min(retry_at, rate_limit->NextTakeAt(now));
+  });
+  context_.log.Write("request", "rate_limited",
+                     {{"id", id_},
+                      {"service", service_.Str()},
+                      {"upstreams", upstreams},
+                      {"limit_per_s", limit},
+                      {"part_per_s", part},
+                      {"fleet_demand_per_s", demand},
+                      {"last_told_by", told_by}},
+                     now);
+  return std::max(kRetryWhenBusy, retry_at - now);
 }
 
 bool proxied_request::IsPoison(monotonic_time now) {
@@ -318,10 +364,37 @@
   if (report) context_.fleet.OnUpstreamLoad(*standing, *report, MonotonicNow());
 }
 
+// An answer without a limit ends it only if the upstream has certainly made the
+// answer.
+void proxied_request::ReportRateLimit(const http1_head& head) {
+  const std::string& name = context_.names.rate_limit;
+  const auto named = std::count_if(
+      head.headers.begin(), head.headers.end(),
+      [&](const http_header& h) { return HeaderNameIs(h.name, name); });
+  const monotonic_time now = MonotonicNow();
+  const bool is_signed =
+      FindHeader(head.headers, context_.names.signature).has_value();
+  if (named == 0 && !is_signed) return;
+  rate_limit_observation seen{std::nullopt, context_.settings.vm, now};
+  if (named > 0) {
+    const std::string_view text = *FindHeader(head.headers, name);
+    if (named == 1) seen.per_s = ReadRateLimit(text);
+    if (!seen.per_s) {
+      return context_.fleet.OnUnreadableRateLimit(upstream_, text, now);
+    }
+  }
+  if (!context_.fleet.OnRateLimit(upstream_, seen, now)) return;
+  context_.stats.Count("citron_upstream_rate_limit_changes_total",
+                       {{"from", "answer"}});
+}
+
 void proxied_request::OnAnswerHead(http1_head head) {
   ReportLoad(head);
   if (IsOnOwnConnection()) context_.paths.OnAnswered();
   kind_ = Judge(head);
+  if (kind_ != answer_kind::kForged && head.status != 421) {
+    ReportRateLimit(head);
+  }
   answer_ = std::move(head);
 }
 
--- a/src/policy/affinity_selector.cc
+++ b/src/policy/affinity_selector.cc
@@ -37,6 +37,8 @@
       return "unavailable";
     case selection_error::kBusy:
       return "busy";
+    case selection_error::kRateLimited:
+      return "rate_limited";
   }
   return "unknown";
 }
@@ -121,15 +123,35 @@
   return same_zone ? weight * options_.large_answer_zone_weight : weight;
 }
 
+// Drops the preferred upstreams that may not have this request by their rate
+// limits, and all others that have one. The next candidates are in the same
+// region as long as there are any there: an upstream that starts to limit its
+// requests must not move them to other regions.
+void affinity_selector::DropRateLimited(std::vector<candidate>& candidates,
+                                        monotonic_time now) {
+  const region_id region = candidates.front().upstream->Region();
+  std::stable_partition(
+      candidates.begin(), candidates.end(),
+      [&region](const candidate& c) { return c.upstream->Region() == region; });
+  bool found = false;
+  std::erase_if(candidates, [&](const candidate& c) {
+    upstream_rate_limit* limit = c.upstream->RateLimit();
+    if (limit == nullptr) {
+      found = true;
+      return false;
+    }
+    if (found) return true;
+    found = limit->TryTake(now);
+    return !found;
+  });
+}
+
 // Reduces `candidates` to the replicas that share the object, the preferred one
 // first. All are in the region of the preferred one, so that an overload does
 // not move the requests of a region to other regions from one second to the
 // next.
 void affinity_selector::KeepPreferredReplicas(
     std::vector<candidate>& candidates) const {
-  std::sort(
-      candidates.begin(), candidates.end(),
-      [](const candidate& a, const candidate& b) { return a.cost < b.cost; });
   const region_id region = candidates.front().upstream->Region();
   std::erase_if(candidates, [&region](const candidate& c) {
     return c.upstream->Region() != region;
@@ -169,7 +191,7 @@
 // region compute nearly the same rendezvous order, so that each object stays at
 // an upstream that is warm for it.
 std::variant<selection, selection_error> affinity_selector::Choose(
-    const selection_request& request, monotonic_time now) const {
+    const selection_request& request, monotonic_time now) {
   if (upstreams_.empty()) return selection_error::kNoneKnown;
   // Ejections are ignored if more than half of the upstreams are ejected: the
   // cause is then likely elsewhere, and the remaining upstreams would be
@@ -180,7 +202,7 @@
   const bool include_ejected = 2 * ejected > upstreams_.size();
   std::vector<candidate> candidates;
   bool allowed = false;
-  for (const auto& [id, upstream] : upstreams_) {
+  for (auto& [id, upstream] : upstreams_) {
     if (!IsAllowed(upstream, request)) continue;
     allowed = true;
     if (!IsAvailable(upstream, request, include_ejected, now)) continue;
@@ -191,6 +213,11 @@
   }
   if (!allowed) return selection_error::kNotAllowed;
   if (candidates.empty()) return selection_error::kUnavailable;
+  std::sort(
+      candidates.begin(), candidates.end(),
+      [](const candidate& a, const candidate& b) { return a.cost < b.cost; });
+  DropRateLimited(candidates, now);
+  if (candidates.empty()) return selection_error::kRateLimited;
   KeepPreferredReplicas(candidates);
   const upstream_tracker* upstream = candidates[0].upstream;
   if (LoadPerSlot(*upstream, now) >= LoadLimit(request)) {
--- a/src/policy/upstream_tracker.cc
+++ b/src/policy/upstream_tracker.cc
@@ -12,6 +12,10 @@
 // outcomes.
 constexpr double kOutcomeWeight = 0.12;
 
+// Network delay and clock ticks by which another VM's observation may seem
+// newer than it is.
+constexpr duration kObservationError = std::chrono::milliseconds(300);
+
 bool IsSuccess(upstream_outcome outcome) {
   return outcome == upstream_outcome::kAnswered;
 }
@@ -47,6 +51,8 @@
     ejected_until_ = {};
     other_callers_load_ = 0;
     weight_.Reset();
+    rate_limit_.reset();
+    rate_limit_seen_.reset();
   }
   MarkCold(record.cold_left, now);
 }
@@ -64,6 +70,27 @@
   cold_until_ = std::max(cold_until_, now + left);
 }
 
+bool upstream_tracker::OnRateLimit(const rate_limit_observation& seen,
+                                   monotonic_time now) {
+  if (!rate_limit_seen_ && !seen.per_s) return false;
+  if (rate_limit_seen_) {
+    const bool same_teller = rate_limit_seen_->told_by == seen.told_by;
+    const duration error = same_teller ? duration::zero() : kObservationError;
+    if (seen.observed_at < rate_limit_seen_->observed_at + error) return false;
+  }
+  const bool changed =
+      !rate_limit_seen_ || rate_limit_seen_->per_s != seen.per_s;
+  rate_limit_seen_ = seen;
+  if (!seen.per_s) {
+    rate_limit_.reset();
+  } else if (rate_limit_) {
+    rate_limit_->SetRate(*seen.per_s, now);
+  } else {
+    rate_limit_.emplace(hash_, *seen.per_s, now);
+  }
+  return changed;
+}
+
 void upstream_tracker::OnSent(monotonic_time now) {
   ++in_flight_;
   if (!IsCold(now)) return;
--- a/tests/node/node_fixture.h
+++ b/tests/node/node_fixture.h
@@ -57,6 +57,7 @@
     names_.workspace = "X-Workspace";
     names_.expected_upstream = "X-Expected";
     names_.load = "X-Load";
+    names_.rate_limit = "X-Rate-Limit";
     names_.not_run = "X-Not-Run";
     names_.upstream = "X-Upstream";
     names_.cold_ms = "X-Cold";
--- a/tests/policy/affinity_selector_test.cc
+++ b/tests/policy/affinity_selector_test.cc
@@ -51,7 +51,7 @@
     return request;
   }
 
-  std::string ChosenUpstream(const selection_request& request) const {
+  std::string ChosenUpstream(const selection_request& request) {
     const auto chosen = selector_.Choose(request, now_);
     const auto* selected = std::get_if<selection>(&chosen);
     return selected == nullptr
@@ -249,6 +249,52 @@
   BOOST_TEST(near > 840);
 }
 
+// Guards against requests that move to another region since an upstream of
+// their own limits its requests.
+BOOST_AUTO_TEST_CASE(RequestsBeyondARateLimitStayInTheRegion) {
+  for (int object = 0; object < 50; ++object) {
+    const selection_request request = RequestForObject(object);
+    const std::string before = ChosenUpstream(request);
+    upstream_tracker* limited = selector_.Find(upstream_id(before));
+    limited->OnRateLimit({0.0, vm_id("vm1"), now_}, now_);
+    const std::string after = ChosenUpstream(request);
+    BOOST_TEST(after != before);
+    const upstream_tracker* taken = selector_.Find(upstream_id(after));
+    BOOST_REQUIRE(taken != nullptr);
+    BOOST_TEST(taken->Region().Str() == limited->Region().Str());
+    now_ += seconds(1);
+    limited->OnRateLimit({std::nullopt, vm_id("vm1"), now_}, now_);
+    BOOST_TEST(ChosenUpstream(request) == before);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AllUpstreamsAtTheirRateLimitsTakeNothing) {
+  selector_.ForEach([this](upstream_tracker& upstream) {
+    upstream.OnRateLimit({0.5, vm_id("vm1"), now_}, now_);
+  });
+  BOOST_TEST(ChosenUpstream(RequestForObject(1)) == "rate_limited");
+  // In ten seconds each has saved a request.
+  now_ += seconds(10);
+  BOOST_TEST(ChosenUpstream(RequestForObject(1)) != "rate_limited");
+}
+
+// Reports travel, so another VM's news must not undo what an answer to this VM
+// has just shown.
+BOOST_AUTO_TEST_CASE(TheNewestObservationOfARateLimitCounts) {
+  upstream_tracker* upstream = selector_.Find(upstream_id("u1"));
+  const vm_id own("vm1");
+  const vm_id other("vm2");
+  BOOST_TEST(!upstream->OnRateLimit({std::nullopt, own, now_}, now_));
+  BOOST_TEST(upstream->OnRateLimit({5.0, own, now_}, now_));
+  const monotonic_time soon = now_ + milliseconds(100);
+  BOOST_TEST(!upstream->OnRateLimit({std::nullopt, other, soon}, soon));
+  BOOST_TEST((upstream->RateLimit() != nullptr));
+  const monotonic_time later = now_ + seconds(1);
+  BOOST_TEST(upstream->OnRateLimit({std::nullopt, other, later}, later));
+  BOOST_TEST((upstream->RateLimit() == nullptr));
+  BOOST_TEST(!upstream->OnRateLimit({7.0, own, now_}, later));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
