A VM that watches the store reads a full copy now and then

Bounds the age of a change that no watch tells, at 4 times the bound of a declaration (10 s): before, a VM that read the store kept such a hole until the next change of the key, and its readers with it. Their copies are compared with each answer, a source's with the store never was.

Evidence: AChangeThatNoWatchTellsIsInForceAfterAnAudit (the watches of both VMs leave out one key) is new; without the audit nothing in the code reads the store again while watches are answered. Price: 0.1 reads a second for each VM that watches the store, one in a region, beside 1.25 watches.

--- a/include/citron/protocol/fleet_feed.h
+++ b/include/citron/protocol/fleet_feed.h
@@ -43,6 +43,9 @@
   // waits less, at least min_wait, to keep the proof younger than this.
   duration max_proof_age = FromMilliseconds(1000);
   duration min_wait = FromMilliseconds(100);
+  // Time after which a VM that watches the store reads a full copy all the
+  // same: bounds the age of a change that no watch told.
+  duration audit_interval = FromMilliseconds(10000);
   duration retry_interval = FromMilliseconds(300);
   // Time after an outage for which missing entries of the store are kept, as
   // their owners may still write them again.
@@ -145,7 +148,8 @@
   std::uint64_t revision_ = 0;
   monotonic_time next_at_{};
   monotonic_time sent_at_{};
-  duration wait_{};  // Wait of the last watch sent to the store.
+  monotonic_time copy_sent_at_{};  // The last full copy that was read.
+  duration wait_{};                // Wait of the last watch sent to the store.
   // Time that the store last took to answer, beside the wait.
   duration answer_delay_{};
   monotonic_time expiry_grace_until_{};
--- a/src/protocol/fleet_feed.cc
+++ b/src/protocol/fleet_feed.cc
@@ -22,7 +22,7 @@
         &feed_options::refresh_interval, &feed_options::max_interval,
         &feed_options::watch_wait, &feed_options::relay_wait,
         &feed_options::proof_step, &feed_options::max_proof_age,
-        &feed_options::min_wait}) {
+        &feed_options::min_wait, &feed_options::audit_interval}) {
     options.*wait = FromSeconds(scale * ToSeconds(options.*wait));
   }
   return options;
@@ -54,7 +54,9 @@
   if (relayed) {
     return feed_call{call::kWatch, revision_, options_.relay_wait, true};
   }
-  if (needs_range_) return feed_call{call::kRange, 0, {}, false};
+  if (needs_range_ || now - copy_sent_at_ >= options_.audit_interval) {
+    return feed_call{call::kRange, 0, {}, false};
+  }
   const duration left =
       options_.max_proof_age - (now - *proven_at_) - answer_delay_;
   wait_ = std::clamp(left, options_.min_wait, options_.watch_wait);
@@ -98,6 +100,7 @@
 }
 
 void fleet_feed::RecordCopy(monotonic_time sent_at, monotonic_time now) {
+  copy_sent_at_ = std::max(copy_sent_at_, sent_at);
   if (sent_at >= copy_needed_since_) {
     needs_range_ = false;
     needs_store_copy_ = false;
--- a/tests/node/feed_relay_test.cc
+++ b/tests/node/feed_relay_test.cc
@@ -18,6 +18,8 @@
       : store_(store), loop_(loop) {}
 
   void SetCut(bool cut) { cut_ = cut; }
+  // Watches tell no change of this key.
+  void Mute(const std::string& key) { muted_ = key; }
   // Calls are taken and never answered.
   void SetSilent(bool silent) { silent_ = silent; }
   // Full copies that are read here lack this key.
@@ -54,7 +56,17 @@
     ++watches_;
     if (silent_) return;
     if (cut_) return Fail(std::move(done));
-    store_.Watch(prefix, after, wait_until, deadline, std::move(done));
+    store_.Watch(
+        prefix, after, wait_until, deadline,
+        [done = std::move(done), muted = muted_](result<store_events> events) {
+          if (IsOk(events)) {
+            std::erase_if(ValueOf(events).events,
+                          [&](const store_event& event) {
+                            return event.item.key == muted;
+                          });
+          }
+          done(std::move(events));
+        });
   }
   void GrantLease(duration ttl, monotonic_time deadline,
                   on_lease done) override {
@@ -85,6 +97,7 @@
   bool cut_ = false;
   bool silent_ = false;
   std::string hidden_;
+  std::string muted_;
   int watches_ = 0;
 };
 
@@ -234,6 +247,25 @@
   BOOST_TEST(ToSeconds(bound - MonotonicNow()) > 0);
 }
 
+// Guards against a change that the watches of a source never tell.
+BOOST_AUTO_TEST_CASE(AChangeThatNoWatchTellsIsInForceAfterAnAudit) {
+  AddUpstream("u1", [](const std::string& request) {
+    return scripted_answer{GoodAnswer(request, "x"), false};
+  });
+  for (int i : {0, 1}) {
+    vms_[i].reset();
+    vm_settings_[i].bounds.config_apply = std::chrono::seconds(1);
+    vms_[i] = MakeNode(vm_settings_[i], *paths_[i]);
+  }
+  BOOST_REQUIRE(RunUntil([this] { return StatusAt(1, "key1") == "200"; }));
+  for (auto& path : paths_) path->Mute("routing");
+  routing_.version = 2;
+  routing_.workspaces[0].keys = {"key2"};
+  PutRouting();
+  BOOST_TEST(RunUntil([this] { return StatusAt(1, "key2") == "200"; }));
+  BOOST_TEST(RunUntil([this] { return StatusAt(0, "key2") == "200"; }));
+}
+
 // Guards against a VM that lacks a change for good although it has the same
 // revision as its source.
 BOOST_AUTO_TEST_CASE(AVmThatMissedAChangeGetsItFromItsSource) {
--- a/tests/protocol/fleet_feed_test.cc
+++ b/tests/protocol/fleet_feed_test.cc
@@ -331,6 +331,26 @@
   }
 }
 
+// Guards against a change that no watch tells and that is missed for good.
+BOOST_AUTO_TEST_CASE(AFullCopyIsReadNowAndThen) {
+  ReadCopy(5);
+  int copies = 0;
+  const monotonic_time end = now_ + seconds(60);
+  while (now_ < end) {
+    now_ = std::max(now_, feed_.NextAt());
+    const auto order = feed_.NextCall(now_);
+    BOOST_REQUIRE(order);
+    now_ += order->wait + milliseconds(5);
+    if (order->what == fleet_feed::call::kRange) {
+      ++copies;
+      feed_.OnRange(5, now_);
+    } else {
+      feed_.OnEvents(5, false, now_);
+    }
+  }
+  BOOST_TEST(copies == 5);
+}
+
 BOOST_AUTO_TEST_CASE(AllWaitsAreScaledToTheBound) {
   const feed_options six = feed_options::ForBound(seconds(6));
   BOOST_TEST(ToSeconds(six.refresh_age) < 6 - 3 * 0.4);
