Proofs stay young in a large fleet, and during audits

Cause, found with a simulation of the feeds of 1, 10 and 84 VMs (protocol_feed_fleet_test): proofs that are older than the age at which a VM reads the store by itself, though nothing fails. - The interval between calls, which grows with the fleet to 1.1 s, also held back questions to other VMs, at each VM on the way. It is for the store. - An audit took the place of a watch and delayed the next proof by the least interval. It goes beside the watch now, as a refresh does.

--- a/include/citron/node/store_sync.h
+++ b/include/citron/node/store_sync.h
@@ -43,7 +43,7 @@
   void ApplyCopy(const std::vector<store_item>& items, store_revision revision,
                  monotonic_time now);
   void RunRegistration(monotonic_time now);
-  void Refresh(monotonic_time now);
+  void Refresh(fleet_feed::refresh_reason reason, monotonic_time now);
   void OnRange(const result<store_range>& range);
   void OnRefreshed(const result<store_range>& range, monotonic_time sent_at);
   void OnEvents(const result<store_events>& events);
--- a/include/citron/protocol/fleet_feed.h
+++ b/include/citron/protocol/fleet_feed.h
@@ -65,6 +65,7 @@
 class fleet_feed {
  public:
   enum class call { kRange, kWatch };
+  enum class refresh_reason { kOldProof, kAudit };
   struct feed_call {
     call what = call::kRange;
     // Revision after which a watch or relayed request reports changes.
@@ -86,9 +87,9 @@
   // `may_relay` the call goes to another VM if there is a local copy that the
   // answer can add to.
   std::optional<feed_call> NextCall(monotonic_time now, bool may_relay = false);
-  // Returns whether to read a full copy from the store now, beside any call
-  // that is pending, and counts it as started.
-  bool StartRefresh(monotonic_time now);
+  // Returns why to read a full copy from the store now, if at all, beside any
+  // call that is pending, and counts it as started.
+  std::optional<refresh_reason> StartRefresh(monotonic_time now);
   // Returns when Next may return a call if none is in flight.
   monotonic_time NextAt() const { return next_at_; }
 
@@ -141,6 +142,7 @@
   bool needs_store_copy_ = true;
   // Only a full copy that was requested since then helps.
   monotonic_time copy_needed_since_{};
+  bool watches_store_ = false;  // The last call was to the store.
   bool is_shared_ = false;
   int failures_ = 0;
   int pending_refreshes_ = 0;
--- a/src/node/store_sync.cc
+++ b/src/node/store_sync.cc
@@ -67,7 +67,8 @@
 
 void store_sync::RunFeed(monotonic_time now) {
   PlanSources();
-  if (context_.feed.StartRefresh(now)) Refresh(now);
+  const auto reason = context_.feed.StartRefresh(now);
+  if (reason) Refresh(*reason, now);
   const std::optional<vm_id> source = sources_.Next(now);
   const std::optional<fleet_feed::feed_call> order =
       context_.feed.NextCall(now, source.has_value());
@@ -196,10 +197,13 @@
   Run(now);
 }
 
-void store_sync::Refresh(monotonic_time now) {
+void store_sync::Refresh(fleet_feed::refresh_reason reason,
+                         monotonic_time now) {
   if (!is_refreshing_) {
+    const bool is_audit = reason == fleet_feed::refresh_reason::kAudit;
     context_.log.Write("store", "refresh_started",
-                       {{"store_age_ms", StoreAgeMs(context_, now)},
+                       {{"reason", is_audit ? "audit" : "old_proof"},
+                        {"store_age_ms", StoreAgeMs(context_, now)},
                         {"revision", context_.feed.Revision()}},
                        now);
   }
--- a/src/protocol/fleet_feed.cc
+++ b/src/protocol/fleet_feed.cc
@@ -51,12 +51,11 @@
   if (!relayed && NeedsRefresh(now)) return std::nullopt;
   in_flight_ = true;
   sent_at_ = now;
+  watches_store_ = !relayed;
   if (relayed) {
     return feed_call{call::kWatch, revision_, options_.relay_wait, true};
   }
-  if (needs_range_ || now - copy_sent_at_ >= options_.audit_interval) {
-    return feed_call{call::kRange, 0, {}, false};
-  }
+  if (needs_range_) return feed_call{call::kRange, 0, {}, false};
   const duration left =
       options_.max_proof_age - (now - *proven_at_) - answer_delay_;
   wait_ = std::clamp(left, options_.min_wait, options_.watch_wait);
@@ -69,12 +68,17 @@
   return proven_at_.has_value() && now - *proven_at_ >= age;
 }
 
-bool fleet_feed::StartRefresh(monotonic_time now) {
-  if (!NeedsRefresh(now) || now < next_refresh_at_) return false;
-  if (pending_refreshes_ >= kMaxPendingRefreshes) return false;
+std::optional<fleet_feed::refresh_reason> fleet_feed::StartRefresh(
+    monotonic_time now) {
+  const bool is_old = NeedsRefresh(now);
+  const bool is_audit =
+      watches_store_ && now - copy_sent_at_ >= options_.audit_interval;
+  if (!is_old && !is_audit) return std::nullopt;
+  if (now < next_refresh_at_) return std::nullopt;
+  if (pending_refreshes_ >= kMaxPendingRefreshes) return std::nullopt;
   ++pending_refreshes_;
   next_refresh_at_ = now + options_.refresh_interval;
-  return true;
+  return is_old ? refresh_reason::kOldProof : refresh_reason::kAudit;
 }
 
 void fleet_feed::OnRefreshed(std::uint64_t revision, monotonic_time sent_at,
@@ -118,6 +122,9 @@
   const monotonic_time answered = std::min(now, sent_at_ + held);
   const monotonic_time proven = answered - proof_age;
   RecordAnswer(revision, std::max(proven, proven_at_.value_or(proven)), now);
+  // The interval of a large fleet is for the store; at another VM it would
+  // age the proof of each VM on the way.
+  next_at_ = std::max(now, sent_at_ + std::min(interval_, options_.proof_step));
   expiry_grace_until_ = std::max(expiry_grace_until_, now + expiry_grace_left);
 }
 
