--- a/tests/soak/soak_plan.cc
+++ b/tests/soak/soak_plan.cc
@@ -47,10 +47,19 @@
     kind_terms{kind::kFlood, "flood", 2, 3},
 };
 
+// Drawn apart, so that seeds that have failed keep their other disturbances.
+constexpr std::array kWatchKinds = {
+    kind_terms{kind::kStoreStallsWatches, "store_stalls_watches", 1, 4},
+    kind_terms{kind::kStoreMutesWatches, "store_mutes_watches", 1, 2},
+};
+
 const kind_terms& TermsOf(kind wanted) {
-  return *std::find_if(
-      kKinds.begin(), kKinds.end(),
-      [wanted](const kind_terms& terms) { return terms.kind == wanted; });
+  const auto is_wanted = [wanted](const kind_terms& terms) {
+    return terms.kind == wanted;
+  };
+  const auto* found = std::find_if(kKinds.begin(), kKinds.end(), is_wanted);
+  if (found != kKinds.end()) return *found;
+  return *std::find_if(kWatchKinds.begin(), kWatchKinds.end(), is_wanted);
 }
 
 const kind_terms& DrawKind(pcg32& random) {
@@ -64,6 +73,26 @@
   return kKinds.back();
 }
 
+void AddWatchDisturbances(soak_plan& plan) {
+  pcg32 random(plan.seed, 2);
+  const auto between = [&random](double least, double most) {
+    return std::uniform_real_distribution<double>(least, most)(random);
+  };
+  double at = between(0.5, 4);
+  while (at < plan.calm_from_s) {
+    const kind_terms& terms =
+        kWatchKinds[random(static_cast<std::uint32_t>(kWatchKinds.size()))];
+    const double longest = std::min(terms.longest_s, plan.calm_from_s - at);
+    const double length = between(0.3 * longest, longest);
+    plan.disturbances.push_back({terms.kind, at, length, 0});
+    at += length + between(0.5, 4);
+  }
+  std::stable_sort(plan.disturbances.begin(), plan.disturbances.end(),
+                   [](const disturbance& a, const disturbance& b) {
+                     return a.at_s < b.at_s;
+                   });
+}
+
 }  // namespace
 
 std::string_view DisturbanceName(disturbance_kind kind) {
@@ -101,6 +130,7 @@
     }
     at += between(0.2, 2.0);
   }
+  AddWatchDisturbances(plan);
   return plan;
 }
 
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -19,8 +19,10 @@
   kStoreDown,
   kStoreSlow,
   kStoreLosesAnswers,
-  kStoreCutFromVm,   // Connections hang in both directions.
-  kStoreResetForVm,  // Open ones are reset, once.
+  kStoreStallsWatches,  // They are held; other calls are answered.
+  kStoreMutesWatches,   // They tell nothing, and then the history is gone.
+  kStoreCutFromVm,      // Connections hang in both directions.
+  kStoreResetForVm,     // Open ones are reset, once.
   kUpstreamCrashed,
   kUpstreamLeaves,
   kUpstreamFails,  // Half of its answers are failures.
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -459,15 +459,17 @@
                     });
 }
 
+void soak_world::SetStoreFault(const json& fault) {
+  callers_.Call(platform_, {"POST", "/admin/fault", {}, fault.dump()},
+                MonotonicNow() + kCallLimit,
+                [](const http_response*, const call_failure&) {});
+}
+
 void soak_world::Begin(const disturbance& what) {
   const monotonic_time now = MonotonicNow();
   const auto number = static_cast<std::size_t>(what.target);
   const json no_fault = json::object();
-  const auto store_fault = [this](const json& fault) {
-    callers_.Call(platform_, {"POST", "/admin/fault", {}, fault.dump()},
-                  MonotonicNow() + kCallLimit,
-                  [](const http_response*, const call_failure&) {});
-  };
+  const auto store_fault = [this](const json& fault) { SetStoreFault(fault); };
   const int zone = what.target % plan_.zones;
   switch (what.kind) {
     case kind::kAllVmsKilled:
@@ -484,6 +486,12 @@
     case kind::kStoreLosesAnswers:
       ledger_.OnDisturbed(soak_ledger::kStore, now);
       return store_fault({{"lose_answers", 4}});
+    case kind::kStoreStallsWatches:
+      // All promises hold meanwhile.
+      return store_fault({{"stall_watches", true}});
+    case kind::kStoreMutesWatches:
+      ledger_.OnDisturbed(soak_ledger::kStore, now);
+      return store_fault({{"mute_watches", true}});
     case kind::kZoneClosed:
       return store_->PutSurely(
           "op/evacuate/" + ZoneName(zone), true,
@@ -521,13 +529,12 @@
     case kind::kStoreDown:
     case kind::kStoreSlow:
     case kind::kStoreLosesAnswers:
-      callers_.Call(platform_,
-                    {"POST",
-                     "/admin/fault",
-                     {},
-                     R"({"outage":false,"delay_ms":0,"lose_answers":0})"},
-                    now + kCallLimit,
-                    [](const http_response*, const call_failure&) {});
+      SetStoreFault({{"outage", false}, {"delay_ms", 0}, {"lose_answers", 0}});
+      return ledger_.OnCalmAgain(soak_ledger::kStore, now);
+    case kind::kStoreStallsWatches:
+      return SetStoreFault({{"stall_watches", false}});
+    case kind::kStoreMutesWatches:
+      SetStoreFault({{"mute_watches", false}});
       return ledger_.OnCalmAgain(soak_ledger::kStore, now);
     case kind::kZoneClosed:
       ledger_.OnZoneOpened(zone);
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -67,6 +67,7 @@
   void LookUp();
   int ChooseVm();
 
+  void SetStoreFault(const nlohmann::json& fault);
   void Begin(const disturbance& what);
   void End(const disturbance& what);
   void BeginVm(const disturbance& what, vm& target);
