--- a/tests/integration/declaration_fleet.h
+++ b/tests/integration/declaration_fleet.h
@@ -19,9 +19,8 @@
 
   declaration_fleet() {
     PutDeclaration(version_, {Key()});
-    AddUpstream("u1", [](const std::string& request) {
-      return Answer(request, "u1");
-    });
+    AddUpstream(
+        "u1", [](const std::string& request) { return Answer(request, "u1"); });
   }
 
   std::string Key() const { return fmt::format("key{}", version_); }
@@ -55,7 +54,8 @@
       const auto found = times.find(vm);
       const double ms =
           found == times.end() ? -1 : ToMilliseconds(found->second);
-      BOOST_TEST_MESSAGE(fmt::format("{}: VM {} after {:.0f} ms", when, vm, ms));
+      BOOST_TEST_MESSAGE(
+          fmt::format("{}: VM {} after {:.0f} ms", when, vm, ms));
       BOOST_TEST((found != times.end() && found->second <= kApplyBound),
                  when << ": VM " << vm << " after " << ms << " ms");
     }
--- a/tests/integration/node_late_change_test.cc
+++ b/tests/integration/node_late_change_test.cc
@@ -68,8 +68,7 @@
         return Answer(request, "u2");
       });
   Sleep(seconds(1));
-  InAGapOfTheWatches(
-      [&] { Announce("u2", leaving.Address(), "draining"); });
+  InAGapOfTheWatches([&] { Announce("u2", leaving.Address(), "draining"); });
   Sleep(seconds(2));
   at_first = 0;
   for (int i = 0; i < 60; ++i) {
