Rates in reports are checked, and no candidates are sorted without a limit

A report with a demand that is no finite number would make parts undefined. Without any rate limit the choice costs one look at the candidates more.

--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -42,6 +42,8 @@
   return kInterval * std::max(kSmallFleet, vms) / kSmallFleet;
 }
 
+bool IsRate(double per_s) { return std::isfinite(per_s) && per_s >= 0; }
+
 std::uint32_t RoundedUp(double value) {
   return static_cast<std::uint32_t>(std::ceil(std::max(0.0, value)));
 }
@@ -362,7 +364,7 @@
   }
   last = report;
   for (const rate_limit_line& line : report.lines) {
-    if (!(line.per_s >= 0) || !(line.demand_per_s >= 0)) continue;
+    if (!IsRate(line.per_s) || !IsRate(line.demand_per_s)) continue;
     rate_limit_observation seen;
     if (line.is_limited) seen.per_s = line.per_s;
     seen.told_by = report.vm;
--- a/src/policy/affinity_selector.cc
+++ b/src/policy/affinity_selector.cc
@@ -129,6 +129,10 @@
 // requests must not move them to other regions.
 void affinity_selector::DropRateLimited(std::vector<candidate>& candidates,
                                         monotonic_time now) {
+  const bool any_limited = std::any_of(
+      candidates.begin(), candidates.end(),
+      [](const candidate& c) { return c.upstream->RateLimit() != nullptr; });
+  if (!any_limited) return;
   const region_id region = candidates.front().upstream->Region();
   std::stable_partition(
       candidates.begin(), candidates.end(),
