The first copy of the store is no audit

Cause: the audit counted from the last full copy, and before the first one from the beginning of time. A read that ended before the first copy would also have used a proof that isn't there. Now there is no audit before the first copy.

--- a/src/protocol/fleet_feed.cc
+++ b/src/protocol/fleet_feed.cc
@@ -71,8 +71,8 @@
 std::optional<fleet_feed::refresh_reason> fleet_feed::StartRefresh(
     monotonic_time now) {
   const bool is_old = NeedsRefresh(now);
-  const bool is_audit =
-      watches_store_ && now - copy_sent_at_ >= options_.audit_interval;
+  const bool is_audit = has_copy_ && watches_store_ &&
+                        now - copy_sent_at_ >= options_.audit_interval;
   if (!is_old && !is_audit) return std::nullopt;
   if (now < next_refresh_at_) return std::nullopt;
   if (pending_refreshes_ >= kMaxPendingRefreshes) return std::nullopt;
--- a/tests/protocol/fleet_feed_test.cc
+++ b/tests/protocol/fleet_feed_test.cc
@@ -351,6 +351,14 @@
   BOOST_TEST(copies == 5);
 }
 
+// Guards against a VM that reads all twice when it starts.
+BOOST_AUTO_TEST_CASE(TheFirstCopyIsNoAudit) {
+  BOOST_REQUIRE(feed_.NextCall(now_));
+  BOOST_TEST(!feed_.StartRefresh(now_).has_value());
+  now_ += seconds(1);
+  BOOST_TEST(!feed_.StartRefresh(now_).has_value());
+}
+
 // A VM that reads through another one leaves the audit to that VM.
 BOOST_AUTO_TEST_CASE(AReaderOfAnotherVmMakesNoAudits) {
   ReadCopy(5);
