A zone left with little capacity uses its region's VMs

Cause: while the store turned a third of the VMs away and others were frozen, look-ups named front-hkd-a-4 alone for the whole zone from 11.98 s on, a VM of 10 Mbit/s, as one ready VM in the zone was enough; seven others in the region were ready. The zone asks 236 times a second, worked out 18 Mbit/s of answers. Connects timed out behind the same queue, so that the VM took itself for cut off from the upstreams at 14.13 s, and its relays failed.

Ruled out: a held answer (the line "ended" is at the time-out), a timer that fires late (28 ms), the freeze (the VM was not frozen).

Fix: a zone whose healthy VMs have less than a quarter of a mean zone's link capacity, or are all near capacity, names those of its region. Callers don't change the region for it.

Test: ZoneLeftWithLittleCapacityUsesItsRegion and ZoneNearCapacityUsesItsRegion fail before.

Class: demand of many VMs that falls on what is left of them. Elsewhere: relays of a cut VM are chosen by hash over a region; by reading.

--- a/include/citron/policy/vm_choice.h
+++ b/include/citron/policy/vm_choice.h
@@ -24,10 +24,11 @@
 
 // Returns the VMs to which callers of a zone are sent: the nearest VMs of the
 // healthiest group (ready with a recent report and reaching upstreams, ready
-// with a recent report, ready, any). Of these, only the
-// VMs with at least half of the widest link are returned if there are at least
-// two such VMs and none of them is near capacity. The result is empty only if
-// `all` is empty.
+// with a recent report, ready, any). A zone where these have little link
+// capacity or are all near capacity uses those of its region. Of these, only
+// the VMs with at least half of the widest link are returned if there are at
+// least two such VMs and none of them is near capacity. The result is empty
+// only if `all` is empty.
 std::vector<vm_candidate> ChooseVms(const std::vector<vm_candidate>& all,
                                     const zone_id& zone,
                                     const region_id& region);
--- a/tests/policy/vm_choice_test.cc
+++ b/tests/policy/vm_choice_test.cc
@@ -98,5 +98,49 @@
                      VmWithLink("d", 200)}) == "a b d ");
 }
 
+vm_candidate VmAt(const char* id, const char* zone, double link_mbps,
+                  bool is_near_capacity = false) {
+  vm_candidate vm = VmWithLink(id, link_mbps, is_near_capacity);
+  vm.zone = zone_id(zone);
+  return vm;
+}
+
+// Guards against a zone whose callers all go to its one small VM while its wide
+// ones are down and the other zones of the region have room.
+BOOST_AUTO_TEST_CASE(ZoneLeftWithLittleCapacityUsesItsRegion) {
+  std::vector<vm_candidate> fleet{VmAt("a", "z1", 10), VmAt("c", "z2", 200),
+                                  VmAt("d", "z2", 200), VmAt("e", "z2", 10),
+                                  VmAt("f", "z3", 200)};
+  fleet[4].region = region_id("r2");
+  BOOST_TEST(Choose(fleet) == "c d ");
+  fleet.push_back(VmAt("b", "z1", 200));
+  BOOST_TEST(Choose(fleet) == "a b ");
+}
+
+// Guards against callers of one zone who move to others when it loses one of
+// two equal VMs.
+BOOST_AUTO_TEST_CASE(ZoneWithHalfOfItsVmsKeepsItsCallers) {
+  BOOST_TEST(
+      Choose({VmAt("a", "z1", 100), VmAt("c", "z2", 100), VmAt("d", "z2", 100),
+              VmAt("e", "z4", 100), VmAt("f", "z4", 100)}) == "a ");
+}
+
+// Guards against callers who change the region because its last VM is small.
+BOOST_AUTO_TEST_CASE(RegionLeftWithLittleCapacityKeepsItsCallers) {
+  std::vector<vm_candidate> fleet{VmAt("a", "z1", 10), VmAt("f", "z3", 200),
+                                  VmAt("g", "z3", 200)};
+  fleet[1].region = fleet[2].region = region_id("r2");
+  BOOST_TEST(Choose(fleet) == "a ");
+}
+
+// Guards against callers who are held at VMs that are all near capacity while
+// others of the region are not.
+BOOST_AUTO_TEST_CASE(ZoneNearCapacityUsesItsRegion) {
+  BOOST_TEST(Choose({VmAt("a", "z1", 100, true), VmAt("b", "z1", 100, true),
+                     VmAt("c", "z2", 100)}) == "a b c ");
+  BOOST_TEST(Choose({VmAt("a", "z1", 100, true), VmAt("b", "z1", 100),
+                     VmAt("c", "z2", 100)}) == "a b ");
+}
+
 }  // namespace
 }  // namespace citron
