Quotas share one record of the other VMs and keep only those with demand

When VMs are heard is the same for all workspaces.

Change: `report_contacts` keeps once, for all workspaces, when a VM was heard, what it has heard of this one, and when it counts as gone; a quota keeps the VMs with demand or with requests in the window, and for each VM the share that a silent one keeps (8 bytes). Silence and connection are worked out once for all quotas, until a report comes or the next VM becomes silent.

An admission still grows with the VMs that have demand.

--- a/bench/node_fleet_bench.cc
+++ b/bench/node_fleet_bench.cc
@@ -103,13 +103,13 @@
   // As the exchange takes one.
   void Report(int from) {
     now_ += std::chrono::milliseconds(1);
+    const contact_id vm = fleet_.Contacts().OnReport(
+        VmOf(from), {now_, now_ + FromSeconds(1)}, now_);
     int number = 0;
     for (auto& [workspace, quota] : fleet_.Quotas()) {
       const bool busy = number < kBusyWorkspaces && (number + from) % 10 == 0;
       ++number;
-      quota.OnReport(VmOf(from), busy ? quota_report{10, 50} : quota_report{},
-                     now_);
-      quota.OnContactUpdate(VmOf(from), {now_, now_ + FromSeconds(1)});
+      quota.OnReport(vm, busy ? quota_report{10, 50} : quota_report{}, now_);
     }
   }
 
--- a/include/citron/node/fleet_state.h
+++ b/include/citron/node/fleet_state.h
@@ -22,6 +22,7 @@
 #include "citron/policy/retry_budget.h"
 #include "citron/policy/service_split.h"
 #include "citron/protocol/change_index.h"
+#include "citron/protocol/report_contacts.h"
 #include "citron/protocol/workspace_quota.h"
 
 namespace citron {
@@ -76,6 +77,8 @@
   // Null where the workspace isn't declared.
   workspace_quota* QuotaOf(const workspace_id& workspace);
   std::map<workspace_id, workspace_quota>& Quotas() { return quotas_; }
+  // The VMs whose reports the quotas take.
+  report_contacts& Contacts() { return contacts_; }
 
   const std::map<vm_id, vm_listing>& Vms() const { return vms_; }
   // Grows with each change of the list.
@@ -111,6 +114,7 @@
   std::map<upstream_id, service_id> service_of_;
   std::map<route_id, service_split> splits_;
   std::map<service_id, retry_budget> retries_;
+  report_contacts contacts_;
   std::map<workspace_id, workspace_quota> quotas_;
   std::set<zone_id> closed_zones_;
   std::map<vm_id, vm_listing> vms_;
--- a/include/citron/protocol/workspace_quota.h
+++ b/include/citron/protocol/workspace_quota.h
@@ -4,12 +4,12 @@
 #include <array>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <vector>
 
 #include "citron/base/strong_id.h"
 #include "citron/base/time.h"
 #include "citron/protocol/demand_history.h"
+#include "citron/protocol/report_contacts.h"
 
 namespace citron {
 
@@ -21,9 +21,6 @@
   // Requests subtracted from the estimate of a fleet-wide rise, so that a few
   // consecutive requests of a small workspace are not taken for such a rise.
   double uncounted_rise = 18;
-  // How long a VM may go on admitting requests after its record has expired:
-  // until it can no longer prove its keys, or until a planned stop is complete.
-  duration expired_admission_time = FromMilliseconds(2000);
   // Maximum network delay of a report to another VM.
   duration max_report_delay = FromMilliseconds(300);
   // Fleet size that is assumed for `assume_for` after the start, before the VMs
@@ -38,14 +35,6 @@
   double admitted_in_window = 0;
 };
 
-// State of the report exchange between another VM and this one.
-struct quota_contact {
-  // When this VM sent the newest report that the other VM has received.
-  monotonic_time received_report_sent_at{};
-  // When the next report of the other VM is due.
-  monotonic_time next_report_due{};
-};
-
 // Inputs of the last admission decision, for the log.
 struct quota_state {
   double rate_per_s = 0;
@@ -65,7 +54,9 @@
 // the debt later.
 class workspace_quota {
  public:
-  workspace_quota(const quota_options& options, monotonic_time now);
+  // `contacts` must outlive the quota.
+  workspace_quota(const quota_options& options, const report_contacts& contacts,
+                  monotonic_time now);
 
   // Sets the contract. Rate 0 means no limit.
   void SetContract(double rate_per_s, double burst, monotonic_time now);
@@ -74,20 +65,9 @@
   // Sets the maximum age of the other VMs' reports. The quota keeps room free
   // for the requests that may arrive within that time.
   void SetMaxReportAge(duration lag) { view_lag_ = lag; }
-  // Sets the time without a report after which a VM counts as silent: it may be
-  // cut off from this VM.
-  void SetSilenceLimit(duration limit) { silence_limit_ = limit; }
-  void OnReport(const vm_id& vm, const quota_report& report,
+  // Takes the report of a VM that `contacts` has taken as well.
+  void OnReport(const contact_id& vm, const quota_report& report,
                 monotonic_time now);
-  void OnContactUpdate(const vm_id& vm, const quota_contact& contact);
-  // The VM is listed: it no longer expires.
-  void OnVmListed(const vm_id& vm);
-  // Another VM still receives reports of a VM that is no longer listed: extends
-  // the time until that VM counts as gone.
-  void OnReportReceivedElsewhere(const vm_id& vm, monotonic_time now);
-  // The VM is no longer listed. It keeps its share until it counts as gone;
-  // then its requests leave the count over one window.
-  void OnVmUnlisted(const vm_id& vm, monotonic_time now);
 
   // Decides whether to admit a request; counts its arrival in either case.
   bool TryAdmit(monotonic_time now);
@@ -103,19 +83,20 @@
   quota_report Report(monotonic_time now);
 
  private:
+  // A VM with demand, or with requests in the window.
   struct other_vm {
+    std::uint32_t epoch = 0;
     quota_report report;
     demand_history demand;
-    monotonic_time received_at{};
-    quota_contact contact;
-    double share = 0;  // Of the contract, at the last report.
     // Requests that the VM had admitted before it restarted or counted as gone.
     // The contract's window still covers these requests.
     double admitted_before_reset = 0;
     monotonic_time reset_at{};
-    // For a VM that is no longer listed: when it counts as gone. Each report
-    // and OnReportReceivedElsewhere extend the time.
-    std::optional<monotonic_time> gone_after;
+  };
+  // Share of a VM in the contract, at its last report.
+  struct vm_share {
+    std::uint32_t epoch = 0;
+    float share = 0;
   };
   // Inputs to the shares of the VMs that are not silent.
   struct share_basis {
@@ -139,42 +120,46 @@
     double in_force = 0;
     double requested = 0;
   };
-  // Listed VMs that have reported, those of them that are not silent, and those
-  // that also receive the reports of this VM.
-  struct vm_count {
-    int reported = 0;
-    int responsive = 0;
-    int connected = 0;
-  };
-
-  static bool IsIdle(const other_vm& other);
-  bool IsSilent(const other_vm& other, monotonic_time now) const;
-  vm_count CountVms(monotonic_time now) const;
-  bool IsIsolated(monotonic_time now) const;
+  static bool IsIdle(const quota_report& report);
+  // Returns the requests of one window, by the contract.
+  double ContractLimit() const {
+    return rate_per_s_ * ToSeconds(options_.window) + burst_;
+  }
+  const report_contacts::contact& ContactOf(std::uint32_t index) const {
+    return contacts_->At(index);
+  }
+  bool IsSilent(std::uint32_t index, monotonic_time now) const {
+    return contacts_->IsSilent(ContactOf(index), now);
+  }
+  double RecordedShare(std::uint32_t index) const;
   bool AreManyReportsLate(monotonic_time now) const;
   double KnownDemand(monotonic_time now) const;
   monotonic_time DemandInForceSince(monotonic_time now) const;
   share_basis ComputeShareBasis(monotonic_time now) const;
   void RecordShares(monotonic_time now);
   local_shares LocalShares(monotonic_time now) const;
-  double Admitted(const other_vm& other, monotonic_time now) const;
+  // Calls `visit` for the silent VMs that count.
+  template <typename visitor>
+  void ForEachSilent(monotonic_time now, const visitor& visit) const;
+  double Admitted(std::uint32_t index, const other_vm& other,
+                  monotonic_time now) const;
   double FleetAdmitted(monotonic_time now) const;
   double WindowLimit(monotonic_time now) const;
   double AdmittedBeforeReset(const other_vm& other, monotonic_time now) const;
   double UnreportedAdmissions() const;
-  void RemoveExpiredVms(monotonic_time now);
+  void RemoveIdleVms(monotonic_time now);
   void Refill(monotonic_time now);
   std::int64_t SlotOf(monotonic_time at) const;
   void Advance(counter& c, monotonic_time now) const;
   void UpdateDemand(monotonic_time now);
 
   quota_options options_;
+  const report_contacts* contacts_;
   monotonic_time started_at_;
   double rate_per_s_ = 0;
   double burst_ = 0;
   int fleet_size_ = 1;
   duration view_lag_ = FromMilliseconds(700);
-  duration silence_limit_ = FromMilliseconds(1600);
   double connected_share_ = 0;  // Last share while this VM was connected.
   double tokens_ = 0;
   monotonic_time refilled_at_;
@@ -186,7 +171,9 @@
   monotonic_time reported_at_;
   double arrivals_ = 0;
   monotonic_time demand_at_;
-  std::map<vm_id, other_vm> others_;
+  // By contact_id::index.
+  std::map<std::uint32_t, other_vm> others_;
+  std::vector<vm_share> shares_;
 };
 
 }  // namespace citron
--- a/src/node/fleet_state.cc
+++ b/src/node/fleet_state.cc
@@ -38,7 +38,10 @@
 
 fleet_state::fleet_state(const node_settings& settings,
                          const fleet_codec& codec, event_log& log)
-    : settings_(settings), codec_(codec), log_(log) {}
+    : settings_(settings),
+      codec_(codec),
+      log_(log),
+      contacts_({.gone_retention = 2 * settings.bounds.quota_window}) {}
 
 void fleet_state::ApplyCopy(const std::vector<key_change>& changes,
                             monotonic_time keep_missing_until,
@@ -119,9 +122,7 @@
     case store_key_kind::kVm:
       vms_.erase(vm_id(key.name));
       ++vms_version_;
-      for (auto& [workspace, quota] : quotas_) {
-        quota.OnVmUnlisted(vm_id(key.name), now);
-      }
+      contacts_.OnVmUnlisted(vm_id(key.name), now);
       ForEachRateLimit([&](upstream_rate_limit& limit) {
         limit.OnVmGone(vm_id(key.name), now);
       });
@@ -171,7 +172,7 @@
   options.assumed_vms = static_cast<int>(2 * settings_.zones.size());
   for (const workspace_terms& terms : routing_->workspaces) {
     const auto quota =
-        quotas_.try_emplace(terms.id, workspace_quota(options, now)).first;
+        quotas_.try_emplace(terms.id, options, contacts_, now).first;
     const double tolerated =
         1 + kQuotaOvershootPart * settings_.bounds.quota_overshoot;
     quota->second.SetContract(terms.rate_per_s * tolerated, terms.burst, now);
@@ -246,7 +247,7 @@
   }
   vms_[id] = std::move(ValueOf(read));
   ++vms_version_;
-  for (auto& [workspace, quota] : quotas_) quota.OnVmListed(id);
+  contacts_.OnVmListed(id);
   fleet_changed_ = true;
   return true;
 }
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -130,10 +130,10 @@
   report.ready = own.ready;
   report.near_capacity = own.near_capacity;
   const duration view_lag = IntervalFor(ServingPeers()) + kWayAndTick;
-  const duration silence_limit = SilenceLimit();
+  context_.fleet.Contacts().SetSilenceLimit(SilenceLimit());
+  context_.fleet.Contacts().RemoveGone(now);
   for (auto& [workspace, quota] : context_.fleet.Quotas()) {
     quota.SetMaxReportAge(view_lag);
-    quota.SetSilenceLimit(silence_limit);
     const quota_report told = quota.Report(now);
     const quota_line line{workspace, RoundedUp(10 * told.demand_per_s),
                           RoundedUp(told.admitted_in_window)};
@@ -305,16 +305,17 @@
     told[line.workspace] = {line.demand_tenths_per_s / 10.0,
                             static_cast<double>(line.admitted_in_window)};
   }
-  const quota_contact contact = ContactOf(report, now);
+  report_contacts& contacts = context_.fleet.Contacts();
+  const contact_id from =
+      contacts.OnReport(report.vm, ContactOf(report, now), now);
+  for (const vm_id& vm : report.heard_unlisted) {
+    contacts.OnReportReceivedElsewhere(vm, now);
+  }
   // What isn't told of was asked nothing.
   for (auto& [workspace, quota] : context_.fleet.Quotas()) {
     const auto line = told.find(workspace);
-    quota.OnReport(report.vm,
-                   line == told.end() ? quota_report{} : line->second, now);
-    quota.OnContactUpdate(report.vm, contact);
-    for (const vm_id& vm : report.heard_unlisted) {
-      quota.OnReportReceivedElsewhere(vm, now);
-    }
+    quota.OnReport(from, line == told.end() ? quota_report{} : line->second,
+                   now);
   }
   for (const load_line& line : report.loads) {
     upstream_tracker* upstream = context_.fleet.FindUpstream(line.upstream);
--- a/src/protocol/workspace_quota.cc
+++ b/src/protocol/workspace_quota.cc
@@ -39,8 +39,10 @@
 }  // namespace
 
 workspace_quota::workspace_quota(const quota_options& options,
+                                 const report_contacts& contacts,
                                  monotonic_time now)
     : options_(options),
+      contacts_(&contacts),
       started_at_(now),
       refilled_at_(now),
       reported_at_(now),
@@ -57,9 +59,16 @@
   if (first) tokens_ = 1;
 }
 
-void workspace_quota::OnReport(const vm_id& vm, const quota_report& report,
+// Most VMs have no demand for most workspaces: only the others are kept.
+void workspace_quota::OnReport(const contact_id& vm, const quota_report& report,
                                monotonic_time now) {
-  other_vm& other = others_[vm];
+  const auto known = others_.find(vm.index);
+  const bool is_known =
+      known != others_.end() && known->second.epoch == vm.epoch;
+  if (!is_known && IsIdle(report)) return;
+  other_vm& other = others_[vm.index];
+  if (!is_known) other = {};
+  other.epoch = vm.epoch;
   // Normally less than half of the requests leave the window between two
   // reports, so a sharper fall means a restart.
   if (report.admitted_in_window <
@@ -70,80 +79,55 @@
   other.report = report;
   other.demand.Add(report.demand_per_s, now);
   other.demand.DropReplacedBefore(DemandInForceSince(now));
-  other.received_at = now;
-  if (other.gone_after)
-    other.gone_after = now + options_.expired_admission_time;
 }
 
-void workspace_quota::OnContactUpdate(const vm_id& vm,
-                                      const quota_contact& contact) {
-  others_[vm].contact = contact;
-}
-
-void workspace_quota::OnVmListed(const vm_id& vm) {
-  const auto found = others_.find(vm);
-  if (found != others_.end()) found->second.gone_after.reset();
-}
-
-void workspace_quota::OnReportReceivedElsewhere(const vm_id& vm,
-                                                monotonic_time now) {
-  const auto found = others_.find(vm);
-  if (found == others_.end() || !found->second.gone_after) return;
-  found->second.gone_after = now + options_.expired_admission_time;
-}
-
-void workspace_quota::OnVmUnlisted(const vm_id& vm, monotonic_time now) {
-  const auto found = others_.find(vm);
-  if (found == others_.end()) return;
-  found->second.gone_after = now + options_.expired_admission_time;
-}
-
-// Drops idle VMs that count as gone, and the other VMs one window later, so
-// that their requests leave the count evenly. A VM whose reports are missing
-// may still run: if its share were given to others at once, the contract would
-// be exceeded whenever a zone is cut off. If such a VM were never reset, a VM
-// that left and reported requests afterwards would keep its share for good.
-void workspace_quota::RemoveExpiredVms(monotonic_time now) {
+// Drops the VMs without demand and without requests in the window. A VM that
+// counts as gone is treated so one window later, so that its requests leave the
+// count evenly. A VM whose reports are missing may still run: if its share were
+// given to others at once, the contract would be exceeded whenever a zone is
+// cut off. If such a VM were never reset, a VM that left and reported requests
+// afterwards would keep its share for good.
+void workspace_quota::RemoveIdleVms(monotonic_time now) {
   for (auto it = others_.begin(); it != others_.end();) {
     const auto at = it++;
+    const std::uint32_t index = at->first;
     other_vm& other = at->second;
-    if (!other.gone_after || now < *other.gone_after) continue;
-    if (IsIdle(other)) {
+    if (ContactOf(index).epoch != other.epoch) {
+      others_.erase(at);
+      continue;
+    }
+    const bool is_idle = IsIdle(other.report);
+    if (is_idle && AdmittedBeforeReset(other, now) <= 0) {
       others_.erase(at);
       continue;
     }
-    other.admitted_before_reset = Admitted(other, now);
+    if (is_idle || !report_contacts::IsGone(ContactOf(index), now)) continue;
+    other.admitted_before_reset = Admitted(index, other, now);
     other.reset_at = now;
     other.report = {};
-    other.gone_after = now + options_.window;
   }
 }
 
-bool workspace_quota::IsIdle(const other_vm& other) {
-  return other.report.demand_per_s == 0 && other.report.admitted_in_window == 0;
+bool workspace_quota::IsIdle(const quota_report& report) {
+  return report.demand_per_s == 0 && report.admitted_in_window == 0;
 }
 
-bool workspace_quota::IsSilent(const other_vm& other,
-                               monotonic_time now) const {
-  return now - other.received_at >= silence_limit_;
+double workspace_quota::RecordedShare(std::uint32_t index) const {
+  if (index >= shares_.size()) return 0;
+  const vm_share& recorded = shares_[index];
+  return recorded.epoch == ContactOf(index).epoch ? recorded.share : 0;
 }
 
-workspace_quota::vm_count workspace_quota::CountVms(monotonic_time now) const {
-  vm_count count;
-  for (const auto& [vm, other] : others_) {
-    if (other.gone_after) continue;
-    ++count.reported;
-    if (IsSilent(other, now)) continue;
-    ++count.responsive;
-    if (now - other.contact.received_report_sent_at < silence_limit_)
-      ++count.connected;
+template <typename visitor>
+void workspace_quota::ForEachSilent(monotonic_time now,
+                                    const visitor& visit) const {
+  for (const std::uint32_t index : contacts_->Silent(now)) {
+    if (report_contacts::IsGone(ContactOf(index), now) &&
+        !others_.contains(index)) {
+      continue;
+    }
+    visit(index);
   }
-  return count;
-}
-
-bool workspace_quota::IsIsolated(monotonic_time now) const {
-  const vm_count count = CountVms(now);
-  return 2 * count.connected < count.reported;
 }
 
 // Returns whether some of the VMs that admit requests may be cut off although
@@ -152,10 +136,13 @@
 bool workspace_quota::AreManyReportsLate(monotonic_time now) const {
   int serving = 0;
   int late = 0;
-  for (const auto& [vm, other] : others_) {
-    if (other.gone_after || IsIdle(other) || IsSilent(other, now)) continue;
+  for (const auto& [index, other] : others_) {
+    const report_contacts::contact& contact = ContactOf(index);
+    if (contact.gone_after || IsIdle(other.report) || IsSilent(index, now)) {
+      continue;
+    }
     ++serving;
-    if (now >= other.contact.next_report_due + options_.max_report_delay)
+    if (now >= contact.exchange.next_report_due + options_.max_report_delay)
       ++late;
   }
   return late > kToleratedLateFraction * serving;
@@ -173,9 +160,9 @@
 // and applied. Idle VMs receive reports rarely and are not waited for.
 double workspace_quota::KnownDemand(monotonic_time now) const {
   monotonic_time since = now - view_lag_;
-  for (const auto& [vm, other] : others_) {
-    if (IsIdle(other) || IsSilent(other, now)) continue;
-    since = std::min(since, other.contact.received_report_sent_at);
+  for (const auto& [index, other] : others_) {
+    if (IsIdle(other.report) || IsSilent(index, now)) continue;
+    since = std::min(since, ContactOf(index).exchange.received_report_sent_at);
   }
   return reported_demand_.MinimumSince(since);
 }
@@ -195,13 +182,13 @@
   const monotonic_time since = DemandInForceSince(now);
   basis.fleet_demand_per_s = reported_demand_.MinimumSince(since);
   double kept = 0;
-  for (const auto& [vm, other] : others_) {
-    if (IsSilent(other, now)) {
-      kept += other.share;
-      --vms;
-    } else {
-      basis.fleet_demand_per_s += other.demand.MinimumSince(since);
-    }
+  ForEachSilent(now, [&](std::uint32_t index) {
+    kept += RecordedShare(index);
+    --vms;
+  });
+  for (const auto& [index, other] : others_) {
+    if (IsSilent(index, now)) continue;
+    basis.fleet_demand_per_s += other.demand.MinimumSince(since);
   }
   basis.fleet_demand_per_s += basis.idle_demand_per_s * std::max(vms, 1);
   basis.shared = std::max(0.0, 1 - kept);
@@ -212,10 +199,17 @@
 // report of this VM. A VM that becomes silent keeps its recorded share.
 void workspace_quota::RecordShares(monotonic_time now) {
   const share_basis basis = ComputeShareBasis(now);
-  for (auto& [vm, other] : others_) {
-    if (other.received_at < reported_at_) continue;
-    other.share =
-        basis.ShareOf(other.demand.MinimumSince(DemandInForceSince(now)));
+  const double idle_share = basis.ShareOf(0);
+  const std::vector<report_contacts::contact>& all = contacts_->All();
+  shares_.resize(all.size());
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    if (all[i].received_at < reported_at_) continue;
+    shares_[i] = {all[i].epoch, static_cast<float>(idle_share)};
+  }
+  for (const auto& [index, other] : others_) {
+    if (all[index].received_at < reported_at_) continue;
+    shares_[index].share = static_cast<float>(
+        basis.ShareOf(other.demand.MinimumSince(DemandInForceSince(now))));
   }
 }
 
@@ -225,7 +219,7 @@
     monotonic_time now) const {
   const share_basis basis = ComputeShareBasis(now);
   const double in_force = basis.ShareOf(KnownDemand(now));
-  if (!IsIsolated(now)) {
+  if (!contacts_->IsIsolated(now)) {
     return {in_force,
             std::max(in_force, basis.ShareOf(reported_demand_.Newest()))};
   }
@@ -244,19 +238,22 @@
 }
 
 // A silent VM may be cut off from this VM and use its whole share.
-double workspace_quota::Admitted(const other_vm& other,
+double workspace_quota::Admitted(std::uint32_t index, const other_vm& other,
                                  monotonic_time now) const {
   const double reported = std::max(other.report.admitted_in_window,
                                    AdmittedBeforeReset(other, now));
-  if (!IsSilent(other, now)) return reported;
-  const double contract_limit =
-      rate_per_s_ * ToSeconds(options_.window) + burst_;
-  return std::max(reported, other.share * contract_limit);
+  if (!IsSilent(index, now)) return reported;
+  return std::max(reported, RecordedShare(index) * ContractLimit());
 }
 
 double workspace_quota::FleetAdmitted(monotonic_time now) const {
   double sum = local_admitted_;
-  for (const auto& [vm, other] : others_) sum += Admitted(other, now);
+  for (const auto& [index, other] : others_) {
+    sum += Admitted(index, other, now);
+  }
+  ForEachSilent(now, [&](std::uint32_t index) {
+    if (!others_.contains(index)) sum += RecordedShare(index) * ContractLimit();
+  });
   return sum;
 }
 
@@ -264,8 +261,7 @@
 // has just started doesn't know what was admitted before, perhaps by itself: it
 // counts the rate from its start, and no burst.
 double workspace_quota::WindowLimit(monotonic_time now) const {
-  const double contract_limit =
-      rate_per_s_ * ToSeconds(options_.window) + burst_;
+  const double contract_limit = ContractLimit();
   const duration up = now - started_at_;
   if (up >= options_.window) return contract_limit;
   return std::min(contract_limit, rate_per_s_ * ToSeconds(up));
@@ -275,7 +271,9 @@
 // demand of all VMs over the view lag.
 double workspace_quota::UnreportedAdmissions() const {
   double sum = demand_per_s_;
-  for (const auto& [vm, other] : others_) sum += other.report.demand_per_s;
+  for (const auto& [index, other] : others_) {
+    sum += other.report.demand_per_s;
+  }
   const double usual = sum * ToSeconds(view_lag_);
   // A rise that is seen here may have come to all other VMs too. Single
   // requests of a small workspace look like a rise; `uncounted_rise` covers
@@ -295,7 +293,7 @@
   refilled_at_ = now;
   const local_shares shares = LocalShares(now);
   const double share = shares.in_force;
-  if (!IsIsolated(now)) connected_share_ = share;
+  if (!contacts_->IsIsolated(now)) connected_share_ = share;
   // A small share's capacity is rounded up; what that adds over all VMs stays
   // within the slack.
   const double max_extra =
@@ -347,7 +345,7 @@
   local_admitted_ =
       std::accumulate(admitted_.counts.begin(), admitted_.counts.end(), 0.0);
   const bool fleet_has_room =
-      !IsIsolated(now) && !AreManyReportsLate(now) &&
+      !contacts_->IsIsolated(now) && !AreManyReportsLate(now) &&
       FleetAdmitted(now) + UnreportedAdmissions() + 1 <= WindowLimit(now);
   if (tokens_ < 1 && !fleet_has_room) return false;
   tokens_ -= 1;
@@ -375,7 +373,7 @@
 }
 
 quota_state workspace_quota::State(monotonic_time now) const {
-  const vm_count count = CountVms(now);
+  const report_contacts::vm_count& count = contacts_->Count(now);
   return {rate_per_s_,
           burst_,
           LocalShares(now).in_force,
@@ -387,14 +385,14 @@
 }
 
 quota_report workspace_quota::Report(monotonic_time now) {
-  RemoveExpiredVms(now);
+  RemoveIdleVms(now);
   UpdateDemand(now);
   Advance(admitted_, now);
   local_admitted_ =
       std::accumulate(admitted_.counts.begin(), admitted_.counts.end(), 0.0);
   RecordShares(now);
   reported_demand_.Add(demand_per_s_, now);
-  reported_demand_.DropReplacedBefore(now - silence_limit_);
+  reported_demand_.DropReplacedBefore(now - contacts_->SilenceLimit());
   reported_at_ = now;
   return {demand_per_s_, local_admitted_};
 }
--- a/tests/protocol/quota_simulation.h
+++ b/tests/protocol/quota_simulation.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <memory>
 #include <pcg_random.hpp>
 #include <random>
 #include <set>
@@ -28,11 +29,9 @@
   quota_fleet(int vms, double rate, double burst, std::uint64_t seed,
               duration interval = kReportInterval)
       : random_(seed), rate_(rate), burst_(burst), interval_(interval) {
+    vms_.resize(static_cast<std::size_t>(vms));
     for (int i = 0; i < vms; ++i) {
-      quotas_.emplace_back(quota_options{}, now_);
-      quotas_.back().SetContract(rate, burst, now_);
-      quotas_.back().SetFleetSize(vms);
-      SetLimits(quotas_.back());
+      Start(static_cast<std::size_t>(i));
       last_received_.emplace_back(static_cast<std::size_t>(vms));
       demand_.push_back(0);
     }
@@ -50,11 +49,8 @@
   // state.
   void Restart(std::size_t first, std::size_t last) {
     for (std::size_t vm = first; vm < last; ++vm) {
-      quotas_[vm] = workspace_quota(quota_options{}, now_);
-      quotas_[vm].SetContract(rate_, burst_, now_);
-      quotas_[vm].SetFleetSize(static_cast<int>(quotas_.size()));
-      SetLimits(quotas_[vm]);
-      last_received_[vm].assign(quotas_.size(), {});
+      Start(vm);
+      last_received_[vm].assign(vms_.size(), {});
     }
   }
   // Cuts the VM off: it neither receives nor delivers reports.
@@ -75,10 +71,10 @@
   // other VMs, as if their records had expired.
   void RemoveVms(std::size_t first, std::size_t last) {
     for (std::size_t gone = first; gone < last; ++gone) unlisted_.insert(gone);
-    for (std::size_t vm = 0; vm < quotas_.size(); ++vm) {
+    for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
       for (std::size_t gone = first; gone < last; ++gone) {
         if (vm >= first && vm < last) continue;
-        quotas_[vm].OnVmUnlisted(VmId(gone), now_);
+        vms_[vm].contacts->OnVmUnlisted(VmId(gone), now_);
       }
     }
   }
@@ -89,7 +85,7 @@
       if (now_ >= next_report_at_) SendReports();
       DeliverReports();
       CancelNotRun();
-      for (std::size_t vm = 0; vm < quotas_.size(); ++vm) {
+      for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
         std::poisson_distribution<int> arrivals(demand_[vm] * ToSeconds(step));
         for (int n = demand_[vm] > 0 ? arrivals(random_) : 0; n > 0; --n) {
           SendRequest(vm);
@@ -107,6 +103,10 @@
   double MaxAllowedInWindow() const { return (rate_ * 5 + burst_) * 1.1 + 20; }
 
  private:
+  struct simulated_vm {
+    std::unique_ptr<report_contacts> contacts;
+    std::unique_ptr<workspace_quota> quota;
+  };
   // Admitted request that an upstream will reject.
   struct not_run_request {
     std::size_t vm = 0;
@@ -124,15 +124,22 @@
 
   static vm_id VmId(std::size_t vm) { return vm_id(fmt::format("vm{}", vm)); }
 
-  void SetLimits(workspace_quota& quota) const {
-    quota.SetMaxReportAge(interval_ + std::chrono::milliseconds(300));
-    quota.SetSilenceLimit(4 * interval_);
+  void Start(std::size_t vm) {
+    simulated_vm& started = vms_[vm];
+    started.contacts = std::make_unique<report_contacts>();
+    started.contacts->SetSilenceLimit(4 * interval_);
+    started.quota = std::make_unique<workspace_quota>(quota_options{},
+                                                      *started.contacts, now_);
+    started.quota->SetContract(rate_, burst_, now_);
+    started.quota->SetFleetSize(static_cast<int>(vms_.size()));
+    started.quota->SetMaxReportAge(interval_ + std::chrono::milliseconds(300));
   }
 
   void SendReports() {
     next_report_at_ = now_ + interval_;
-    for (std::size_t vm = 0; vm < quotas_.size(); ++vm) {
-      message m{vm, quotas_[vm].Report(now_), now_, last_received_[vm],
+    for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
+      vms_[vm].contacts->RemoveGone(now_);
+      message m{vm, vms_[vm].quota->Report(now_), now_, last_received_[vm],
                 {}, now_ + kReportDelay};
       for (const std::size_t other : unlisted_) {
         if (now_ - last_received_[vm][other] < 4 * interval_) {
@@ -147,14 +154,15 @@
     while (!messages_.empty() && messages_.front().delivered_at <= now_) {
       const message m = messages_.front();
       messages_.pop_front();
-      for (std::size_t vm = 0; vm < quotas_.size(); ++vm) {
+      for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
         if (!IsDelivered(m.from, vm)) continue;
-        quotas_[vm].OnReport(VmId(m.from), m.report, now_);
-        quotas_[vm].OnContactUpdate(VmId(m.from),
-                                    {m.last_received[vm], now_ + interval_});
+        report_contacts& contacts = *vms_[vm].contacts;
+        const contact_id from = contacts.OnReport(
+            VmId(m.from), {m.last_received[vm], now_ + interval_}, now_);
+        vms_[vm].quota->OnReport(from, m.report, now_);
         last_received_[vm][m.from] = m.sent_at;
         for (const std::size_t unlisted : m.received_from_unlisted) {
-          quotas_[vm].OnReportReceivedElsewhere(VmId(unlisted), now_);
+          contacts.OnReportReceivedElsewhere(VmId(unlisted), now_);
         }
       }
     }
@@ -171,13 +179,13 @@
     while (!not_run_requests_.empty() &&
            not_run_requests_.front().admitted_at + kNotRunDelay <= now_) {
       const not_run_request& request = not_run_requests_.front();
-      quotas_[request.vm].OnNotRun(request.admitted_at, now_);
+      vms_[request.vm].quota->OnNotRun(request.admitted_at, now_);
       not_run_requests_.pop_front();
     }
   }
 
   void SendRequest(std::size_t vm) {
-    if (!quotas_[vm].TryAdmit(now_)) {
+    if (!vms_[vm].quota->TryAdmit(now_)) {
       ++rejected_;
       return;
     }
@@ -200,7 +208,7 @@
   duration interval_;
   monotonic_time now_{std::chrono::hours(1)};
   monotonic_time next_report_at_{};
-  std::vector<workspace_quota> quotas_;
+  std::vector<simulated_vm> vms_;
   std::vector<std::vector<monotonic_time>> last_received_;
   std::vector<double> demand_;
   std::deque<message> messages_;
--- a/tests/protocol/workspace_quota_test.cc
+++ b/tests/protocol/workspace_quota_test.cc
@@ -14,7 +14,8 @@
 
 BOOST_AUTO_TEST_CASE(WithoutARateThereIsNoLimit) {
   const monotonic_time now{std::chrono::hours(1)};
-  workspace_quota quota(quota_options{}, now);
+  const report_contacts contacts;
+  workspace_quota quota(quota_options{}, contacts, now);
   for (int i = 0; i < 1000; ++i) BOOST_REQUIRE(quota.TryAdmit(now));
 }
 
@@ -147,15 +148,18 @@
 // others.
 BOOST_AUTO_TEST_CASE(ShareOfAStoppedVmReturnsToTheOthers) {
   const monotonic_time start{std::chrono::hours(1)};
-  workspace_quota quota(quota_options{}, start);
+  report_contacts contacts;
+  workspace_quota quota(quota_options{}, contacts, start);
   quota.SetContract(100, 100, start);
   quota.SetFleetSize(2);
   const vm_id other("other");
-  quota.OnVmListed(other);
-  quota.OnReport(other, {50, 250}, start + seconds(1));
+  contacts.OnVmListed(other);
+  quota.OnReport(contacts.OnReport(other, {}, start + seconds(1)), {50, 250},
+                 start + seconds(1));
   quota.SetFleetSize(1);
-  quota.OnVmUnlisted(other, start + seconds(2));
-  quota.OnReport(other, {40, 200}, start + seconds(3));
+  contacts.OnVmUnlisted(other, start + seconds(2));
+  quota.OnReport(contacts.OnReport(other, {}, start + seconds(3)), {40, 200},
+                 start + seconds(3));
   const double share_while_reporting = quota.State(start + seconds(3)).share;
   for (int i = 4; i < 20; ++i) quota.Report(start + seconds(i));
   BOOST_TEST(share_while_reporting < 0.5);
@@ -163,13 +167,33 @@
   BOOST_TEST(quota.State(start + seconds(20)).fleet_admitted == 0);
 }
 
+// Guards against a VM without demand that is cut off and whose share the others
+// take, while callers reach it.
+BOOST_AUTO_TEST_CASE(AnIdleVmThatIsSilentKeepsItsShare) {
+  const monotonic_time start{std::chrono::hours(1)};
+  report_contacts contacts;
+  workspace_quota quota(quota_options{}, contacts, start);
+  quota.SetContract(100, 100, start);
+  quota.SetFleetSize(2);
+  quota.OnReport(contacts.OnReport(vm_id("idle"), {}, start + seconds(3)),
+                 quota_report{}, start + seconds(3));
+  quota.Report(start + seconds(3));
+  for (int i = 1; i < 500; ++i) quota.TryAdmit(start + i * milliseconds(20));
+  quota.Report(start + seconds(10));
+  BOOST_TEST(contacts.Silent(start + seconds(10)).size() == 1U);
+  BOOST_TEST(quota.State(start + seconds(10)).share <= 0.5);
+}
+
 // The state must show when a rejection relies on few reports.
 BOOST_AUTO_TEST_CASE(StateShowsHowManyVmsHaveReported) {
   const monotonic_time start{std::chrono::hours(1)};
-  workspace_quota quota(quota_options{}, start);
-  quota.SetSilenceLimit(seconds(2));
-  quota.OnReport(vm_id("silent"), {50, 250}, start);
-  quota.OnReport(vm_id("heard"), {50, 250}, start + seconds(2));
+  report_contacts contacts;
+  workspace_quota quota(quota_options{}, contacts, start);
+  contacts.SetSilenceLimit(seconds(2));
+  quota.OnReport(contacts.OnReport(vm_id("silent"), {}, start), {50, 250},
+                 start);
+  quota.OnReport(contacts.OnReport(vm_id("heard"), {}, start + seconds(2)),
+                 {50, 250}, start + seconds(2));
   BOOST_TEST(quota.State(start + seconds(3)).vms_told == 2);
   BOOST_TEST(quota.State(start + seconds(3)).vms_heard == 1);
 }
