A VM that serves few callers has a long lease

Change: the lease is 4.5 s, renewed each 1.5 s, until ten requests come within a second; then the VM asks for the short one (2.5 s, 0.8 s) and writes its record again under it. Two calls more for a VM that serves. A dead VM without callers is listed for 2 s more, 6 s with the way of the change; directories may name it for stableWindowS + 3 s = 7 s. Half of the missed renewals that a lease bears now come before it lapses in a slow store (3 s left instead of 1.7 s).

Ruled out: longer leases for all in a large fleet (callers of the VMs in use would lose more at a dead one); the switch by any request at all (each ready VM gets some that only test which declaration is in force).

--- a/include/citron/node/store_sync.h
+++ b/include/citron/node/store_sync.h
@@ -25,6 +25,8 @@
 
   // Makes the calls that are due; to be called again at NextAt.
   void Run(monotonic_time now);
+  // A caller's request arrived.
+  void OnRequest(monotonic_time now) { registration_.OnRequest(now); }
   // This VM is leaving: the list loses it at once.
   void Leave(monotonic_time now);
   // What has been learnt, for other VMs.
--- a/src/node/node_task.cc
+++ b/src/node/node_task.cc
@@ -148,6 +148,7 @@
 std::unique_ptr<request_handler> node_task::Make(http1_head head,
                                                  caller_exchange& exchange) {
   const monotonic_time now = MonotonicNow();
+  sync_.OnRequest(now);
   std::variant<admitted_request, rejection> gate =
       AdmitRequest(context_, head, now);
   if (const auto* turned = std::get_if<rejection>(&gate)) {
--- a/src/node/store_sync.cc
+++ b/src/node/store_sync.cc
@@ -274,7 +274,7 @@
   const monotonic_time deadline = now + kAnswerLimit;
   switch (*call) {
     case vm_registration::call::kGrant:
-      store_.GrantLease(registration_options{}.lease_ttl, deadline,
+      store_.GrantLease(registration_.LeaseTtl(), deadline,
                         [this](const result<lease_id>& lease) {
                           const monotonic_time then = MonotonicNow();
                           if (!IsOk(lease)) {
