A VM whose link is nearly used up says that it is near capacity

Cause: a VM was near capacity by its processor alone, and told so with its next report to all, after up to ten seconds in a fleet of 295.

Change: `processor_gauge` becomes `capacity_gauge`, for the share of the processor and for the bytes written to callers against the link; either one counts. A change is told to all at once, as one of readiness is. A line `near_capacity` or `below_capacity` names which of the two.

The gauge's tests hold unchanged but for the unit. The bytes that a VM gets, and those of tunnels and other VMs, are not counted; answers are most of the traffic and come in as they go out.

--- a/include/citron/node/caller_exchange.h
+++ b/include/citron/node/caller_exchange.h
@@ -48,12 +48,14 @@
   virtual void OnDrained() = 0;
 };
 
-// Makes the handler of a request; null if it has its answer already.
+// Owner of callers' connections.
 class request_handler_factory {
  public:
   virtual ~request_handler_factory() = default;
+  // Makes the handler of a request; null if it has its answer already.
   virtual std::unique_ptr<request_handler> Make(http1_head head,
                                                 caller_exchange& exchange) = 0;
+  virtual void OnBytesWritten(std::size_t bytes) = 0;
 };
 
 }  // namespace citron
--- a/include/citron/node/node_context.h
+++ b/include/citron/node/node_context.h
@@ -31,7 +31,7 @@
 // Whether callers should be sent to a VM, as it says of itself.
 struct vm_condition {
   bool ready = false;
-  bool near_capacity = false;  // It has little of its processor left.
+  bool near_capacity = false;  // Of its processor or link.
   bool reaches_upstreams = true;
 };
 
--- a/include/citron/node/node_task.h
+++ b/include/citron/node/node_task.h
@@ -24,7 +24,7 @@
 #include "citron/node/upstream_paths.h"
 #include "citron/node/upstream_pool.h"
 #include "citron/platform/platform_store.h"
-#include "citron/policy/processor_gauge.h"
+#include "citron/policy/capacity_gauge.h"
 
 struct evconnlistener;
 
@@ -64,6 +64,8 @@
   void OnAccept(int descriptor);
   std::unique_ptr<request_handler> Make(http1_head head,
                                         caller_exchange& exchange) override;
+  void OnBytesWritten(std::size_t bytes) override { bytes_written_ += bytes; }
+  void UpdateGauges(monotonic_time now);
   vm_condition Condition() const;
   void OnTick();
   void OnStopStep(monotonic_time now);
@@ -83,7 +85,10 @@
   std::string secret_;  // Of this start, for other VMs of the fleet.
   store_sync sync_;
   feed_relay relay_;
-  processor_gauge gauge_;
+  capacity_gauge processor_;
+  capacity_gauge link_;
+  std::size_t bytes_written_ = 0;  // To callers.
+  bool was_near_capacity_ = false;
   std::unique_ptr<peer_exchange> peers_;
   std::unique_ptr<node_pages> pages_;
   std::unique_ptr<tunnel_server> tunnels_;
--- a/include/citron/node/peer_exchange.h
+++ b/include/citron/node/peer_exchange.h
@@ -92,6 +92,7 @@
   monotonic_time tell_serving_at_{};
   monotonic_time tell_all_at_{};
   bool told_ready_ = false;
+  bool told_near_capacity_ = false;
   bool told_serving_ = false;
   bool told_reaching_ = true;
   int reach_reports_left_ = 0;
--- a/include/citron/node/peer_report.h
+++ b/include/citron/node/peer_report.h
@@ -30,7 +30,7 @@
   std::uint64_t incarnation = 0;
   std::uint64_t sequence = 0;
   bool ready = false;
-  bool near_capacity = false;  // It has little of its processor left.
+  bool near_capacity = false;  // Of its processor or link.
   std::vector<quota_line> quotas;
   std::vector<load_line> loads;
   // By the teller's steady clock, in nanoseconds.
--- a/include/citron/policy/vm_choice.h
+++ b/include/citron/policy/vm_choice.h
@@ -17,7 +17,7 @@
   bool ready = true;              // The VM reports that it accepts requests.
   bool has_recent_report = true;  // A recent report was received.
   double link_mbps = 0;
-  bool near_capacity = false;  // The processor is near capacity.
+  bool near_capacity = false;  // Of its processor or link.
   // The VM reports no partition from all upstreams.
   bool reaches_upstreams = true;
 };
--- a/src/node/caller_connection.cc
+++ b/src/node/caller_connection.cc
@@ -180,6 +180,7 @@
 }
 
 void caller_connection::Write(std::string_view bytes) {
+  handlers_.OnBytesWritten(bytes.size());
   bufferevent_write(bytes_, bytes.data(), bytes.size());
 }
 
--- a/src/node/node_task.cc
+++ b/src/node/node_task.cc
@@ -22,6 +22,7 @@
 constexpr duration kSweepInterval = std::chrono::seconds(1);
 constexpr int kBacklog = 1024;
 constexpr std::size_t kSecretBytes = 16;
+constexpr double kBytesPerMegabit = 125'000;
 
 duration ToDuration(const timeval& time) {
   return std::chrono::seconds(time.tv_sec) +
@@ -96,7 +97,8 @@
       secret_(RandomHex(kSecretBytes)),
       sync_(context_, *platform.store, *platform.codec, secret_),
       relay_(context_, sync_.Index(), secret_),
-      gauge_(settings_.processor_share),
+      processor_(settings_.processor_share),
+      link_(settings_.link_mbps * kBytesPerMegabit),
       tick_(loop, [this] { OnTick(); }),
       crash_news_(loop, [this] { peers_->TellCrashes(MonotonicNow()); }) {}
 
@@ -195,7 +197,22 @@
 }
 
 vm_condition node_task::Condition() const {
-  return {IsReady(), gauge_.IsNearCapacity(), paths_.IsReachable()};
+  return {IsReady(), processor_.IsNearCapacity() || link_.IsNearCapacity(),
+          paths_.IsReachable()};
+}
+
+void node_task::UpdateGauges(monotonic_time now) {
+  processor_.OnSample(ToSeconds(ProcessorTime()), now);
+  link_.OnSample(static_cast<double>(bytes_written_), now);
+  const bool near = Condition().near_capacity;
+  if (near == was_near_capacity_) return;
+  was_near_capacity_ = near;
+  log_.Write("node", near ? "near_capacity" : "below_capacity",
+             {{"vm", settings_.vm.Str()},
+              {"processor", processor_.IsNearCapacity()},
+              {"link", link_.IsNearCapacity()},
+              {"connections", connections_.size()}},
+             now);
 }
 
 void node_task::OnTick() {
@@ -204,7 +221,7 @@
   relay_.Run(now);
   fleet_.RemoveMissing(now);
   const bool ready = IsReady();
-  gauge_.OnSample(ProcessorTime(), now);
+  UpdateGauges(now);
   paths_.Run(pool_, *peers_, now);
   peers_->Run(Condition(), now);
   peers_->TellCrashes(now);
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -101,15 +101,18 @@
   TellRateLimits(now);
   const bool for_all = now >= tell_all_at_;
   const bool for_serving = now >= tell_serving_at_;
-  if (!for_all && !for_serving && own.ready == told_ready_) return;
+  const bool changed =
+      own.ready != told_ready_ || own.near_capacity != told_near_capacity_;
+  if (!for_all && !for_serving && !changed) return;
   LogSilence(now);
   UpdateReaders(now);
   const peer_report report = MakeReport(own, now);
   const bool serves = !report.quotas.empty();
   // Whoever hears late that callers come here would share a contract wrongly,
-  // or go on sending them to a VM that turns them away.
-  const bool urgent = own.ready != told_ready_ || serves != told_serving_;
+  // or go on sending them to a VM that turns them away or answers late.
+  const bool urgent = changed || serves != told_serving_;
   told_ready_ = own.ready;
+  told_near_capacity_ = own.near_capacity;
   told_serving_ = serves;
   const duration serving_interval = IntervalFor(ServingPeers());
   tell_serving_at_ = now + serving_interval;
--- a/tests/policy/processor_gauge_test.cc
+++ b/tests/policy/capacity_gauge_test.cc
@@ -1,4 +1,4 @@
-#include "citron/policy/processor_gauge.h"
+#include "citron/policy/capacity_gauge.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -12,13 +12,13 @@
     for (int i = 0; i < 20 * seconds; ++i) {
       now_ += FromMilliseconds(50);
       used_ += FromMilliseconds(50 * fraction);
-      gauge_.OnSample(used_, now_);
+      gauge_.OnSample(ToSeconds(used_), now_);
     }
   }
 
   monotonic_time now_{std::chrono::hours(1)};
   duration used_{};
-  processor_gauge gauge_{0.2};
+  capacity_gauge gauge_{0.2};
 };
 
 BOOST_FIXTURE_TEST_SUITE(gauge, gauge_fixture)
@@ -55,10 +55,10 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_CASE(WithoutAKnownShareItIsNeverNearCapacity) {
-  processor_gauge gauge(0);
+  capacity_gauge gauge(0);
   const monotonic_time now{std::chrono::hours(1)};
-  gauge.OnSample({}, now);
-  gauge.OnSample(std::chrono::seconds(1), now + std::chrono::seconds(1));
+  gauge.OnSample(0, now);
+  gauge.OnSample(1, now + std::chrono::seconds(1));
   BOOST_TEST(!gauge.IsNearCapacity());
 }
 
