Reports in a listed VM's name are taken from its address alone

Cause: any datagram that reads as a report was taken. A stranger on the network between VMs could tell demand in a VM's name and so take its share of a contract, or say that it is not ready; reports of VMs that don't exist each took memory for good. Reports of crashes, reach and rate limits were checked already.

Change: a listed VM's report must come from its address. A VM may report before its record is read here; of such VMs 64 are taken besides the listed ones. What is kept of VMs that are neither listed nor heard is dropped, reach and rate limit reports too (they were kept for good). Refusals leave one bounded line.

AReportInAListedVmsNameIsRefused and VmsThatAreNotListedAreBounded fail before.

--- a/include/citron/node/peer_exchange.h
+++ b/include/citron/node/peer_exchange.h
@@ -58,7 +58,10 @@
 
   peer_exchange(node_context& context, int descriptor);
   void OnReadable();
-  void OnReport(const peer_report& report, monotonic_time now);
+  void OnReport(const peer_report& report, const sockaddr_in& source,
+                monotonic_time now);
+  // Returns whether a report of this VM from there is to be taken.
+  bool IsTaken(const vm_id& vm, const sockaddr_in& source, monotonic_time now);
   void OnReachReport(const reach_report& report, const sockaddr_in& source,
                      monotonic_time now);
   void OnRateLimitReport(const rate_limit_report& report,
@@ -75,6 +78,7 @@
   peer_report MakeReport(const vm_condition& own, monotonic_time now);
   // Logs which VMs were lost or are heard again.
   void LogSilence(monotonic_time now);
+  void ForgetGonePeers(monotonic_time now);
   void UpdateReaders(monotonic_time now);
   // The next one follows after the interval.
   void Send(const peer_report& report, bool to_serving, duration interval);
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -37,6 +37,8 @@
 constexpr int kReachReports = 4;
 // Reports that may be lost in a row before a VM counts as not heard.
 constexpr int kLostReports = 4;
+// VMs that have reported and are not listed, at the most.
+constexpr std::size_t kMaxUnlistedPeers = 64;
 
 duration IntervalFor(int vms) {
   return kInterval * std::max(kSmallFleet, vms) / kSmallFleet;
@@ -105,6 +107,7 @@
       own.ready != told_ready_ || own.near_capacity != told_near_capacity_;
   if (!for_all && !for_serving && !changed) return;
   LogSilence(now);
+  ForgetGonePeers(now);
   UpdateReaders(now);
   const peer_report report = MakeReport(own, now);
   const bool serves = !report.quotas.empty();
@@ -165,6 +168,16 @@
   }
 }
 
+void peer_exchange::ForgetGonePeers(monotonic_time now) {
+  const auto is_gone = [&](const auto& entry) {
+    return !context_.fleet.Vms().contains(entry.first) &&
+           !IsHeard(entry.first, now);
+  };
+  std::erase_if(reach_reports_, is_gone);
+  std::erase_if(rate_limit_reports_, is_gone);
+  std::erase_if(peers_, is_gone);
+}
+
 bool peer_exchange::Serves(const vm_id& vm) const {
   const auto peer = peers_.find(vm);
   return peer != peers_.end() && peer->second.serves;
@@ -270,7 +283,7 @@
 void peer_exchange::OnDatagram(std::string_view bytes,
                                const sockaddr_in& source, monotonic_time now) {
   const result<peer_report> report = DecodeWire<peer_report>(bytes);
-  if (IsOk(report)) return OnReport(ValueOf(report), now);
+  if (IsOk(report)) return OnReport(ValueOf(report), source, now);
   const result<reach_report> reach = DecodeWire<reach_report>(bytes);
   if (IsOk(reach)) return OnReachReport(ValueOf(reach), source, now);
   const result<rate_limit_report> limits = DecodeWire<rate_limit_report>(bytes);
@@ -288,7 +301,23 @@
   context_.log.Write("peers", "crash_report_refused", {{"vm", vm.Str()}}, now);
 }
 
-void peer_exchange::OnReport(const peer_report& report, monotonic_time now) {
+// A VM may report before its record is read here. A stranger could starve a
+// workspace with reports in a listed VM's name, or fill the memory with others.
+bool peer_exchange::IsTaken(const vm_id& vm, const sockaddr_in& source,
+                            monotonic_time now) {
+  if (!readers_.contains(vm)) UpdateReaders(now);
+  if (readers_.contains(vm)) return IsFrom(vm, source);
+  return peers_.contains(vm) ||
+         peers_.size() < readers_.size() + kMaxUnlistedPeers;
+}
+
+void peer_exchange::OnReport(const peer_report& report,
+                             const sockaddr_in& source, monotonic_time now) {
+  if (!IsTaken(report.vm, source, now)) {
+    context_.log.Write("peers", "report_refused", {{"vm", report.vm.Str()}},
+                       now);
+    return;
+  }
   peer_state& peer = peers_[report.vm];
   if (std::tie(report.incarnation, report.sequence) <=
       std::tie(peer.incarnation, peer.sequence)) {
--- a/tests/node/peer_exchange_test.cc
+++ b/tests/node/peer_exchange_test.cc
@@ -1,6 +1,7 @@
 #include "citron/node/peer_exchange.h"
 
 #include <arpa/inet.h>
+#include <fmt/format.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -127,6 +128,38 @@
   BOOST_TEST(!stranger.Take().has_value());
 }
 
+// Guards against a stranger who keeps callers away from a VM, or starves a
+// workspace, with reports in the VM's name.
+BOOST_AUTO_TEST_CASE(AReportInAListedVmsNameIsRefused) {
+  BOOST_REQUIRE(RunUntil([this] { return peer_.Take().has_value(); }));
+  Tell();
+  BOOST_REQUIRE(RunUntil([this] { return IsHeard(); }));
+  peer_socket_of_test stranger;
+  peer_report report = report_;
+  report.sequence += 100;
+  stranger.Tell(settings_.peer, report);
+  BOOST_REQUIRE(
+      RunUntil([this] { return HasLine("event=report_refused vm=vm2"); }));
+  Tell();
+  BOOST_TEST(RunUntil([this] { return IsHeard(); }));
+}
+
+// Guards against a VM's memory that strangers fill with VMs that don't exist.
+BOOST_AUTO_TEST_CASE(VmsThatAreNotListedAreBounded) {
+  BOOST_REQUIRE(RunUntil([this] { return peer_.Take().has_value(); }));
+  peer_socket_of_test stranger;
+  peer_report report = report_;
+  report.sequence = 1;
+  for (int i = 0; i < 100; ++i) {
+    report.vm = vm_id(fmt::format("none{}", i));
+    stranger.Tell(settings_.peer, report);
+  }
+  BOOST_REQUIRE(
+      RunUntil([this] { return HasLine("event=report_refused vm=none"); }));
+  Tell();
+  BOOST_TEST(RunUntil([this] { return IsHeard(); }));
+}
+
 // Guards against a request that crashes a third upstream at this VM after two
 // others at another one, and against a stranger who gets requests refused.
 BOOST_AUTO_TEST_CASE(OnlyAListedVmTellsOfCrashes) {
