--- a/bench/node_fleet_bench.cc
+++ b/bench/node_fleet_bench.cc
@@ -187,6 +187,25 @@
 }
 BENCHMARK(Choice)->Arg(295);
 
+// An upstream wrote again with nothing new.
+void ConfirmationTaken(benchmark::State& state) {
+  bench_fleet bench(295);
+  change_index index(1);
+  store_revision revision = 1;
+  for (int i = 0; i < kUpstreams; ++i) {
+    index.OnWritten({fmt::format("upstreams/{}", i), std::string(300, 'a'),
+                     ++revision, ""});
+  }
+  int number = 0;
+  for (auto _ : state) {
+    const std::string key = fmt::format("upstreams/{}", number++ % kUpstreams);
+    if (index.OnConfirmed(key, ++revision)) {
+      bench.Fleet().Confirm(key, bench.Now());
+    }
+  }
+}
+BENCHMARK(ConfirmationTaken);
+
 void Memory(benchmark::State& state) {
   const std::size_t before = mallinfo2().uordblks;
   const bench_fleet bench(static_cast<int>(state.range(0)));
