A VM that reports without a record is forgotten once it is silent

Found on reading the change before: what the quotas keep of a VM that was never listed, or whose record had lapsed before it was forgotten, had no end, as it was before that change for each workspace. Such a VM now counts as gone two seconds after its last report; a record that comes later ends that.

--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -340,6 +340,10 @@
   report_contacts& contacts = context_.fleet.Contacts();
   const contact_id from =
       contacts.OnReport(report.vm, ContactOf(report, now), now);
+  // Its record may be on the way; without one it is forgotten.
+  if (!context_.fleet.Vms().contains(report.vm)) {
+    contacts.OnVmUnlisted(report.vm, now);
+  }
   for (const vm_id& vm : report.heard_unlisted) {
     contacts.OnReportReceivedElsewhere(vm, now);
   }
