A whole fleet may report before its records are read

Found on reading: 64 unlisted VMs are fewer than a fleet of hundreds that starts at once. The reports of the others would be refused, and a VM counts as heard only with the next one, ten seconds later at 295 VMs. Now 1,024; a VM that isn't listed takes about 2 KB with 200 workspaces, worked out.

--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -37,8 +37,9 @@
 constexpr int kReachReports = 4;
 // Reports that may be lost in a row before a VM counts as not heard.
 constexpr int kLostReports = 4;
-// VMs that have reported and are not listed, at the most.
-constexpr std::size_t kMaxUnlistedPeers = 64;
+// VMs that have reported and are not listed, at the most: a whole fleet may
+// start before its records are read.
+constexpr std::size_t kMaxUnlistedPeers = 1024;
 
 duration IntervalFor(int vms) {
   return kInterval * std::max(kSmallFleet, vms) / kSmallFleet;
