Records that come together change the fleet's size once

Found on reading the whole change: the cost of a change of the list of VMs was made smaller, but each record of a batch still paid it, so that a fleet that starts anew looked at all upstreams for each of its records. The cold allowances, the quotas' fleet size and the rate limits' are now brought up to date once after the events that came together; nothing reads them in between.

A cold spell that begins in the same batch as a change of the list starts with the allowance of before, bounded by the new one at the first use: never more than either.

--- a/bench/node_fleet_bench.cc
+++ b/bench/node_fleet_bench.cc
@@ -136,15 +136,19 @@
   fleet_state fleet_;
 };
 
-void VmListed(benchmark::State& state) {
+// Records of VMs that come together, as many as the second argument.
+void VmsListed(benchmark::State& state) {
   bench_fleet bench(static_cast<int>(state.range(0)));
   int number = 1;
   for (auto _ : state) {
-    const key_change change = bench.Listed(1 + number++ % 8);
-    bench.Fleet().ApplyEvent({change.item, false}, bench.Now(), bench.Now());
+    for (int i = 0; i < state.range(1); ++i) {
+      const key_change change = bench.Listed(1 + number++ % 8);
+      bench.Fleet().ApplyEvent({change.item, false}, bench.Now(), bench.Now());
+    }
+    bench.Fleet().RemoveMissing(bench.Now());
   }
 }
-BENCHMARK(VmListed)->Arg(10)->Arg(84)->Arg(295)->Arg(1000);
+BENCHMARK(VmsListed)->ArgsProduct({{10, 84, 295, 1000}, {1}})->Args({295, 100});
 
 void ReportTaken(benchmark::State& state) {
   const int vms = static_cast<int>(state.range(0));
--- a/include/citron/node/fleet_state.h
+++ b/include/citron/node/fleet_state.h
@@ -41,12 +41,14 @@
   // `keep_missing_until` at the soonest.
   void ApplyCopy(const std::vector<key_change>& changes,
                  monotonic_time keep_missing_until, monotonic_time now);
-  // True if it says something new.
+  // True if it says something new. RemoveMissing follows once after the events
+  // that came together: a change of the list of VMs concerns each upstream.
   bool ApplyEvent(const store_event& event, monotonic_time keep_missing_until,
                   monotonic_time now);
   // The key was written again with nothing new in it.
   void Confirm(const std::string& key, monotonic_time now);
-  // Removes what is still missing.
+  // Removes what is still missing, and takes the changes of the list of VMs
+  // into account.
   void RemoveMissing(monotonic_time now);
 
   void ForEachSelector(const std::function<void(affinity_selector&)>& visit);
@@ -95,6 +97,7 @@
                      monotonic_time now);
   bool ApplyVm(const store_item& item, const vm_id& id, monotonic_time now);
   void Remove(const std::string& key, monotonic_time now);
+  void EraseMissing(monotonic_time now);
   void RemoveUpstream(const upstream_id& id);
   void SetClosedZones();
   void SetFleetSize(monotonic_time now);
--- a/src/node/fleet_state.cc
+++ b/src/node/fleet_state.cc
@@ -65,7 +65,7 @@
   } else {
     is_new = ApplyItem(event.item, now);
   }
-  RemoveMissing(now);
+  EraseMissing(now);
   return is_new;
 }
 
@@ -79,6 +79,11 @@
 }
 
 void fleet_state::RemoveMissing(monotonic_time now) {
+  EraseMissing(now);
+  SetFleetSize(now);
+}
+
+void fleet_state::EraseMissing(monotonic_time now) {
   for (auto it = missing_.begin(); it != missing_.end();) {
     if (now < it->second) {
       ++it;
@@ -87,7 +92,6 @@
     Remove(it->first, now);
     it = missing_.erase(it);
   }
-  SetFleetSize(now);
 }
 
 bool fleet_state::ApplyItem(const store_item& item, monotonic_time now) {
--- a/src/node/store_sync.cc
+++ b/src/node/store_sync.cc
@@ -130,6 +130,7 @@
     ApplyCopy(items, got.revision, now);
   } else {
     for (const key_change& change : got.changes) Apply(change, now);
+    context_.fleet.RemoveMissing(now);
     index_.OnRevision(got.revision);
   }
   NoteTouch(true, "", now);
@@ -251,6 +252,7 @@
     using kind = key_change::kind;
     Apply({event.removed ? kind::kRemoved : kind::kWritten, event.item}, now);
   }
+  context_.fleet.RemoveMissing(now);
   index_.OnRevision(got.revision);
   NoteTouch(true, "", now);
 }
