One check that a datagram is news; contacts tell whether they know a VM

Three kinds of reports compared incarnation and sequence in equal pieces; the quota compared epochs by hand beside report_contacts::Knows, which only its test called. Behaviour as before; the tests of both are unchanged.

--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -47,6 +47,13 @@
 
 bool IsRate(double per_s) { return std::isfinite(per_s) && per_s >= 0; }
 
+// Datagrams may be repeated and overtake each other.
+template <typename report, typename state>
+bool IsNewer(const report& received, const state& last) {
+  return std::tie(received.incarnation, received.sequence) >
+         std::tie(last.incarnation, last.sequence);
+}
+
 std::uint32_t RoundedUp(double value) {
   return static_cast<std::uint32_t>(std::ceil(std::max(0.0, value)));
 }
@@ -320,10 +327,7 @@
     return;
   }
   peer_state& peer = peers_[report.vm];
-  if (std::tie(report.incarnation, report.sequence) <=
-      std::tie(peer.incarnation, peer.sequence)) {
-    return;
-  }
+  if (!IsNewer(report, peer)) return;
   const bool serves = !report.quotas.empty();
   peer = {report.incarnation,
           report.sequence,
@@ -372,10 +376,7 @@
     return;
   }
   reach_report& last = reach_reports_[report.vm];
-  if (std::tie(report.incarnation, report.sequence) <=
-      std::tie(last.incarnation, last.sequence)) {
-    return;
-  }
+  if (!IsNewer(report, last)) return;
   if (last.reaches_upstreams != report.reaches_upstreams) {
     context_.log.Write("peers", "reach_changed",
                        {{"vm", report.vm.Str()},
@@ -396,10 +397,7 @@
     return;
   }
   rate_limit_report& last = rate_limit_reports_[report.vm];
-  if (std::tie(report.incarnation, report.sequence) <=
-      std::tie(last.incarnation, last.sequence)) {
-    return;
-  }
+  if (!IsNewer(report, last)) return;
   last = report;
   for (const rate_limit_line& line : report.lines) {
     if (!IsRate(line.per_s) || !IsRate(line.demand_per_s)) continue;
--- a/src/protocol/workspace_quota.cc
+++ b/src/protocol/workspace_quota.cc
@@ -92,7 +92,7 @@
     const auto at = it++;
     const std::uint32_t index = at->first;
     other_vm& other = at->second;
-    if (ContactOf(index).epoch != other.epoch) {
+    if (!contacts_->Knows({index, other.epoch})) {
       others_.erase(at);
       continue;
     }
@@ -115,7 +115,7 @@
 double workspace_quota::RecordedShare(std::uint32_t index) const {
   if (index >= shares_.size()) return 0;
   const vm_share& recorded = shares_[index];
-  return recorded.epoch == ContactOf(index).epoch ? recorded.share : 0;
+  return contacts_->Knows({index, recorded.epoch}) ? recorded.share : 0;
 }
 
 template <typename visitor>
