A proxy that drops connects doesn't wait for its own

Cause: the stand-in proxy drops connects with a full queue of new connections, which it fills with one of its own, by a connect that blocks. If a VM's connection already waits there, the kernel drops the proxy's, and the proxy hangs for two minutes; the test's command gets no answer in 30 s.

The new case builds that order of events: 30.0 s and red before; after, the whole program takes 0.5 s and is green.

--- a/standins/fault_proxy/proxy_route.cc
+++ b/standins/fault_proxy/proxy_route.cc
@@ -99,12 +99,15 @@
   address.sin_family = AF_INET;
   address.sin_port = htons(settings_.listen.port);
   inet_pton(AF_INET, settings_.listen.address.c_str(), &address.sin_addr);
-  queue_filler_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  // A queue of length 0 holds one connection.
+  queue_filler_ =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  // A queue of length 0 holds one connection. Another one may be there already,
+  // so that the kernel drops this one.
   const bool filled =
       queue_filler_ >= 0 && listen(evconnlistener_get_fd(listener_), 0) == 0 &&
-      connect(queue_filler_, reinterpret_cast<sockaddr*>(&address),
-              sizeof(address)) == 0;
+      (connect(queue_filler_, reinterpret_cast<sockaddr*>(&address),
+               sizeof(address)) == 0 ||
+       errno == EINPROGRESS);
   if (filled) return std::monostate{};
   return MakeError(error_code::kUnavailable,
                    fmt::format("drop connects at {}: {}",
--- a/tests/standins/fault_proxy_test.cc
+++ b/tests/standins/fault_proxy_test.cc
@@ -38,10 +38,12 @@
     return Caller().GetJson(upstream_, "/admin/ledger?after=0");
   }
 
+ protected:
+  endpoint route_;
+
  private:
   endpoint upstream_;
   endpoint admin_;
-  endpoint route_;
 };
 
 BOOST_FIXTURE_TEST_SUITE(fault_proxy, proxy_fixture)
@@ -91,6 +93,23 @@
   BOOST_TEST(Call("/a").answered);
 }
 
+// Guards against a proxy that hangs itself when a connection waits to be
+// accepted as connects begin to be dropped.
+BOOST_AUTO_TEST_CASE(ConnectsAreDroppedBehindOneThatWaits) {
+  SetFault({{"cut", true}});
+  const auto waiting = Begin("/a?work_ms=1");
+  // The connection stands once the proxy has answered again.
+  SetFault({{"cut", true}});
+  SetFault({{"cut", true}, {"drop_connects", true}});
+  const caller_call dropped = Caller().Call(route_, {"GET", "/b", {}, ""},
+                                            std::chrono::milliseconds(200));
+  BOOST_TEST(dropped.failed);
+  BOOST_TEST(!dropped.failure.bytes_sent);
+  SetFault({});
+  BOOST_REQUIRE(Caller().WaitFor([&] { return waiting->IsDone(); }));
+  BOOST_TEST(waiting->answered);
+}
+
 // The answer breaks off. Whoever reads it must not take it for a whole one.
 BOOST_AUTO_TEST_CASE(TruncatedAnswerIsIncomplete) {
   SetFault({{"truncate_answer_at", 1000}});
