A datagram is read as the kind that it is

A datagram of another VM was decoded as one kind after the other, the word of a crash as the fourth: three decodings that end by an exception. Each datagram that names a sender also walked the whole list of VMs to bring the list of readers up to date. The kinds differ by their number of fields, and the readers change with the list of VMs alone, so both are done once.

--- a/include/citron/node/peer_exchange.h
+++ b/include/citron/node/peer_exchange.h
@@ -11,6 +11,7 @@
 #include "citron/base/result.h"
 #include "citron/base/strong_id.h"
 #include "citron/base/time.h"
+#include "citron/node/crash_report.h"
 #include "citron/node/node_context.h"
 #include "citron/node/peer_report.h"
 #include "citron/node/rate_limit_report.h"
@@ -60,26 +61,27 @@
   void OnReadable();
   void OnReport(const peer_report& report, const sockaddr_in& source,
                 monotonic_time now);
-  // Returns whether a report of this VM from there is to be taken.
-  bool IsTaken(const vm_id& vm, const sockaddr_in& source, monotonic_time now);
-  void OnReachReport(const reach_report& report, const sockaddr_in& source,
-                     monotonic_time now);
-  void OnRateLimitReport(const rate_limit_report& report,
-                         const sockaddr_in& source, monotonic_time now);
+  bool AcceptsReport(const vm_id& vm, const sockaddr_in& source);
+  void OnReport(const reach_report& report, const sockaddr_in& source,
+                monotonic_time now);
+  void OnReport(const rate_limit_report& report, const sockaddr_in& source,
+                monotonic_time now);
+  void OnReport(const crash_report& report, const sockaddr_in& source,
+                monotonic_time now);
   // Tells what is known of upstreams' rate limits, at once if this VM has
   // learned something.
   void TellRateLimits(monotonic_time now);
   // Tells all while this VM reaches no upstream, and for a while after.
   void TellReach(bool reaches_upstreams, monotonic_time now);
   // Whether the datagram is from where the VM is listed.
-  bool IsFrom(const vm_id& vm, const sockaddr_in& source) const;
+  bool IsFrom(const vm_id& vm, const sockaddr_in& source);
   void OnDatagram(std::string_view bytes, const sockaddr_in& source,
                   monotonic_time now);
   peer_report MakeReport(const vm_condition& own, monotonic_time now);
   // Logs which VMs were lost or are heard again.
   void LogSilence(monotonic_time now);
   void ForgetGonePeers(monotonic_time now);
-  void UpdateReaders(monotonic_time now);
+  void UpdateReaders();
   // The next one follows after the interval.
   void Send(const peer_report& report, bool to_serving, duration interval);
   void SendTo(const endpoint& address, const std::string& bytes);
@@ -106,6 +108,7 @@
   std::map<vm_id, reach_report> reach_reports_;            // The last of each.
   std::map<vm_id, rate_limit_report> rate_limit_reports_;  // The same.
   std::map<vm_id, endpoint> readers_;  // Who is told, and where.
+  std::uint64_t readers_version_ = 0;  // Of the list of VMs.
 };
 
 }  // namespace citron
--- a/include/citron/wire/codec.h
+++ b/include/citron/wire/codec.h
@@ -22,6 +22,17 @@
   return {buffer.data(), buffer.size()};
 }
 
+// Returns the number of fields that a message begins with, 0 if it is none. No
+// struct on the wire has more fields than the short form of an array holds.
+inline std::size_t WireFieldCount(std::string_view bytes) {
+  constexpr unsigned char kShortArray = 0x90;
+  constexpr unsigned char kShortArrayMask = 0xf0;
+  if (bytes.empty()) return 0;
+  const auto first = static_cast<unsigned char>(bytes.front());
+  if ((first & kShortArrayMask) != kShortArray) return 0;
+  return first & static_cast<unsigned char>(~kShortArrayMask);
+}
+
 template <class T>
 result<T> DecodeWire(std::string_view bytes) {
   // The library reports bad input by throwing; here it becomes a value.
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -14,7 +14,7 @@
 #include <tuple>
 #include <utility>
 
-#include "citron/node/crash_report.h"
+#include "citron/node/peer_datagram.h"
 #include "citron/wire/codec.h"
 #include "citron/wire/fields.h"
 #include "node/socket_address.h"
@@ -116,7 +116,7 @@
   if (!for_all && !for_serving && !changed) return;
   LogSilence(now);
   ForgetGonePeers(now);
-  UpdateReaders(now);
+  UpdateReaders();
   const peer_report report = MakeReport(own, now);
   const bool serves = !report.quotas.empty();
   // Whoever hears late that callers come here would share a contract wrongly,
@@ -183,6 +183,8 @@
   };
   std::erase_if(reach_reports_, is_gone);
   std::erase_if(rate_limit_reports_, is_gone);
+  // A reader that was never heard has no state of its own.
+  std::erase_if(readers_, is_gone);
   std::erase_if(peers_, is_gone);
 }
 
@@ -199,12 +201,10 @@
 
 // A VM whose record has lapsed may have lost only the store. As long as it is
 // heard it lets requests in, and has to know what the others let in.
-void peer_exchange::UpdateReaders(monotonic_time now) {
-  const std::map<vm_id, vm_listing>& listed = context_.fleet.Vms();
-  std::erase_if(readers_, [&](const auto& reader) {
-    return !listed.contains(reader.first) && !IsHeard(reader.first, now);
-  });
-  for (const auto& [vm, listing] : listed) {
+void peer_exchange::UpdateReaders() {
+  if (readers_version_ == context_.fleet.VmsVersion()) return;
+  readers_version_ = context_.fleet.VmsVersion();
+  for (const auto& [vm, listing] : context_.fleet.Vms()) {
     if (vm != context_.settings.vm) readers_[vm] = listing.peer;
   }
 }
@@ -227,7 +227,7 @@
   const crash_report report{context_.settings.vm,
                             context_.crashes.TakeNews(now)};
   if (report.crashes.empty()) return;
-  UpdateReaders(now);
+  UpdateReaders();
   const std::string bytes = EncodeWire(report);
   for (const auto& [vm, address] : readers_) SendTo(address, bytes);
 }
@@ -240,7 +240,7 @@
   if (!has_news || (!changed && now < tell_reach_at_)) return;
   if (reach_reports_left_ > 0) --reach_reports_left_;
   tell_reach_at_ = now + IntervalFor(context_.fleet.FleetSize());
-  UpdateReaders(now);
+  UpdateReaders();
   const std::string bytes = EncodeWire(reach_report{
       context_.settings.vm, incarnation_, ++sequence_, reaches_upstreams});
   for (const auto& [vm, address] : readers_) SendTo(address, bytes);
@@ -255,7 +255,7 @@
                                  context_.fleet.RateLimitLines(now)};
   if (report.lines.empty()) return;
   ++sequence_;
-  UpdateReaders(now);
+  UpdateReaders();
   const std::string bytes = EncodeWire(report);
   for (const auto& [vm, address] : readers_) SendTo(address, bytes);
 }
@@ -280,7 +280,8 @@
   }
 }
 
-bool peer_exchange::IsFrom(const vm_id& vm, const sockaddr_in& source) const {
+bool peer_exchange::IsFrom(const vm_id& vm, const sockaddr_in& source) {
+  UpdateReaders();
   const auto reader = readers_.find(vm);
   if (reader == readers_.end()) return false;
   const sockaddr_in listed = SocketAddress(reader->second);
@@ -290,30 +291,28 @@
 
 void peer_exchange::OnDatagram(std::string_view bytes,
                                const sockaddr_in& source, monotonic_time now) {
-  const result<peer_report> report = DecodeWire<peer_report>(bytes);
-  if (IsOk(report)) return OnReport(ValueOf(report), source, now);
-  const result<reach_report> reach = DecodeWire<reach_report>(bytes);
-  if (IsOk(reach)) return OnReachReport(ValueOf(reach), source, now);
-  const result<rate_limit_report> limits = DecodeWire<rate_limit_report>(bytes);
-  if (IsOk(limits)) return OnRateLimitReport(ValueOf(limits), source, now);
-  const result<crash_report> crashes = DecodeWire<crash_report>(bytes);
-  if (!IsOk(crashes)) {
+  result<peer_datagram> read = ReadPeerDatagram(bytes);
+  if (!IsOk(read)) {
     context_.log.Write("peers", "unreadable",
-                       {{"problem", ErrorOf(report).message}}, now);
+                       {{"problem", ErrorOf(read).message}}, now);
     return;
   }
-  // A stranger could get requests refused with it.
-  UpdateReaders(now);
-  const vm_id& vm = ValueOf(crashes).vm;
-  if (IsFrom(vm, source)) return context_.crashes.OnTold(ValueOf(crashes), now);
-  context_.log.Write("peers", "crash_report_refused", {{"vm", vm.Str()}}, now);
+  std::visit([&](const auto& report) { OnReport(report, source, now); },
+             ValueOf(read));
+}
+
+// A stranger could get requests refused with it.
+void peer_exchange::OnReport(const crash_report& report,
+                             const sockaddr_in& source, monotonic_time now) {
+  if (IsFrom(report.vm, source)) return context_.crashes.OnTold(report, now);
+  context_.log.Write("peers", "crash_report_refused", {{"vm", report.vm.Str()}},
+                     now);
 }
 
 // A VM may report before its record is read here. A stranger could starve a
 // workspace with reports in a listed VM's name, or fill the memory with others.
-bool peer_exchange::IsTaken(const vm_id& vm, const sockaddr_in& source,
-                            monotonic_time now) {
-  if (!readers_.contains(vm)) UpdateReaders(now);
+bool peer_exchange::AcceptsReport(const vm_id& vm, const sockaddr_in& source) {
+  UpdateReaders();
   if (readers_.contains(vm)) return IsFrom(vm, source);
   return peers_.contains(vm) ||
          peers_.size() < readers_.size() + kMaxUnlistedPeers;
@@ -321,7 +320,7 @@
 
 void peer_exchange::OnReport(const peer_report& report,
                              const sockaddr_in& source, monotonic_time now) {
-  if (!IsTaken(report.vm, source, now)) {
+  if (!AcceptsReport(report.vm, source)) {
     context_.log.Write("peers", "report_refused", {{"vm", report.vm.Str()}},
                        now);
     return;
@@ -366,10 +365,8 @@
 }
 
 // A stranger could keep callers away from a VM with it.
-void peer_exchange::OnReachReport(const reach_report& report,
-                                  const sockaddr_in& source,
-                                  monotonic_time now) {
-  UpdateReaders(now);
+void peer_exchange::OnReport(const reach_report& report,
+                             const sockaddr_in& source, monotonic_time now) {
   if (!IsFrom(report.vm, source)) {
     context_.log.Write("peers", "reach_report_refused",
                        {{"vm", report.vm.Str()}}, now);
@@ -387,10 +384,8 @@
 }
 
 // A stranger could starve an upstream with it.
-void peer_exchange::OnRateLimitReport(const rate_limit_report& report,
-                                      const sockaddr_in& source,
-                                      monotonic_time now) {
-  UpdateReaders(now);
+void peer_exchange::OnReport(const rate_limit_report& report,
+                             const sockaddr_in& source, monotonic_time now) {
   if (!IsFrom(report.vm, source)) {
     context_.log.Write("peers", "rate_limit_report_refused",
                        {{"vm", report.vm.Str()}}, now);
