The words of crashes have a budget of datagrams

Each lost connection is told to all VMs at once and twice more, a datagram each time. The newest go first, so that a crash is told at once also behind a flood of lost answers.

--- a/include/citron/node/crash_watch.h
+++ b/include/citron/node/crash_watch.h
@@ -44,8 +44,9 @@
                monotonic_time now);
   void OnTold(const crash_report& report, monotonic_time now);
 
-  // What to tell the other VMs now; each crash is told several times, as
-  // datagrams are lost.
+  bool HasNews() const { return !news_.empty(); }
+  // What to tell the other VMs in one report; each crash is told several times,
+  // as datagrams are lost, and new ones first.
   std::vector<crash_line> TakeNews(monotonic_time now);
   void Expire(monotonic_time now) { registry_.Expire(now); }
 
--- a/include/citron/node/peer_exchange.h
+++ b/include/citron/node/peer_exchange.h
@@ -16,6 +16,7 @@
 #include "citron/node/peer_report.h"
 #include "citron/node/rate_limit_report.h"
 #include "citron/node/reach_report.h"
+#include "citron/policy/report_budget.h"
 
 struct event;
 struct sockaddr_in;
@@ -34,8 +35,8 @@
 
   // Tells whom it is time to tell; to be called as time passes.
   void Run(const vm_condition& own, monotonic_time now);
-  // Tells what there is to tell of crashes; to be called at once for news, and
-  // as time passes.
+  // Tells what there is to tell of crashes, as the budget allows; to be called
+  // at once for news, and as time passes.
   void TellCrashes(monotonic_time now);
 
   bool IsHeard(const vm_id& vm, monotonic_time now) const;
@@ -109,6 +110,7 @@
   std::map<vm_id, rate_limit_report> rate_limit_reports_;  // The same.
   std::map<vm_id, endpoint> readers_;  // Who is told, and where.
   std::uint64_t readers_version_ = 0;  // Of the list of VMs.
+  report_budget crash_budget_{report_budget_options{}};
 };
 
 }  // namespace citron
--- a/src/node/crash_watch.cc
+++ b/src/node/crash_watch.cc
@@ -62,8 +62,8 @@
   if (after == standing::kClear) return;
   const upstream_crash crash{upstream, now};
   LogStanding(fingerprint, crash, "own", now);
-  if (news_.size() >= kMostNews) news_.pop_front();
-  news_.push_back({fingerprint, crash, kTellings});
+  if (news_.size() >= kMostNews) news_.pop_back();
+  news_.push_front({fingerprint, crash, kTellings});
   if (on_news_) on_news_();
 }
 
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -224,10 +224,12 @@
 }
 
 void peer_exchange::TellCrashes(monotonic_time now) {
+  if (!context_.crashes.HasNews()) return;
+  UpdateReaders();
+  const auto readers = static_cast<int>(readers_.size());
+  if (!crash_budget_.TryTake(readers, now)) return;
   const crash_report report{context_.settings.vm,
                             context_.crashes.TakeNews(now)};
-  if (report.crashes.empty()) return;
-  UpdateReaders();
   const std::string bytes = EncodeWire(report);
   for (const auto& [vm, address] : readers_) SendTo(address, bytes);
 }
--- a/tests/node/crash_watch_test.cc
+++ b/tests/node/crash_watch_test.cc
@@ -99,6 +99,17 @@
   BOOST_TEST(told == 3u * 256u);
 }
 
+// Guards against a crash whose word waits behind those of a flood of lost
+// answers, and comes after the caller's next copy.
+BOOST_AUTO_TEST_CASE(TheNewestCrashIsToldFirst) {
+  for (std::uint64_t i = 1; i <= 1000; ++i) {
+    watch.OnLost(100 + i, kA, false, now, now);
+  }
+  watch.TakeNews(now);
+  watch.OnLost(kKiller, kB, false, now, now);
+  BOOST_TEST(watch.TakeNews(now).at(0).fingerprint == kKiller);
+}
+
 BOOST_AUTO_TEST_CASE(ARequestWithoutAFingerprintIsNeverBlamed) {
   watch.OnLost(0, kA, false, now, now);
   crash_report report = Told(kB);
