A VM that reaches upstreams doesn't compare lists of relays

Each 250 ms each VM compared the relays that it found with those of before, each with each: 295 x 295 names at a large fleet, though only a VM without upstreams uses the result. It is now done there alone, by a search in the sorted list.

--- a/include/citron/node/upstream_paths.h
+++ b/include/citron/node/upstream_paths.h
@@ -64,6 +64,9 @@
   void OnLost(connect_result result, monotonic_time now);
   void UpdateRelays(upstream_pool& pool, const peer_exchange& peers,
                     monotonic_time now);
+  // Closes what goes through relays that are not among those found now.
+  void LeaveLostRelays(const std::vector<relay_candidate>& found,
+                       upstream_pool& pool, const peer_exchange& peers);
   // Takes back what was concluded from failures that show the path's fault.
   void ForgetConnectFailures(monotonic_time since);
   void Probe(upstream_pool& pool, monotonic_time now);
--- a/src/node/upstream_paths.cc
+++ b/src/node/upstream_paths.cc
@@ -139,19 +139,29 @@
   }
   std::erase_if(relay_failed_until_,
                 [now](const auto& failed) { return now >= failed.second; });
+  if (!reach_.IsReachable()) LeaveLostRelays(relays, pool, peers);
+  relays_ = std::move(relays);
+}
+
+// Both lists are in the order of the VMs' names.
+void upstream_paths::LeaveLostRelays(const std::vector<relay_candidate>& found,
+                                     upstream_pool& pool,
+                                     const peer_exchange& peers) {
   for (const relay_candidate& before : relays_) {
-    const bool still = std::any_of(
-        relays.begin(), relays.end(), [&](const relay_candidate& relay) {
-          return relay.vm == before.vm && relay.is_ready >= before.is_ready;
-        });
-    if (still || reach_.IsReachable()) continue;
+    const auto place =
+        std::lower_bound(found.begin(), found.end(), before.vm,
+                         [](const relay_candidate& relay, const vm_id& vm) {
+                           return relay.vm < vm;
+                         });
+    const bool is_left = place != found.end() && place->vm == before.vm &&
+                         place->is_ready >= before.is_ready;
+    if (is_left) continue;
     pool.CloseIdle(before.vm);
     // It may have told of failures that were its own.
     if (!peers.ReachesUpstreams(before.vm)) {
       ForgetConnectFailures(reach_.FailingSince());
     }
   }
-  relays_ = std::move(relays);
 }
 
 void upstream_paths::Probe(upstream_pool& pool, monotonic_time now) {
