VMs don't come to the store together when their sources lose it

In an outage of the whole store each VM also called it each 0.3 to 0.64 s, and left its sources alone for up to 12 s after it.

- A VM that has lost the store (two calls in a row) says so at once, while the copies of its readers are current and there is time to ask another one.
- A VM whose sources say so spaces its own calls: two intervals, up to 2.2 s (3.5 s for a bound of 4 s).
VMs that others read from go on as before and find the end of the outage; a source that refused is asked again after 2 s.

Not done: a whole copy for a proof that a short watch could bring; its bytes are the same, as all upstreams write within 1.5 s.

--- a/include/citron/node/feed_messages.h
+++ b/include/citron/node/feed_messages.h
@@ -48,6 +48,7 @@
                                       std::string_view secret);
 http_response MakeFeedResponse(const feed_answer& answer,
                                std::string_view secret);
+// Fails with kNotFound if the VM has no current copy.
 result<feed_answer> ReadFeedResponse(const http_response& response,
                                      std::string_view secret);
 
--- a/include/citron/protocol/feed_sources.h
+++ b/include/citron/protocol/feed_sources.h
@@ -38,6 +38,8 @@
   // further failure.
   duration min_backoff = FromMilliseconds(1500);
   duration max_backoff = FromMilliseconds(12000);
+  // The same for one that answers that it has lost the store.
+  duration refusal_backoff = FromMilliseconds(2000);
 };
 
 // Selects the planned VM to read from by the VMs' recent answers and failures.
@@ -53,6 +55,8 @@
   std::optional<vm_id> Next(monotonic_time now) const;
   void OnAnswered(const vm_id& vm);
   void OnFailed(const vm_id& vm, monotonic_time now);
+  // It answered that its copy isn't current.
+  void OnRefused(const vm_id& vm, monotonic_time now);
 
  private:
   struct failure {
--- a/include/citron/protocol/fleet_feed.h
+++ b/include/citron/protocol/fleet_feed.h
@@ -103,8 +103,10 @@
   // an outage.
   void OnRelayed(std::uint64_t revision, duration held, duration proof_age,
                  duration expiry_grace_left, monotonic_time now);
-  // The other VM gave no answer, or none that is current.
+  // The other VM gave no answer.
   void OnRelayFailed(monotonic_time now);
+  // The other VM has lost the store.
+  void OnRelayRefused(monotonic_time now);
   void OnCompacted(monotonic_time now);
   void OnFailed(monotonic_time now);
   // Take the end of a read that StartRefresh ordered at `sent_at`.
@@ -118,6 +120,10 @@
   // store acknowledged.
   std::optional<monotonic_time> ProvenAt() const { return proven_at_; }
   bool IsProvenWithin(duration age, monotonic_time now) const;
+  // Returns whether other VMs may read from this one: its copy is current, and
+  // it has not lost the store. They look for another one while their own copies
+  // are current.
+  bool CanServeOthers(monotonic_time now) const;
   // Returns whether there is a local copy and no call to the store failed since
   // the last answer.
   bool IsConnected() const { return failures_ == 0 && has_copy_; }
@@ -131,6 +137,9 @@
                     monotonic_time now);
   void RecordCopy(monotonic_time sent_at, monotonic_time now);
   bool NeedsRefresh(monotonic_time now) const;
+  // Returns the wait until the next call after one that failed, `least` if
+  // other VMs wait for it.
+  duration RetryWait(duration least) const;
 
   feed_options options_;
   int fleet_size_ = 1;
@@ -144,6 +153,7 @@
   monotonic_time copy_needed_since_{};
   bool watches_store_ = false;  // The last call was to the store.
   bool is_shared_ = false;
+  bool others_lost_store_ = false;  // As they said since the last answer.
   int failures_ = 0;
   int pending_refreshes_ = 0;
   monotonic_time next_refresh_at_{};
--- a/src/node/feed_messages.cc
+++ b/src/node/feed_messages.cc
@@ -47,6 +47,7 @@
 constexpr std::string_view kQuestion = "question\n";
 constexpr std::string_view kAnswer = "answer\n";
 constexpr int kOk = 200;
+constexpr int kNotCurrent = 503;
 
 http_headers SealedHeaders(std::string_view direction, std::string_view body,
                            std::string_view secret) {
@@ -88,7 +89,9 @@
 result<feed_answer> ReadFeedResponse(const http_response& response,
                                      std::string_view secret) {
   if (response.head.status != kOk) {
-    return MakeError(error_code::kUnavailable,
+    return MakeError(response.head.status == kNotCurrent
+                         ? error_code::kNotFound
+                         : error_code::kUnavailable,
                      fmt::format("HTTP status {}", response.head.status));
   }
   if (!IsSealed(response.head.headers, kAnswer, response.body, secret)) {
--- a/src/node/feed_relay.cc
+++ b/src/node/feed_relay.cc
@@ -22,7 +22,7 @@
     : context_(context), index_(index), secret_(std::move(secret)) {}
 
 bool feed_relay::IsCurrent(monotonic_time now) const {
-  return context_.feed.IsProvenWithin(context_.feed.Options().refresh_age, now);
+  return context_.feed.CanServeOthers(now);
 }
 
 void feed_relay::OnQuestion(http_exchange& exchange) {
--- a/src/node/store_sync.cc
+++ b/src/node/store_sync.cc
@@ -114,8 +114,13 @@
                         {"problem", ErrorOf(answer).message},
                         {"store_age_ms", StoreAgeMs(context_, now)}},
                        now);
-    sources_.OnFailed(relay, now);
-    context_.feed.OnRelayFailed(now);
+    if (ErrorOf(answer).code == error_code::kNotFound) {
+      sources_.OnRefused(relay, now);
+      context_.feed.OnRelayRefused(now);
+    } else {
+      sources_.OnFailed(relay, now);
+      context_.feed.OnRelayFailed(now);
+    }
     return Run(now);
   }
   sources_.OnAnswered(relay);
--- a/src/protocol/feed_sources.cc
+++ b/src/protocol/feed_sources.cc
@@ -90,4 +90,10 @@
                                    options_.max_backoff);
 }
 
+// Load pattern: an outage of the store, after which all VMs would come to it as
+// long as they leave their sources alone.
+void feed_sources::OnRefused(const vm_id& vm, monotonic_time now) {
+  failures_[vm].backoff_until = now + options_.refusal_backoff;
+}
+
 }  // namespace citron
--- a/src/protocol/fleet_feed.cc
+++ b/src/protocol/fleet_feed.cc
@@ -8,6 +8,11 @@
 
 // One may be lost and another one slow.
 constexpr int kMaxPendingRefreshes = 3;
+// Calls to the store that fail in a row until it counts as lost.
+constexpr int kFailuresToLoseStore = 2;
+// Intervals between two calls of a VM during an outage of the store, while the
+// VMs from which it reads look for its end.
+constexpr int kOutageIntervals = 2;
 
 }  // namespace
 
@@ -77,7 +82,7 @@
   if (now < next_refresh_at_) return std::nullopt;
   if (pending_refreshes_ >= kMaxPendingRefreshes) return std::nullopt;
   ++pending_refreshes_;
-  next_refresh_at_ = now + options_.refresh_interval;
+  next_refresh_at_ = now + RetryWait(options_.refresh_interval);
   return is_old ? refresh_reason::kOldProof : refresh_reason::kAudit;
 }
 
@@ -111,6 +116,7 @@
   }
   if (failures_ > 0) expiry_grace_until_ = now + options_.expiry_grace;
   failures_ = 0;
+  others_lost_store_ = false;
 }
 
 // The other VM received the request after it was sent and held it for a known
@@ -133,6 +139,11 @@
   next_at_ = now;
 }
 
+void fleet_feed::OnRelayRefused(monotonic_time now) {
+  OnRelayFailed(now);
+  others_lost_store_ = true;
+}
+
 // The store held a watch without changes for its whole wait, so the answer was
 // made at least that long after the call was sent. A VM that was frozen may
 // read the answer much later.
@@ -155,6 +166,7 @@
   proven_at_ = proven_at;
   if (failures_ > 0) expiry_grace_until_ = now + options_.expiry_grace;
   failures_ = 0;
+  others_lost_store_ = false;
   next_at_ = std::max(now, sent_at_ + interval_);
 }
 
@@ -178,7 +190,19 @@
   // to the store reads everything, unless another VM answers first.
   needs_range_ = true;
   copy_needed_since_ = sent_at_;
-  next_at_ = now + options_.retry_interval;
+  next_at_ = now + RetryWait(options_.retry_interval);
+}
+
+// Load pattern: an outage of the store, in which each VM of a large fleet calls
+// it again and again, and its end, to which all come at once.
+duration fleet_feed::RetryWait(duration least) const {
+  const bool is_outage = others_lost_store_ && !is_shared_;
+  return is_outage ? std::max(least, kOutageIntervals * interval_) : least;
+}
+
+bool fleet_feed::CanServeOthers(monotonic_time now) const {
+  return IsProvenWithin(options_.refresh_age, now) &&
+         failures_ < kFailuresToLoseStore;
 }
 
 bool fleet_feed::IsProvenWithin(duration age, monotonic_time now) const {
--- a/tests/protocol/feed_sources_test.cc
+++ b/tests/protocol/feed_sources_test.cc
@@ -117,6 +117,20 @@
   BOOST_CHECK(sources.Next(now) == vm_id("a"));
 }
 
+// Guards against VMs that come to the store after an outage, since they leave
+// their sources alone for longer than the outage.
+BOOST_AUTO_TEST_CASE(ASourceThatLostTheStoreIsAskedAgainSoon) {
+  monotonic_time now{std::chrono::hours(1)};
+  feed_sources sources;
+  sources.SetPlan({vm_id("a")});
+  for (int i = 0; i < 5; ++i) {
+    sources.OnRefused(vm_id("a"), now);
+    BOOST_CHECK(!sources.Next(now + milliseconds(1999)));
+    now += seconds(2);
+    BOOST_CHECK(sources.Next(now) == vm_id("a"));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RemovalFromThePlanClearsFailures) {
   monotonic_time now{std::chrono::hours(1)};
   feed_sources sources;
