--- a/include/citron/protocol/fleet_feed.h
+++ b/include/citron/protocol/fleet_feed.h
@@ -137,8 +137,8 @@
                     monotonic_time now);
   void RecordCopy(monotonic_time sent_at, monotonic_time now);
   bool NeedsRefresh(monotonic_time now) const;
-  // Returns the wait until the next call after one that failed, `least` if
-  // other VMs wait for it.
+  // Returns the wait after a call to the store until the next one if it fails:
+  // `least`, or more while other VMs have lost the store, too.
   duration RetryWait(duration least) const;
 
   feed_options options_;
--- a/src/node/peer_datagram.cc
+++ b/src/node/peer_datagram.cc
@@ -1,7 +1,7 @@
 #include "citron/node/peer_datagram.h"
 
-#include <optional>
 #include <tuple>
+#include <utility>
 
 #include "citron/wire/codec.h"
 #include "citron/wire/fields.h"
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -183,7 +183,6 @@
   };
   std::erase_if(reach_reports_, is_gone);
   std::erase_if(rate_limit_reports_, is_gone);
-  // A reader that was never heard has no state of its own.
   std::erase_if(readers_, is_gone);
   std::erase_if(peers_, is_gone);
 }
