One way to send to all VMs; one end of failures of the store

Behaviour as before.

Checked: the seven unit tests of the classes and of the simulated fleet, plain build, green; formatter and linter clean on the two sources.

Looked at and left: report_budget beside protocol/token_bucket (that one's parts and deadlines are a contract's); request_handler_factory, which owns connections and should be named so; the list of relays, which each VM works out each 250 ms though only one without upstreams uses it.

--- a/include/citron/node/peer_exchange.h
+++ b/include/citron/node/peer_exchange.h
@@ -85,6 +85,9 @@
   void UpdateReaders();
   // The next one follows after the interval.
   void Send(const peer_report& report, bool to_serving, duration interval);
+  // Whether they serve callers or not, at once.
+  template <typename report>
+  void SendToAll(const report& told);
   void SendTo(const endpoint& address, const std::string& bytes);
   bool Serves(const vm_id& vm) const;
   int ServingPeers() const;
--- a/include/citron/protocol/fleet_feed.h
+++ b/include/citron/protocol/fleet_feed.h
@@ -136,6 +136,8 @@
   void RecordAnswer(std::uint64_t revision, monotonic_time proven_at,
                     monotonic_time now);
   void RecordCopy(monotonic_time sent_at, monotonic_time now);
+  // The store answered this VM, or another VM that has not lost it.
+  void EndFailures(monotonic_time now);
   bool NeedsRefresh(monotonic_time now) const;
   // Returns the wait after a call to the store until the next one if it fails:
   // `least`, or more while other VMs have lost the store, too.
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -222,6 +222,13 @@
   }
 }
 
+template <typename report>
+void peer_exchange::SendToAll(const report& told) {
+  UpdateReaders();
+  const std::string bytes = EncodeWire(told);
+  for (const auto& [vm, address] : readers_) SendTo(address, bytes);
+}
+
 void peer_exchange::TellCrashes(monotonic_time now) {
   if (!context_.crashes.HasNews()) return;
   UpdateReaders();
@@ -229,8 +236,7 @@
   if (!crash_budget_.TryTake(readers, now)) return;
   const crash_report report{context_.settings.vm,
                             context_.crashes.TakeNews(now)};
-  const std::string bytes = EncodeWire(report);
-  for (const auto& [vm, address] : readers_) SendTo(address, bytes);
+  SendToAll(report);
 }
 
 void peer_exchange::TellReach(bool reaches_upstreams, monotonic_time now) {
@@ -241,10 +247,8 @@
   if (!has_news || (!changed && now < tell_reach_at_)) return;
   if (reach_reports_left_ > 0) --reach_reports_left_;
   tell_reach_at_ = now + IntervalFor(context_.fleet.FleetSize());
-  UpdateReaders();
-  const std::string bytes = EncodeWire(reach_report{
-      context_.settings.vm, incarnation_, ++sequence_, reaches_upstreams});
-  for (const auto& [vm, address] : readers_) SendTo(address, bytes);
+  SendToAll(reach_report{context_.settings.vm, incarnation_, ++sequence_,
+                         reaches_upstreams});
 }
 
 void peer_exchange::TellRateLimits(monotonic_time now) {
@@ -256,9 +260,7 @@
                                  context_.fleet.RateLimitLines(now)};
   if (report.lines.empty()) return;
   ++sequence_;
-  UpdateReaders();
-  const std::string bytes = EncodeWire(report);
-  for (const auto& [vm, address] : readers_) SendTo(address, bytes);
+  SendToAll(report);
 }
 
 // One that can't be sent is a lost one; the next follows.
--- a/src/protocol/fleet_feed.cc
+++ b/src/protocol/fleet_feed.cc
@@ -114,6 +114,10 @@
     needs_range_ = false;
     needs_store_copy_ = false;
   }
+  EndFailures(now);
+}
+
+void fleet_feed::EndFailures(monotonic_time now) {
   if (failures_ > 0) expiry_grace_until_ = now + options_.expiry_grace;
   failures_ = 0;
   others_lost_store_ = false;
@@ -164,9 +168,7 @@
   if (!needs_store_copy_) needs_range_ = false;
   revision_ = std::max(revision_, revision);
   proven_at_ = proven_at;
-  if (failures_ > 0) expiry_grace_until_ = now + options_.expiry_grace;
-  failures_ = 0;
-  others_lost_store_ = false;
+  EndFailures(now);
   next_at_ = std::max(now, sent_at_ + interval_);
 }
 
