--- a/tests/policy/affinity_selector_test.cc
+++ b/tests/policy/affinity_selector_test.cc
@@ -65,6 +65,26 @@
     }
   }
 
+  // Sends requests for few objects for half a minute. All upstreams tell an
+  // idle load if `told`. Returns the part of the objects at home after it.
+  double HomePartAfterRequests(bool told) {
+    constexpr int kObjects = 18;
+    for (int i = 0; i < 1500; ++i) {
+      now_ += milliseconds(20);
+      ChosenUpstream(RequestForObject(i * i % 1009 % kObjects));
+      if (!told || i % 50 != 0) continue;
+      selector_.ForEach([this](upstream_tracker& upstream) {
+        upstream.OnPeerLoadReport(0, now_);
+      });
+    }
+    int home = 0;
+    for (int object = 0; object < 1000; ++object) {
+      const std::string chosen = ChosenUpstream(RequestForObject(object));
+      home += selector_.Find(upstream_id(chosen))->Region().Str() == "r0";
+    }
+    return home / 1000.0;
+  }
+
   monotonic_time now_{std::chrono::hours(1)};
   affinity_selector selector_;
 };
@@ -295,6 +315,25 @@
   BOOST_TEST(!upstream->OnRateLimit({7.0, own, now_}, later));
 }
 
+// Guards against requests that travel though their region keeps their objects.
+BOOST_AUTO_TEST_CASE(FewObjectsStayInARegionWithFreeSlots) {
+  BOOST_TEST(HomePartAfterRequests(true) > 0.95);
+  const region_choices choices = selector_.TakeRegionChoices();
+  BOOST_TEST(choices.own > choices.other);
+  BOOST_TEST(selector_.TakeRegionChoices().own == 0);
+}
+
+// Guards against growth into a region of which no load is heard.
+BOOST_AUTO_TEST_CASE(WithoutToldLoadsTheRegionIsPreferredAsBefore) {
+  BOOST_TEST(HomePartAfterRequests(false) < 0.55);
+}
+
+// Guards against a closed zone that counts as room for objects.
+BOOST_AUTO_TEST_CASE(AClosedZoneOfTheRegionIsNoRoom) {
+  selector_.SetClosedZones({zone_id("z0")});
+  BOOST_TEST(HomePartAfterRequests(true) < 0.8);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
