Bound the bytes that a VM holds and reads

An upstream's bytes that are no answer were read for as long as they came: interim answers (by recursion), chunk extensions, the body of a forged answer, of a failure (held up to 1 MB, read on for ever) and of late answers to other requests. http_parser bounds only the trailers and one chunk's extension, at 80 KB each. answer_guard ends each of them at a stated bound; the connection is closed, and the caller gets 502 at once or another upstream's answer. A refusal with a complete head counts as not run, whatever becomes of its body. A short body of a refusal or a forged answer is still read on for 350 ms, so that the connection is kept. A failure is passed on whole or not at all: one of over 1 MB was cut and given a length that made it look whole.

memory_budget counts bodies, answers and what slow peers have not taken, on a VM with a memory limit in its settings, against a quarter of it. Above half of that, large bodies and answers go on as they come; at the limit a body of more than 16 KB is rejected with Retry-After, not run.

Found and mended on the way: - While a body waited for a slow upstream, or a caller had sent 80 KB ahead, libevent reported the full input again and again: the loop of the VM turned without a pause and served nobody else meanwhile (seen with strace and gdb in ACallerThatWaitsForASlowUpstreamMayLeave: 1.5 s in one turn of the loop). Reading is now switched off there; a timer looks for the caller's end. EV_CLOSED was tried first: libevent reports a reset only as readable, so that an event for the close alone would turn as well. - An upstream connection whose reading was paused by the last piece of an answer went back to the pool without reading. - An answer without a length looked whole if its upstream gave up a slow caller.

kUpload is a kind of its own, parsed in platform/, and runs once.

--- a/include/citron/config/node_settings.h
+++ b/include/citron/config/node_settings.h
@@ -1,6 +1,7 @@
 #ifndef CITRON_CONFIG_NODE_SETTINGS_H_
 #define CITRON_CONFIG_NODE_SETTINGS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 
@@ -45,8 +46,9 @@
   endpoint tunnels;  // Where other VMs ask for tunnels to upstreams.
   endpoint store;
   int max_descriptors = 4096;
-  double link_mbps = 0;        // 0: not known.
-  double processor_share = 0;  // Of one core; 0: not known.
+  double link_mbps = 0;                // 0: not known.
+  std::size_t memory_limit_bytes = 0;  // Of this process; 0: not known.
+  double processor_share = 0;          // Of one core; 0: not known.
   fleet_bounds bounds;
 };
 
--- a/include/citron/config/routing_config.h
+++ b/include/citron/config/routing_config.h
@@ -23,6 +23,7 @@
   kIdempotent,
   kOnce,
   kDownload,  // Idempotent, with a large answer.
+  kUpload,    // Runs once, with a large body.
 };
 
 struct service_weight {
--- a/include/citron/net/http1_reader.h
+++ b/include/citron/net/http1_reader.h
@@ -41,6 +41,10 @@
   virtual ~http1_listener() = default;
   virtual void OnHead(http1_head head) = 0;
   virtual void OnBody(std::string_view bytes) = 0;
+  // An interim answer of that size, or that many bytes around the body: chunk
+  // sizes, extensions and trailers.
+  virtual void OnInterimHead(std::size_t /*bytes*/) {}
+  virtual void OnFraming(std::size_t /*bytes*/) {}
 };
 
 // Reads HTTP/1.1 messages, one at a time, from a connection's input. Bodies are
@@ -76,6 +80,7 @@
   struct callbacks;
 
   progress ReadHead(evbuffer* input);
+  progress ReadOneHead(evbuffer* input);
   progress ReadBody(evbuffer* input);
   progress Fail(http1_fault fault);
   bool Feed(const char* bytes, std::size_t count, std::size_t* taken);
@@ -89,7 +94,8 @@
   http1_head head_;
   bool value_began_ = false;
   bool no_body_ = false;
-  bool is_framed_ = false;  // The answer's end is told by its head.
+  std::size_t body_bytes_ = 0;  // Of the piece that is read now.
+  bool is_framed_ = false;      // The answer's end is told by its head.
 };
 
 }  // namespace citron
--- a/include/citron/node/caller_connection.h
+++ b/include/citron/node/caller_connection.h
@@ -12,6 +12,7 @@
 #include "citron/net/event_loop.h"
 #include "citron/net/http1_reader.h"
 #include "citron/node/caller_exchange.h"
+#include "citron/policy/memory_budget.h"
 
 struct bufferevent;
 
@@ -23,10 +24,11 @@
  public:
   using on_end = std::function<void(caller_connection&)>;
 
-  // Takes the descriptor. `ended` is called once, when nothing is to be done
-  // any more; the connection may be destroyed after the callback has returned.
+  // Takes the descriptor. What it holds counts in `memory`. `ended` is called
+  // once, when nothing is to be done any more; the connection may be destroyed
+  // after the callback has returned.
   caller_connection(event_loop& loop, int descriptor,
-                    const caller_limits& limits,
+                    const caller_limits& limits, memory_budget& memory,
                     request_handler_factory& handlers, on_end ended);
   ~caller_connection() override;
 
@@ -56,8 +58,14 @@
   void PauseBody() override;
   void ResumeBody() override;
 
+  std::size_t MaxInput() const;
   void OnReadable();
   void OnWritten();
+  void UpdateHeld();
+  // Leaves what comes with the kernel; the caller's end is looked for.
+  void StopInput();
+  void StartInput();
+  void LookForEnd();
   void OnClosed();
   void OnDeadline();
   void ReadOn();
@@ -75,8 +83,10 @@
   request_handler_factory& handlers_;
   on_end ended_;
   bufferevent* bytes_ = nullptr;
+  memory_budget::account held_;
   http1_reader reader_;
   loop_timer timer_;
+  loop_timer end_timer_;  // While nothing is read.
   state state_ = state::kReading;
   std::unique_ptr<request_handler> handler_;
   bool in_reader_ = false;
--- a/include/citron/node/node_context.h
+++ b/include/citron/node/node_context.h
@@ -10,6 +10,7 @@
 #include "citron/node/header_names.h"
 #include "citron/node/upstream_paths.h"
 #include "citron/node/upstream_pool.h"
+#include "citron/policy/memory_budget.h"
 #include "citron/protocol/fleet_feed.h"
 
 namespace citron {
@@ -26,6 +27,7 @@
   upstream_pool& pool;
   crash_watch& crashes;
   upstream_paths& paths;
+  memory_budget& memory;
 };
 
 // Whether callers should be sent to a VM, as it says of itself.
--- a/include/citron/node/node_task.h
+++ b/include/citron/node/node_task.h
@@ -81,6 +81,7 @@
   upstream_paths paths_;
   upstream_pool pool_;
   crash_watch crashes_;
+  memory_budget memory_;
   node_context context_;
   std::string secret_;  // Of this start, for other VMs of the fleet.
   store_sync sync_;
--- a/include/citron/node/proxied_request.h
+++ b/include/citron/node/proxied_request.h
@@ -40,6 +40,7 @@
   // upstream_call_listener
   void OnConnected() override;
   void OnAnswerHead(http1_head head) override;
+  bool UsesAnswerBody() const override;
   void OnAnswerBody(std::string_view bytes) override;
   void OnAnswerEnd() override;
   void OnCallFailed(upstream_fault fault) override;
@@ -71,6 +72,16 @@
   bool IsSuspect(monotonic_time now) const;
   void SendTo(const selection& choice);
   void SendBodyPiece(std::string_view bytes);
+  void UpdateHeld();
+  // Whether there is room for the body, of which `bytes` come now.
+  bool HasRoom(std::size_t bytes);
+  void RefuseForMemory();
+  void ReportStreamedEarly(const char* what, std::size_t held);
+  void ReportCut(const char* cause);
+  // Gives up the rest of an answer that nobody gets.
+  void CutUnused(const char* cause);
+  void OnUnusedAnswerEnd();
+  bool IsRefusal() const { return answer_ && kind_ == answer_kind::kNotRun; }
   void OnNotRun(upstream_outcome outcome, const char* reason);
   // No connection could be opened, and the upstream isn't shown to be at fault.
   void OnPathFailed(const char* reason);
@@ -106,6 +117,8 @@
   std::string body_;
   bool body_ended_ = false;
   bool streaming_body_ = false;
+  bool has_room_ = false;  // Stays so, once it began.
+  memory_budget::account held_;
 
   std::unique_ptr<upstream_connection> connection_;
   upstream_id upstream_;
@@ -127,6 +140,7 @@
   answer_kind kind_ = answer_kind::kWhole;
   std::string answer_body_;
   bool streaming_answer_ = false;
+  loop_timer unused_timer_;
   bool done_ = false;
 };
 
--- a/include/citron/node/upstream_connection.h
+++ b/include/citron/node/upstream_connection.h
@@ -2,6 +2,7 @@
 #define CITRON_NODE_UPSTREAM_CONNECTION_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -11,6 +12,7 @@
 #include "citron/net/http1_reader.h"
 #include "citron/net/http_types.h"
 #include "citron/node/connection_path.h"
+#include "citron/policy/answer_guard.h"
 
 struct bufferevent;
 
@@ -22,9 +24,14 @@
   kLost,            // Closed, reset or silent before the whole answer.
   kBadAnswer,       // Bytes that are no answer.
   kRelayFailed,     // The other VM opened no tunnel; nothing was sent.
+  // Bytes that go on beyond what an answer has.
+  kEndlessHeads,
+  kEndlessFraming,
+  kEndlessUnused,
 };
 
 std::string_view UpstreamFaultName(upstream_fault fault);
+bool IsEndless(upstream_fault fault);
 
 enum class connect_result {
   kConnected,
@@ -43,6 +50,8 @@
   // Connected, and the request is being sent.
   virtual void OnConnected() = 0;
   virtual void OnAnswerHead(http1_head head) = 0;
+  // Whether the caller gets the body of that answer.
+  virtual bool UsesAnswerBody() const { return true; }
   virtual void OnAnswerBody(std::string_view bytes) = 0;
   virtual void OnAnswerEnd() = 0;
   virtual void OnCallFailed(upstream_fault fault) = 0;
@@ -107,6 +116,8 @@
 
   void OnHead(http1_head head) override;
   void OnBody(std::string_view bytes) override;
+  void OnInterimHead(std::size_t bytes) override;
+  void OnFraming(std::size_t bytes) override;
 
   void AskRelay();
   void OnRelayAnswer();
@@ -124,6 +135,8 @@
   upstream_connection_owner& owner_;
   bufferevent* bytes_ = nullptr;
   http1_reader reader_;
+  answer_guard guard_;
+  std::optional<upstream_fault> endless_;
   loop_timer connect_timer_;
   state state_ = state::kConnecting;
   upstream_call_listener* listener_ = nullptr;
@@ -134,6 +147,8 @@
   bool skipping_ = false;  // The answer of an earlier request.
   bool stays_open_ = true;
   bool paused_ = false;
+  bool was_left_unread_ = false;
+  monotonic_time paused_at_{};
   monotonic_time created_at_;
   duration connect_time_{};
   monotonic_time idle_since_{};
--- a/include/citron/policy/memory_budget.h
+++ b/include/citron/policy/memory_budget.h
@@ -15,7 +15,8 @@
 
 // Limits the bytes that a VM holds for its requests: bodies, answers and what a
 // slow peer has not taken. The allowance of one request shrinks as the total
-// grows, so that the largest holders give way first.
+// grows, so that the largest holders give way first. Load pattern: many large
+// bodies at once, and callers and upstreams that read slowly.
 class memory_budget {
  public:
   // The bytes of one request. The budget must outlive it.
--- a/src/net/http1_reader.cc
+++ b/src/net/http1_reader.cc
@@ -89,6 +89,7 @@
   }
 
   static int OnBody(http_parser* parser, const char* at, std::size_t length) {
+    Self(parser).body_bytes_ += length;
     Self(parser).listener_.OnBody({at, length});
     return 0;
   }
@@ -141,8 +142,17 @@
   return ReadBody(input);
 }
 
-// kMessageComplete stands for a complete head here.
+// kMessageComplete stands for a complete head here. Interim answers are passed
+// over one by one.
 http1_reader::progress http1_reader::ReadHead(evbuffer* input) {
+  progress made = progress::kMessageComplete;
+  while (state_ == state::kHead && made == progress::kMessageComplete) {
+    made = ReadOneHead(input);
+  }
+  return made;
+}
+
+http1_reader::progress http1_reader::ReadOneHead(evbuffer* input) {
   // Callers may send an empty line before a request.
   while (what_ == direction::kRequests) {
     char start[2];
@@ -184,7 +194,8 @@
     const bool no_body = no_body_;
     Reset();
     no_body_ = no_body;
-    return ReadHead(input);
+    listener_.OnInterimHead(size);
+    return progress::kMessageComplete;
   }
   head_.keep_alive = http_should_keep_alive(&parser_) != 0;
   head_.chunked = FindHeader(head_.headers, "Transfer-Encoding").has_value();
@@ -206,7 +217,9 @@
     const auto* bytes = reinterpret_cast<const char*>(
         evbuffer_pullup(input, static_cast<ev_ssize_t>(count)));
     std::size_t taken = 0;
+    body_bytes_ = 0;
     const bool fed = Feed(bytes, count, &taken);
+    if (taken > body_bytes_) listener_.OnFraming(taken - body_bytes_);
     evbuffer_drain(input, taken);
     if (!fed) return Fail(http1_fault::kMalformed);
   }
--- a/src/node/caller_connection.cc
+++ b/src/node/caller_connection.cc
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <utility>
@@ -20,6 +21,9 @@
 // Input that may wait while a request is served: the next requests of a caller
 // that doesn't wait for answers.
 constexpr std::size_t kMaxWaitingInput = std::size_t{64} << 10;
+// How long the end of a caller may go unseen while nothing is read from it.
+constexpr duration kEndInterval = std::chrono::milliseconds(250);
+constexpr std::size_t kMaxHeardOutput = std::size_t{1} << 30;
 // How long a caller gets to take the last answer and close its side. Closing
 // first would reset the connection under bytes that are still on their way.
 constexpr duration kCloseLimit = std::chrono::milliseconds(1500);
@@ -42,21 +46,25 @@
 
 caller_connection::caller_connection(event_loop& loop, int descriptor,
                                      const caller_limits& limits,
+                                     memory_budget& memory,
                                      request_handler_factory& handlers,
                                      on_end ended)
     : loop_(loop),
       limits_(limits),
       handlers_(handlers),
       ended_(std::move(ended)),
+      held_(memory),
       reader_(http1_reader::direction::kRequests, limits.max_head_bytes, *this),
-      timer_(loop, [this] { OnDeadline(); }) {
+      timer_(loop, [this] { OnDeadline(); }),
+      end_timer_(loop, [this] { LookForEnd(); }) {
   SetSocketOptions(descriptor);
   bytes_ = bufferevent_socket_new(
       loop.Base(), descriptor, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   bufferevent_setcb(bytes_, callbacks::Readable, callbacks::Written,
                     callbacks::Event, this);
-  bufferevent_setwatermark(bytes_, EV_READ, 0,
-                           limits.max_head_bytes + kMaxWaitingInput);
+  bufferevent_setwatermark(bytes_, EV_READ, 0, MaxInput());
+  // To hear of each part that a slow caller takes.
+  bufferevent_setwatermark(bytes_, EV_WRITE, kMaxHeardOutput, 0);
   bufferevent_enable(bytes_, EV_READ | EV_WRITE);
   timer_.Arm(MonotonicNow() + limits_.idle_limit);
 }
@@ -66,6 +74,10 @@
   if (bytes_ != nullptr) bufferevent_free(bytes_);
 }
 
+std::size_t caller_connection::MaxInput() const {
+  return limits_.max_head_bytes + kMaxWaitingInput;
+}
+
 void caller_connection::StopAfterAnswer() { closing_after_answer_ = true; }
 
 bool caller_connection::IsIdle() const {
@@ -86,14 +98,19 @@
     return;
   }
   ReadOn();
+  UpdateHeld();
 }
 
 void caller_connection::ReadOn() {
   if (in_reader_ || state_ == state::kEnded || state_ == state::kClosing)
     return;
   // A request that is whole is served before the next is looked at.
-  if (request_complete_ || body_paused_) return;
   evbuffer* input = bufferevent_get_input(bytes_);
+  if (request_complete_ || body_paused_) {
+    // A full input that stays full is reported again and again.
+    if (evbuffer_get_length(input) >= MaxInput()) StopInput();
+    return;
+  }
   if (!request_begun_ && evbuffer_get_length(input) > 0) {
     request_begun_ = true;
     timer_.Arm(MonotonicNow() + limits_.head_limit);
@@ -170,7 +187,14 @@
   End();
 }
 
+void caller_connection::UpdateHeld() {
+  if (state_ == state::kEnded) return;
+  held_.Set(PendingBytes() +
+            evbuffer_get_length(bufferevent_get_input(bytes_)));
+}
+
 void caller_connection::OnWritten() {
+  UpdateHeld();
   if (PendingBytes() > 0) return;
   if (state_ == state::kClosing) {
     shutdown(bufferevent_getfd(bytes_), SHUT_WR);
@@ -182,6 +206,7 @@
 void caller_connection::Write(std::string_view bytes) {
   handlers_.OnBytesWritten(bytes.size());
   bufferevent_write(bytes_, bytes.data(), bytes.size());
+  UpdateHeld();
 }
 
 void caller_connection::WriteHead(int status, const http_headers& headers,
@@ -240,6 +265,7 @@
     request_complete_ = false;
     request_begun_ = false;
     body_paused_ = false;
+    StartInput();
     state_ = state::kReading;
     if (closing_after_answer_) return BeginClose();
     timer_.Arm(MonotonicNow() + limits_.idle_limit);
@@ -265,11 +291,31 @@
   return evbuffer_get_length(bufferevent_get_output(bytes_));
 }
 
-void caller_connection::PauseBody() { body_paused_ = true; }
+void caller_connection::StopInput() {
+  bufferevent_disable(bytes_, EV_READ);
+  end_timer_.Arm(MonotonicNow() + kEndInterval);
+}
+
+void caller_connection::StartInput() {
+  bufferevent_enable(bytes_, EV_READ);
+  end_timer_.Disarm();
+}
+
+void caller_connection::LookForEnd() {
+  pollfd look{bufferevent_getfd(bytes_), POLLRDHUP, 0};
+  if (poll(&look, 1, 0) > 0) return OnClosed();
+  end_timer_.Arm(MonotonicNow() + kEndInterval);
+}
+
+void caller_connection::PauseBody() {
+  body_paused_ = true;
+  StopInput();
+}
 
 void caller_connection::ResumeBody() {
   if (!body_paused_) return;
   body_paused_ = false;
+  StartInput();
   loop_.Defer([this, alive = std::weak_ptr<bool>(alive_)] {
     if (!alive.expired()) ReadOn();
   });
@@ -280,12 +326,20 @@
   state_ = state::kClosing;
   timer_.Arm(MonotonicNow() + kCloseLimit);
   if (PendingBytes() == 0) shutdown(bufferevent_getfd(bytes_), SHUT_WR);
+  StartInput();
+  // What has come must be taken, or the close would become a reset that takes
+  // the answer with it.
+  loop_.Defer([this, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired() && state_ == state::kClosing) OnReadable();
+  });
 }
 
 void caller_connection::End() {
   if (state_ == state::kEnded) return;
   state_ = state::kEnded;
   timer_.Disarm();
+  end_timer_.Disarm();
+  held_.Set(0);
   bufferevent_disable(bytes_, EV_READ | EV_WRITE);
   bufferevent_setcb(bytes_, nullptr, nullptr, nullptr, nullptr);
   ended_(*this);
--- a/src/node/node_task.cc
+++ b/src/node/node_task.cc
@@ -46,6 +46,15 @@
                   FromSeconds(kRevocationPart * ToSeconds(bounds.revocation)));
 }
 
+// Of the memory limit, for what is held for requests. Buffers of the kernel and
+// of the allocator hold as much again, and the process itself up to 16 MB.
+constexpr double kHeldPart = 0.25;
+
+std::size_t HeldBytesLimit(const node_settings& settings) {
+  return static_cast<std::size_t>(
+      kHeldPart * static_cast<double>(settings.memory_limit_bytes));
+}
+
 // Descriptors for upstreams, the store, pages and files.
 constexpr int kKeptDescriptors = 1200;
 // Of the grace period: callers use what they were told for three times the
@@ -92,8 +101,9 @@
       paths_(settings_, fleet_, log_, stats_),
       pool_(loop, platform.names.request_id, paths_),
       crashes_(log_),
-      context_{loop_,  settings_, names_, log_,     stats_,
-               fleet_, feed_,     pool_,  crashes_, paths_},
+      memory_({.limit_bytes = HeldBytesLimit(settings)}),
+      context_{loop_, settings_, names_,   log_,   stats_, fleet_,
+               feed_, pool_,     crashes_, paths_, memory_},
       secret_(RandomHex(kSecretBytes)),
       sync_(context_, *platform.store, *platform.codec, secret_),
       relay_(context_, sync_.Index(), secret_),
@@ -134,7 +144,8 @@
   const caller_limits limits = routing ? routing->limits : caller_limits{};
   request_handler_factory& handlers = *this;
   connections_.push_back(std::make_unique<caller_connection>(
-      loop_, descriptor, limits, handlers, [this](caller_connection& ended) {
+      loop_, descriptor, limits, memory_, handlers,
+      [this](caller_connection& ended) {
         const auto found = std::find_if(
             connections_.begin(), connections_.end(),
             [&](const auto& held) { return held.get() == &ended; });
@@ -239,6 +250,9 @@
         now);
     crashes_.Expire(now);
     log_.Summarize(now);
+    stats_.Set("citron_held_bytes", {}, static_cast<double>(memory_.Held()));
+    stats_.Set("citron_held_peak_bytes", {},
+               static_cast<double>(memory_.Peak()));
   }
   if (stopped_) OnStopStep(now);
   tick_.Arm(now + kTick);
--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -31,6 +31,11 @@
 // for requests that can't be repeated if the two cross.
 constexpr duration kIdleMargin = std::chrono::milliseconds(800);
 constexpr duration kIdleMarginOnce = std::chrono::milliseconds(3000);
+// The body of an answer that nobody gets is read on, to keep the connection, if
+// it is short and comes at once: within a round trip between regions and one
+// more try of the kernel.
+constexpr std::size_t kMaxUnusedBody = std::size_t{64} << 10;
+constexpr duration kUnusedLimit = std::chrono::milliseconds(350);
 // Less than this can't bring an answer back.
 constexpr duration kLeastTimeLeft = std::chrono::milliseconds(15);
 constexpr int kMaxConnectFailures = 3;
@@ -42,6 +47,8 @@
 // likely to have come free, or after failing ones have been tried again.
 constexpr duration kRetryWhenBusy = std::chrono::milliseconds(250);
 constexpr duration kRetryWhenUnavailable = std::chrono::milliseconds(400);
+// Held bytes are given back as the slow ones read on, or at their deadlines.
+constexpr duration kRetryWhenMemoryFull = std::chrono::milliseconds(1000);
 // Upstreams at their rate limits: a limit may end at any moment.
 constexpr duration kLongestRetryWhenLimited = std::chrono::milliseconds(2000);
 
@@ -78,6 +85,10 @@
   return per_s;
 }
 
+// These promise that nothing ran, and only the upstream's own word that came
+// with them would be proof.
+bool IsPromise(int status) { return status == 429 || status == 408; }
+
 std::string HeaderOr(const http_headers& headers, const std::string& name) {
   const auto value = FindHeader(headers, name);
   return value ? std::string(*value) : std::string();
@@ -94,7 +105,9 @@
       exchange_(exchange),
       id_(HeaderOr(head_.headers, context.names.request_id)),
       arrived_at_(MonotonicNow()),
-      deadline_timer_(context.loop, [this] { OnDeadline(); }) {
+      deadline_timer_(context.loop, [this] { OnDeadline(); }),
+      held_(context.memory),
+      unused_timer_(context.loop, [this] { CutUnused("slow_unused"); }) {
   const route_config& route = *admitted_.route;
   const std::string object = HeaderOr(head_.headers, context.names.affinity);
   const bool sticks = route.has_affinity && !object.empty();
@@ -114,7 +127,8 @@
 }
 
 bool proxied_request::IsRepeatable() const {
-  return admitted_.route->repeats != repetition::kOnce;
+  return admitted_.route->repeats == repetition::kIdempotent ||
+         admitted_.route->repeats == repetition::kDownload;
 }
 
 void proxied_request::Start() {
@@ -126,12 +140,52 @@
 void proxied_request::OnBody(std::string_view bytes) {
   if (done_) return;
   if (streaming_body_) return SendBodyPiece(bytes);
+  if (!HasRoom(bytes.size())) return RefuseForMemory();
   body_.append(bytes);
-  if (body_.size() <= kHeldBody) return;
+  const std::size_t allowance = context_.memory.Allowance(kHeldBody);
+  UpdateHeld();
+  if (body_.size() <= allowance) return;
+  if (allowance < kHeldBody) ReportStreamedEarly("body", body_.size());
   streaming_body_ = true;
   Place();
 }
 
+// A body of unknown length is judged by what has come of it.
+bool proxied_request::HasRoom(std::size_t bytes) {
+  if (has_room_) return true;
+  const std::size_t size = body_.size() + bytes;
+  has_room_ = head_.body_length.has_value();
+  return context_.memory.Admits(head_.body_length.value_or(size));
+}
+
+void proxied_request::RefuseForMemory() {
+  context_.stats.Count("citron_rejected_for_memory_total", {});
+  context_.log.Write("request", "rejected_for_memory",
+                     {{"id", id_},
+                      {"route", admitted_.route->id.Str()},
+                      {"body", head_.body_length.value_or(0)},
+                      {"held", context_.memory.Held()}},
+                     MonotonicNow());
+  body_.clear();
+  Refuse(503, "memory_full", kRetryWhenMemoryFull);
+}
+
+void proxied_request::UpdateHeld() {
+  const std::size_t unsent =
+      connection_ == nullptr ? 0 : connection_->PendingBytes();
+  held_.Set(body_.size() + answer_body_.size() + unsent);
+}
+
+void proxied_request::ReportStreamedEarly(const char* what, std::size_t held) {
+  context_.stats.Count("citron_streamed_early_total", {{"what", what}});
+  context_.log.Write("request", "streamed_early",
+                     {{"id", id_},
+                      {"what", what},
+                      {"bytes", held},
+                      {"held", context_.memory.Held()}},
+                     MonotonicNow());
+}
+
 void proxied_request::OnBodyEnd() {
   if (done_) return;
   body_ended_ = true;
@@ -148,10 +202,16 @@
   } else {
     connection_->SendMore(fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes));
   }
-  if (connection_->PendingBytes() > kMaxPending) exchange_.PauseBody();
+  UpdateHeld();
+  if (connection_->PendingBytes() > context_.memory.Allowance(kMaxPending)) {
+    exchange_.PauseBody();
+  }
 }
 
-void proxied_request::OnRequestDrained() { exchange_.ResumeBody(); }
+void proxied_request::OnRequestDrained() {
+  UpdateHeld();
+  exchange_.ResumeBody();
+}
 
 void proxied_request::Place() {
   const monotonic_time now = MonotonicNow();
@@ -293,6 +353,7 @@
   sent_ = false;
   answer_.reset();
   answer_body_.clear();
+  unused_timer_.Disarm();
 
   body_framing framing;
   if (streaming_body_) {
@@ -314,7 +375,9 @@
   if (sent_) reached_.push_back(upstream_);
   connection_->Start(message, expects_body, id_, *this);
   if (framing.chunked) SendBodyPiece(body_);
-  if (streaming_body_) body_.clear();
+  // Gives the memory back; a body that goes on as it comes isn't sent again.
+  if (streaming_body_) body_ = std::string();
+  UpdateHeld();
   context_.log.Write("request", "sent",
                      {{"id", id_},
                       {"route", admitted_.route->id.Str()},
@@ -396,19 +459,72 @@
     ReportRateLimit(head);
   }
   answer_ = std::move(head);
+  if (kind_ != answer_kind::kForged && kind_ != answer_kind::kNotRun) return;
+  const auto length = answer_->body_length;
+  if (length.value_or(0) > kMaxUnusedBody) return CutUnused("long_unused");
+  if (length != 0) unused_timer_.Arm(MonotonicNow() + kUnusedLimit);
+}
+
+// Failures are passed on, but never in part.
+bool proxied_request::UsesAnswerBody() const {
+  return kind_ == answer_kind::kWhole;
+}
+
+void proxied_request::ReportCut(const char* cause) {
+  context_.stats.Count("citron_answers_cut_total", {{"cause", cause}});
+  context_.log.Write("request", "answer_cut",
+                     {{"id", id_},
+                      {"upstream", upstream_.Str()},
+                      {"cause", cause},
+                      {"status", answer_ ? answer_->status : 0},
+                      {"held", answer_body_.size()}},
+                     MonotonicNow());
+}
+
+void proxied_request::CutUnused(const char* cause) {
+  ReportCut(cause);
+  DropConnection();
+  OnUnusedAnswerEnd();
+}
+
+// Its head says that the request has not run, or that the answer isn't one.
+void proxied_request::OnUnusedAnswerEnd() {
+  if (kind_ == answer_kind::kForged) {
+    return OnMaybeRun(upstream_outcome::kServerError, "not_its_answer");
+  }
+  if (answer_->status == 421) {
+    return OnNotRun(upstream_outcome::kLeavingNotRun, "other_upstream");
+  }
+  context_.crashes.OnAlive(upstream_, sent_at_, MonotonicNow());
+  OnNotRun(upstream_outcome::kShedNotRun, "shed");
 }
 
 void proxied_request::OnAnswerBody(std::string_view bytes) {
   if (streaming_answer_) {
     exchange_.SendBody(bytes);
-    if (exchange_.PendingBytes() > kMaxPending) connection_->PauseReading();
+    const std::size_t most = context_.memory.Allowance(kMaxPending);
+    if (exchange_.PendingBytes() > most) connection_->PauseReading();
     return;
   }
+  const bool is_held =
+      kind_ == answer_kind::kFailure ||
+      (kind_ == answer_kind::kWhole && !IsPromise(answer_->status));
+  if (!is_held) return;
   answer_body_.append(bytes);
-  if (answer_body_.size() <= kHeldAnswer) return;
-  if (kind_ == answer_kind::kWhole) return StartStreaming();
-  // A failure this long isn't worth its memory; its text is cut.
-  answer_body_.resize(kHeldAnswer);
+  const std::size_t allowance = context_.memory.Allowance(kHeldAnswer);
+  UpdateHeld();
+  if (answer_body_.size() <= allowance) return;
+  if (kind_ == answer_kind::kFailure) {
+    constexpr char kCause[] = "long_failure";
+    ReportCut(kCause);
+    DropConnection();
+    answer_.reset();
+    return OnMaybeRun(upstream_outcome::kServerError, kCause);
+  }
+  if (allowance < kHeldAnswer) {
+    ReportStreamedEarly("answer", answer_body_.size());
+  }
+  StartStreaming();
 }
 
 void proxied_request::StartStreaming() {
@@ -417,7 +533,8 @@
                        CallerHeaders(answer_->headers, context_.names),
                        answer_->body_length);
   exchange_.SendBody(answer_body_);
-  answer_body_.clear();
+  answer_body_ = std::string();
+  UpdateHeld();
 }
 
 void proxied_request::OnDrained() {
@@ -439,24 +556,24 @@
       EndAttempt(upstream_outcome::kAnswered);
       return DeliverWhole();
     case answer_kind::kNotRun:
-      if (answer_->status != 421) {
-        context_.crashes.OnAlive(upstream_, sent_at_, MonotonicNow());
-      }
-      return OnNotRun(answer_->status == 421 ? upstream_outcome::kLeavingNotRun
-                                             : upstream_outcome::kShedNotRun,
-                      answer_->status == 421 ? "other_upstream" : "shed");
+    case answer_kind::kForged:
+      return OnUnusedAnswerEnd();
     case answer_kind::kFailure:
       verdict_ = verdict::kRan;
       context_.crashes.OnAnswered(fingerprint_, upstream_, sent_at_,
                                   MonotonicNow());
       return OnMaybeRun(upstream_outcome::kServerError, "upstream_failure");
-    case answer_kind::kForged:
-      return OnMaybeRun(upstream_outcome::kServerError, "not_its_answer");
   }
 }
 
 void proxied_request::OnCallFailed(upstream_fault fault) {
   const std::string_view name = UpstreamFaultName(fault);
+  if (IsEndless(fault)) ReportCut(name.data());
+  // The head has told it, whatever becomes of the rest.
+  if (sent_ && IsRefusal()) {
+    DropConnection();
+    return OnUnusedAnswerEnd();
+  }
   if (fault == upstream_fault::kLost && sent_ && !answer_) {
     context_.crashes.OnLost(fingerprint_, upstream_, sent_as_suspect_, sent_at_,
                             MonotonicNow());
@@ -471,7 +588,9 @@
     exchange_.Abort();
     return Finish(0, name.data());
   }
-  if (sent_ && on_own_connection) context_.paths.OnConnectionLost(upstream_);
+  if (sent_ && on_own_connection && !IsEndless(fault)) {
+    context_.paths.OnConnectionLost(upstream_);
+  }
   const bool path_is_sound = on_own_connection ? context_.paths.IsReachable()
                                                : context_.paths.IsRelay(relay);
   const bool is_path_fault =
@@ -549,6 +668,7 @@
 void proxied_request::EndAttempt(upstream_outcome outcome) {
   if (!attempt_open_) return;
   attempt_open_ = false;
+  unused_timer_.Disarm();
   const monotonic_time now = MonotonicNow();
   affinity_selector* selector = context_.fleet.SelectorOf(service_);
   upstream_tracker* standing =
@@ -591,9 +711,7 @@
     exchange_.FinishBody();
     return Finish(answer_->status, "answered");
   }
-  // These two promise that nothing ran, and only the upstream's own word that
-  // came with them would be proof.
-  if (answer_->status == 429 || answer_->status == 408) {
+  if (IsPromise(answer_->status)) {
     return FailMaybeRun(502, "unproved_promise");
   }
   http_headers headers = CallerHeaders(answer_->headers, context_.names);
@@ -633,6 +751,7 @@
   }
   last_reason_ = "deadline";
   if (attempt_open_) {
+    if (IsRefusal()) return CutUnused("deadline");
     if (sent_ && verdict_ == verdict::kNotRun) verdict_ = verdict::kMayHaveRun;
     if (sent_ && !answer_ && IsOnOwnConnection()) {
       context_.paths.OnUnanswered(upstream_);
@@ -653,6 +772,10 @@
 void proxied_request::Finish(int status, const char* outcome) {
   done_ = true;
   deadline_timer_.Disarm();
+  // The connection counts what is still on its way to the caller.
+  body_ = std::string();
+  answer_body_ = std::string();
+  held_.Set(0);
   const monotonic_time now = MonotonicNow();
   const duration took = now - arrived_at_;
   context_.stats.Count("citron_requests_total",
--- a/src/node/upstream_connection.cc
+++ b/src/node/upstream_connection.cc
@@ -22,6 +22,19 @@
 constexpr std::size_t kMaxAnswerHeadBytes = std::size_t{64} << 10;
 // How long an upstream that doesn't say keeps an idle connection.
 constexpr duration kUnstatedKeepAlive = std::chrono::seconds(5);
+// An upstream may end a connection on which its answer stays unread for this
+// long.
+constexpr duration kUnreadLimit = std::chrono::seconds(1);
+// Around the name and value of a header.
+constexpr std::size_t kHeaderFraming = 4;
+
+std::size_t SizeOf(const http_headers& headers) {
+  std::size_t size = kHeaderFraming;
+  for (const http_header& header : headers) {
+    size += header.name.size() + header.value.size() + kHeaderFraming;
+  }
+  return size;
+}
 
 // Seconds of the parameter "timeout" of a header such as "timeout=5, max=100".
 std::optional<duration> KeepAliveLimit(const http_headers& headers) {
@@ -52,10 +65,22 @@
       return "bad_answer";
     case upstream_fault::kRelayFailed:
       return "relay_failed";
+    case upstream_fault::kEndlessHeads:
+      return "endless_heads";
+    case upstream_fault::kEndlessFraming:
+      return "endless_framing";
+    case upstream_fault::kEndlessUnused:
+      return "endless_unused";
   }
   return "unknown";
 }
 
+bool IsEndless(upstream_fault fault) {
+  return fault == upstream_fault::kEndlessHeads ||
+         fault == upstream_fault::kEndlessFraming ||
+         fault == upstream_fault::kEndlessUnused;
+}
+
 std::string_view ToString(connect_result result) {
   switch (result) {
     case connect_result::kConnected:
@@ -135,6 +160,8 @@
     return;
   }
   state_ = state::kBusy;
+  guard_.Reset();
+  was_left_unread_ = false;
   reader_.Reset();
   if (!expects_body_) reader_.ExpectNoBody();
   bufferevent_write(bytes_, head_and_body.data(), head_and_body.size());
@@ -156,13 +183,16 @@
 }
 
 void upstream_connection::PauseReading() {
+  if (paused_ || state_ != state::kBusy) return;
   paused_ = true;
+  paused_at_ = MonotonicNow();
   bufferevent_disable(bytes_, EV_READ);
 }
 
 void upstream_connection::ResumeReading() {
   if (!paused_ || state_ != state::kBusy) return;
   paused_ = false;
+  if (MonotonicNow() - paused_at_ >= kUnreadLimit) was_left_unread_ = true;
   bufferevent_enable(bytes_, EV_READ);
 }
 
@@ -189,10 +219,10 @@
 void upstream_connection::OnRelayAnswer() {
   const http1_reader::progress made =
       reader_.Read(bufferevent_get_input(bytes_));
-  if (made == http1_reader::progress::kNeedsMore) return;
-  if (made == http1_reader::progress::kFault) {
+  if (endless_ || made == http1_reader::progress::kFault) {
     return Fail(upstream_fault::kRelayFailed);
   }
+  if (made == http1_reader::progress::kNeedsMore) return;
   reader_.Reset();
   switch (relay_status_) {
     case kTunnelOpen:
@@ -234,9 +264,12 @@
     const http1_reader::progress made =
         reader_.Read(bufferevent_get_input(bytes_));
     if (state_ != state::kBusy) return;
+    if (endless_) return Fail(*endless_);
     if (made == http1_reader::progress::kNeedsMore) return;
     if (made == http1_reader::progress::kFault) {
-      return Fail(upstream_fault::kBadAnswer);
+      return Fail(reader_.Fault() == http1_fault::kHeadTooLarge
+                      ? upstream_fault::kEndlessHeads
+                      : upstream_fault::kBadAnswer);
     }
     if (!skipping_) return Finish();
     skipping_ = false;
@@ -253,22 +286,48 @@
   const auto id = FindHeader(head.headers, id_header_);
   // A late second answer to an earlier request, where this one's was due.
   skipping_ = id.has_value() && !request_id_.empty() && *id != request_id_;
-  if (skipping_) return;
+  if (skipping_) {
+    // Answers without a body may come without end as well.
+    if (!guard_.OnBodyBytes(SizeOf(head.headers), false)) {
+      endless_ = upstream_fault::kEndlessUnused;
+    }
+    return;
+  }
   stays_open_ = head.keep_alive && (head.body_length || head.chunked);
   keep_alive_limit_ = KeepAliveLimit(head.headers).value_or(keep_alive_limit_);
   if (listener_ != nullptr) listener_->OnAnswerHead(std::move(head));
 }
 
 void upstream_connection::OnBody(std::string_view bytes) {
+  const bool is_used =
+      !skipping_ && listener_ != nullptr && listener_->UsesAnswerBody();
+  if (!guard_.OnBodyBytes(bytes.size(), is_used)) {
+    endless_ = upstream_fault::kEndlessUnused;
+    return;
+  }
   if (!skipping_ && listener_ != nullptr) listener_->OnAnswerBody(bytes);
 }
 
+void upstream_connection::OnInterimHead(std::size_t bytes) {
+  if (!guard_.OnInterimBytes(bytes)) endless_ = upstream_fault::kEndlessHeads;
+}
+
+void upstream_connection::OnFraming(std::size_t bytes) {
+  if (!guard_.OnFramingBytes(bytes)) {
+    endless_ = upstream_fault::kEndlessFraming;
+  }
+}
+
 void upstream_connection::Finish() {
   const bool has_more = evbuffer_get_length(bufferevent_get_input(bytes_)) > 0;
   // Bytes behind the answer, or a request that isn't out yet: what comes next
   // here could be taken for the answer to another request.
   const bool clean = stays_open_ && !has_more && PendingBytes() == 0;
   state_ = clean ? state::kIdle : state::kDead;
+  // Idle connections are read, or their end isn't seen.
+  if (clean && std::exchange(paused_, false)) {
+    bufferevent_enable(bytes_, EV_READ);
+  }
   idle_since_ = MonotonicNow();
   upstream_call_listener* listener = std::exchange(listener_, nullptr);
   if (!clean) bufferevent_disable(bytes_, EV_READ | EV_WRITE);
@@ -289,8 +348,9 @@
   }
   OnReadable();
   if (state_ != state::kBusy) return;
-  // An answer without a length ends with its connection, but not with a reset.
-  if (!reset && !skipping_ && reader_.CompletesAtEnd()) {
+  // An answer without a length ends with its connection, but not with a reset,
+  // nor where the upstream may have given up a caller that read slowly.
+  if (!reset && !skipping_ && !was_left_unread_ && reader_.CompletesAtEnd()) {
     stays_open_ = false;
     return Finish();
   }
--- a/tests/adapter/fleet_documents_test.cc
+++ b/tests/adapter/fleet_documents_test.cc
@@ -35,6 +35,15 @@
   return IsOk(fleet_documents().ReadUpstream(upstream_id("u"), entry));
 }
 
+// Guards against large bodies that take another path than those that run once.
+BOOST_AUTO_TEST_CASE(UploadsAreTheirOwnKind) {
+  const result<routing_config> read = fleet_documents().ReadRouting(
+      Replaced(kDeclaration, "non_idempotent", "upload"));
+  BOOST_REQUIRE(IsOk(read));
+  BOOST_CHECK(ValueOf(read).MatchRoute("b.example", "/y/1")->repeats ==
+              repetition::kUpload);
+}
+
 BOOST_AUTO_TEST_CASE(KeysAreToldApart) {
   const fleet_documents codec;
   BOOST_CHECK(codec.ReadKey("op/config").kind == store_key_kind::kRouting);
--- a/tests/adapter/settings_file_test.cc
+++ b/tests/adapter/settings_file_test.cc
@@ -48,6 +48,7 @@
   BOOST_TEST(settings.tunnels.Str() == "10.1.0.8:7601");
   BOOST_TEST(settings.store.Str() == "10.200.1.7:8205");
   BOOST_TEST(settings.max_descriptors == 4100);
+  BOOST_TEST(settings.memory_limit_bytes == std::size_t{260} << 20);
   BOOST_CHECK(settings.bounds.grace_period == FromSeconds(1.5));
   BOOST_TEST(!settings.bounds.strict_revocation);
   BOOST_TEST(settings.bounds.retry_slack == 44);
--- a/tests/net/raw_caller.h
+++ b/tests/net/raw_caller.h
@@ -39,6 +39,19 @@
     return sent == static_cast<ssize_t>(bytes.size());
   }
 
+  // Returns how much the kernel took.
+  std::size_t SendSome(std::string_view bytes) {
+    const ssize_t sent =
+        send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    return sent < 0 ? 0 : static_cast<std::size_t>(sent);
+  }
+
+  // Its end is told at once, and not behind bytes that wait to be sent.
+  void ResetAtEnd() {
+    const linger reset{1, 0};
+    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  }
+
   // All that has come so far.
   const std::string& Received() {
     char buffer[4096];
--- a/tests/node/scripted_upstream.h
+++ b/tests/node/scripted_upstream.h
@@ -39,6 +39,7 @@
   bool close = false;
   duration after{};      // The work before the answer or the crash.
   duration down_time{};  // Zero: it doesn't crash.
+  std::string endless;   // Sent behind `bytes` again and again.
 };
 
 // A server that answers each request with bytes of the test's choice and keeps
@@ -59,12 +60,15 @@
   const std::vector<std::string>& Requests() const { return requests_; }
   int OpenConnections() const { return static_cast<int>(connections_.size()); }
   int Accepted() const { return accepted_; }
+  // On connections from now on.
+  void StopReading() { reads_ = false; }
 
  private:
   struct connection {
     scripted_upstream* owner;
     bufferevent* bytes;
     int number;
+    std::string endless;
   };
 
   void Listen() {
@@ -125,7 +129,7 @@
           auto* that = static_cast<connection*>(c);
           that->owner->OnReadable(*that);
         },
-        [](bufferevent*, void*) {},
+        [](bufferevent*, void* c) { SendOn(*static_cast<connection*>(c)); },
         [](bufferevent*, short what, void* c) {  // NOLINT
           auto* that = static_cast<connection*>(c);
           if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
@@ -133,10 +137,19 @@
           }
         },
         made.get());
-    bufferevent_enable(made->bytes, EV_READ | EV_WRITE);
+    bufferevent_enable(made->bytes, reads_ ? EV_READ | EV_WRITE : EV_WRITE);
+    if (!reads_) bufferevent_disable(made->bytes, EV_READ);
     connections_.push_back(std::move(made));
   }
 
+  static void SendOn(connection& c) {
+    constexpr std::size_t kPiece = std::size_t{64} << 10;
+    for (std::size_t sent = 0; !c.endless.empty() && sent < kPiece;
+         sent += c.endless.size()) {
+      bufferevent_write(c.bytes, c.endless.data(), c.endless.size());
+    }
+  }
+
   void OnReadable(connection& c) {
     evbuffer* input = bufferevent_get_input(c.bytes);
     while (true) {
@@ -163,6 +176,8 @@
         continue;
       }
       bufferevent_write(c.bytes, answer.bytes.data(), answer.bytes.size());
+      c.endless = answer.endless;
+      SendOn(c);
       if (!answer.close) continue;
       bufferevent_flush(c.bytes, EV_WRITE, BEV_FLUSH);
       // The bytes go out before the end does.
@@ -192,6 +207,7 @@
   std::vector<std::string> requests_;
   std::vector<std::unique_ptr<loop_timer>> timers_;
   int accepted_ = 0;
+  bool reads_ = true;
 };
 
 // A whole good answer to the request.
