Retries go to the more urgent ranks first

Cause: a service's retries were taken by whoever came first. While all upstreams shed, a request of the least urgent rank used a retry for want of which one of the most urgent rank was refused.

A less urgent request now takes a retry only if what is left covers what the more urgent ranks ask until it comes back. The rank of the workspace goes before the route's; a request without a workspace has its route's.

--- a/include/citron/node/proxied_request.h
+++ b/include/citron/node/proxied_request.h
@@ -16,6 +16,7 @@
 #include "citron/node/request_gate.h"
 #include "citron/node/upstream_connection.h"
 #include "citron/policy/affinity_selector.h"
+#include "citron/policy/rank_reserve.h"
 
 namespace citron {
 
@@ -52,6 +53,7 @@
     kForged,  // Not an answer of this upstream to this request.
   };
 
+  request_rank Rank() const;
   bool IsRepeatable() const;
   bool BodyIsReplayable() const { return !streaming_body_; }
   answer_kind Judge(const http1_head& head) const;
@@ -79,6 +81,8 @@
     return connection_ != nullptr && !connection_->IsRelayed();
   }
   bool MayTryAgain(bool reached_upstream);
+  // Takes a retry from the service's budget.
+  bool TakeRetry(monotonic_time now);
   void EndAttempt(upstream_outcome outcome);
   void KeepConnection();
   void DropConnection();
--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -113,6 +113,11 @@
   DropConnection();
 }
 
+request_rank proxied_request::Rank() const {
+  const workspace_terms* workspace = admitted_.workspace;
+  return {workspace == nullptr ? 0 : workspace->rank, admitted_.route->rank};
+}
+
 bool proxied_request::IsRepeatable() const {
   return admitted_.route->repeats != repetition::kOnce;
 }
@@ -120,7 +125,7 @@
 void proxied_request::Start() {
   deadline_timer_.Arm(deadline_);
   service_ = context_.fleet.SplitOf(*admitted_.route).Choose(object_);
-  context_.fleet.RetriesOf(service_).OnRequest();
+  context_.fleet.RetriesOf(service_).OnRequest(arrived_at_);
 }
 
 void proxied_request::OnBody(std::string_view bytes) {
@@ -497,7 +502,30 @@
     return false;
   }
   // Upstreams see only what reaches them.
-  return !reached_upstream || context_.fleet.RetriesOf(service_).TryTake();
+  return !reached_upstream || TakeRetry(MonotonicNow());
+}
+
+bool proxied_request::TakeRetry(monotonic_time now) {
+  const request_rank rank = Rank();
+  retry_budget& retries = context_.fleet.RetriesOf(service_);
+  const retry_decision decision = retries.TryTake(rank, now);
+  context_.stats.Count("citron_retries_total",
+                       {{"workspace_rank", std::to_string(rank.workspace)},
+                        {"route_rank", std::to_string(rank.route)},
+                        {"result", std::string(ToString(decision))}});
+  if (decision == retry_decision::kGranted) return true;
+  context_.log.Write(
+      "request", "retry_denied",
+      {{"id", id_},
+       {"service", service_.Str()},
+       {"reason", ToString(decision)},
+       {"workspace_rank", rank.workspace},
+       {"route_rank", rank.route},
+       {"left", retries.Available()},
+       {"refill_per_s", retries.RefillPerS(now)},
+       {"more_urgent_per_s", retries.MoreUrgentDemand(rank, now)}},
+      now);
+  return false;
 }
 
 void proxied_request::OnPathFailed(const char* reason) {
