--- a/include/citron/policy/rank_reserve.h
+++ b/include/citron/policy/rank_reserve.h
@@ -13,6 +13,7 @@
 struct request_rank {
   int workspace = 0;
   int route = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr): false alarm on a default <=>.
   friend auto operator<=>(const request_rank&, const request_rank&) = default;
 };
 
