The region's room and the log of its weight in functions of their own

Cause: two long functions held a count, a judgement of upstreams and a sum. Evidence: policy_affinity_selector, warm_placement, working_set, region_balance, upstream_standing and node_node_task, node_fleet_state tests: 7 of 7 green.

--- a/include/citron/node/node_task.h
+++ b/include/citron/node/node_task.h
@@ -69,6 +69,8 @@
   void UpdateGauges(monotonic_time now);
   // Shows how strongly each service's requests are kept in this region.
   void ShowRegionBalance(monotonic_time now);
+  void LogRegionWeight(const service_id& service,
+                       const affinity_selector& selector, monotonic_time now);
   vm_condition Condition() const;
   void OnTick();
   void OnStopStep(monotonic_time now);
--- a/include/citron/policy/affinity_selector.h
+++ b/include/citron/policy/affinity_selector.h
@@ -145,8 +145,11 @@
   double LoadLimit(const selection_request& request) const;
   double PlacementWeight(const upstream_tracker& upstream,
                          bool large_answer) const;
-  // Counts the request in the region balance, which is updated when due.
-  void UpdateBalance(const selection_request& request, monotonic_time now);
+  void CountObject(const selection_request& request, monotonic_time now);
+  // Returns whether the upstream counts as room of its region.
+  bool IsUsable(const upstream_tracker& upstream, monotonic_time now) const;
+  // Moves the weight of this VM's region, if an update is due.
+  void UpdateBalance(monotonic_time now);
 
   selector_options options_;
   std::map<upstream_id, upstream_tracker> upstreams_;
--- a/src/node/node_task.cc
+++ b/src/node/node_task.cc
@@ -252,46 +252,51 @@
       settings_.zones.begin(), settings_.zones.end(),
       [this](const auto& zone) { return zone.second == settings_.region; });
   if (one_region) return;
-  fleet_.ForEachService(
-      [&](const service_id& service, affinity_selector& selector) {
-        const region_balance& balance = selector.RegionBalance();
-        const double weight = balance.SameRegionWeight();
-        const metric_labels labels{{"service", service.Str()}};
-        stats_.Set("citron_own_region_weight", labels, weight);
-        stats_.Set("citron_own_region_part", labels, balance.HomePart());
-        const region_choices chosen = selector.TakeRegionChoices();
-        const auto count = [&](const char* region, std::uint64_t choices) {
-          stats_.Count("citron_upstream_choices_total",
-                       {{"service", service.Str()}, {"region", region}},
-                       static_cast<double>(choices));
-        };
-        count("own", chosen.own);
-        count("other", chosen.other);
-        double& logged =
-            logged_weights_.try_emplace(service, selector.LeastRegionWeight())
-                .first->second;
-        if (std::max(weight, logged) <
-            kLoggedWeightFactor * std::min(weight, logged)) {
-          return;
-        }
-        const region_room& own = balance.OwnRoom();
-        const region_room& others = balance.OtherRoom();
-        log_.Write("region", "weight",
-                   {{"service", service.Str()},
-                    {"weight", weight},
-                    {"before", logged},
-                    {"home_part", balance.HomePart()},
-                    {"objects", balance.Objects(now)},
-                    {"upstreams", own.upstreams},
-                    {"slots", own.slots},
-                    {"heard_slots", own.heard_slots},
-                    {"load", own.load},
-                    {"other_slots", others.slots},
-                    {"other_heard_slots", others.heard_slots},
-                    {"other_load", others.load}},
-                   now);
-        logged = weight;
-      });
+  fleet_.ForEachService([&](const service_id& service,
+                            affinity_selector& selector) {
+    const region_balance& balance = selector.RegionBalance();
+    const metric_labels labels{{"service", service.Str()}};
+    stats_.Set("citron_own_region_weight", labels, balance.SameRegionWeight());
+    stats_.Set("citron_own_region_part", labels, balance.HomePart());
+    const region_choices chosen = selector.TakeRegionChoices();
+    const auto count = [&](const char* region, std::uint64_t choices) {
+      stats_.Count("citron_upstream_choices_total",
+                   {{"service", service.Str()}, {"region", region}},
+                   static_cast<double>(choices));
+    };
+    count("own", chosen.own);
+    count("other", chosen.other);
+    LogRegionWeight(service, selector, now);
+  });
+}
+
+void node_task::LogRegionWeight(const service_id& service,
+                                const affinity_selector& selector,
+                                monotonic_time now) {
+  const region_balance& balance = selector.RegionBalance();
+  const double weight = balance.SameRegionWeight();
+  double& logged =
+      logged_weights_.try_emplace(service, selector.LeastRegionWeight())
+          .first->second;
+  const auto [less, more] = std::minmax(weight, logged);
+  if (more < kLoggedWeightFactor * less) return;
+  const region_room& own = balance.OwnRoom();
+  const region_room& others = balance.OtherRoom();
+  log_.Write("region", "weight",
+             {{"service", service.Str()},
+              {"weight", weight},
+              {"before", logged},
+              {"home_part", balance.HomePart()},
+              {"objects", balance.Objects(now)},
+              {"upstreams", own.upstreams},
+              {"slots", own.slots},
+              {"heard_slots", own.heard_slots},
+              {"load", own.load},
+              {"other_slots", others.slots},
+              {"other_heard_slots", others.heard_slots},
+              {"other_load", others.load}},
+             now);
+  logged = weight;
 }
 
 void node_task::Reload(const node_settings& settings) {
--- a/src/policy/affinity_selector.cc
+++ b/src/policy/affinity_selector.cc
@@ -129,8 +129,8 @@
 
 // A further attempt is no further demand, and a request that may not run here
 // takes no room here.
-void affinity_selector::UpdateBalance(const selection_request& request,
-                                      monotonic_time now) {
+void affinity_selector::CountObject(const selection_request& request,
+                                    monotonic_time now) {
   const bool first_attempt = request.excluded_upstreams == nullptr ||
                              request.excluded_upstreams->empty();
   if (first_attempt &&
@@ -138,21 +138,27 @@
       AllowsRegion(request.workspace_allowed_regions, options_.region)) {
     balance_.OnRequest(request.object, now);
   }
+}
+
+bool affinity_selector::IsUsable(const upstream_tracker& upstream,
+                                 monotonic_time now) const {
+  const zone_id& zone = upstream.Record().zone;
+  if (upstream.IsLeaving() || closed_zones_.contains(zone)) return false;
+  const auto path = paths_.find(zone);
+  const bool reachable =
+      path == paths_.end() || now >= path->second.backoff_until;
+  return reachable && !upstream.IsInBackoff(now);
+}
+
+void affinity_selector::UpdateBalance(monotonic_time now) {
   if (now < update_balance_at_) return;
   update_balance_at_ = now + kBalanceInterval;
   region_room own;
   region_room others;
   for (const auto& [id, upstream] : upstreams_) {
-    const upstream_record& record = upstream.Record();
-    const auto path = paths_.find(record.zone);
-    const bool reachable =
-        path == paths_.end() || now >= path->second.backoff_until;
-    if (upstream.IsLeaving() || upstream.IsInBackoff(now) || !reachable ||
-        closed_zones_.contains(record.zone)) {
-      continue;
-    }
+    if (!IsUsable(upstream, now)) continue;
     region_room& room = upstream.Region() == options_.region ? own : others;
-    const int slots = std::max(1, record.slots);
+    const int slots = std::max(1, upstream.Record().slots);
     ++room.upstreams;
     room.slots += slots;
     if (!upstream.IsLoadKnown(now)) continue;
@@ -236,7 +242,8 @@
 std::variant<selection, selection_error> affinity_selector::Choose(
     const selection_request& request, monotonic_time now) {
   if (upstreams_.empty()) return selection_error::kNoneKnown;
-  UpdateBalance(request, now);
+  CountObject(request, now);
+  UpdateBalance(now);
   // Ejections are ignored if more than half of the upstreams are ejected: the
   // cause is then likely elsewhere, and the remaining upstreams would be
   // overloaded.
