--- a/include/citron/protocol/workspace_quota.h
+++ b/include/citron/protocol/workspace_quota.h
@@ -1,13 +1,13 @@
 #ifndef CITRON_PROTOCOL_WORKSPACE_QUOTA_H_
 #define CITRON_PROTOCOL_WORKSPACE_QUOTA_H_
 
-#include <array>
 #include <cstdint>
 #include <map>
 #include <vector>
 
 #include "citron/base/strong_id.h"
 #include "citron/base/time.h"
+#include "citron/protocol/admission_window.h"
 #include "citron/protocol/demand_history.h"
 #include "citron/protocol/report_contacts.h"
 
@@ -49,9 +49,9 @@
 
 // Limits one workspace to its rate and burst over all VMs, without a remote
 // call per request. Callers may move between VMs and send bursts, so each VM
-// has a token bucket with its share of the contract, by demand. While the fleet
-// is far below the contract, a VM admits requests above its share and repays
-// the debt later.
+// has a token bucket with its share of the contract, by demand. While the
+// reports show room in the contract's window, a VM also admits requests without
+// a token, and repays the debt later.
 class workspace_quota {
  public:
   // `contacts` must outlive the quota.
@@ -73,7 +73,8 @@
   bool TryAdmit(monotonic_time now);
   // Reverts the admission of a request that has not run and never will.
   void OnNotRun(monotonic_time admitted_at, monotonic_time now);
-  // Returns when a rejected request may be retried.
+  // Returns when this VM expects room for a request that it has just rejected:
+  // at the latest one window later.
   monotonic_time NextTokenAt(monotonic_time now) const;
 
   quota_state State(monotonic_time now) const;
@@ -108,18 +109,6 @@
       return shared * (demand_per_s + idle_demand_per_s) / fleet_demand_per_s;
     }
   };
-  // Counts of the last window, in tenths of the window.
-  struct counter {
-    std::array<double, 10> counts{};
-    std::int64_t slot = 0;
-  };
-
-  // Shares of the contract for this VM: the share that all other VMs grant it,
-  // and the share that its newest demand calls for.
-  struct local_shares {
-    double in_force = 0;
-    double requested = 0;
-  };
   static bool IsIdle(const quota_report& report);
   // Returns the requests of one window, by the contract.
   double ContractLimit() const {
@@ -137,20 +126,29 @@
   monotonic_time DemandInForceSince(monotonic_time now) const;
   share_basis ComputeShareBasis(monotonic_time now) const;
   void RecordShares(monotonic_time now);
-  local_shares LocalShares(monotonic_time now) const;
+  double LocalShare(monotonic_time now) const;
   // Calls `visit` for the silent VMs that count.
   template <typename visitor>
   void ForEachSilent(monotonic_time now, const visitor& visit) const;
   double Admitted(std::uint32_t index, const other_vm& other,
                   monotonic_time now) const;
-  double FleetAdmitted(monotonic_time now) const;
+  double AdmittedByOthers(monotonic_time now) const;
+  double FleetAdmitted(monotonic_time now) const {
+    return admitted_.Count() + AdmittedByOthers(now);
+  }
+  bool HasWholeView(monotonic_time now) const;
+  bool HasFleetRoom(double by_others, monotonic_time now) const;
+  double LocalLimit(double share, double by_others, double fleet_limit) const;
   double WindowLimit(monotonic_time now) const;
+  double SharedLimit(monotonic_time now) const;
   double AdmittedBeforeReset(const other_vm& other, monotonic_time now) const;
   double UnreportedAdmissions() const;
+  double TokenLimit(monotonic_time now) const;
+  bool HasToken(monotonic_time now) const;
+  bool HasRoom(monotonic_time now) const;
+  double MaxRoundedUp() const;
   void RemoveIdleVms(monotonic_time now);
   void Refill(monotonic_time now);
-  std::int64_t SlotOf(monotonic_time at) const;
-  void Advance(counter& c, monotonic_time now) const;
   void UpdateDemand(monotonic_time now);
 
   quota_options options_;
@@ -161,10 +159,11 @@
   int fleet_size_ = 1;
   duration view_lag_ = FromMilliseconds(700);
   double connected_share_ = 0;  // Last share while this VM was connected.
+  double share_ = 0;            // In force at the last refill.
   double tokens_ = 0;
   monotonic_time refilled_at_;
-  counter admitted_;
-  double local_admitted_ = 0;
+  admission_window admitted_;
+  double reported_admitted_ = 0;  // In this VM's last report.
   double demand_per_s_ = 0;
   double recent_demand_per_s_ = 0;
   demand_history reported_demand_;
--- a/src/protocol/workspace_quota.cc
+++ b/src/protocol/workspace_quota.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 
 namespace citron {
 
@@ -10,7 +9,7 @@
 
 // Demand added for each VM, as a fraction of the rate divided by the VMs: an
 // idle VM has a small share at once when callers arrive.
-constexpr double kIdleShare = 0.25;
+constexpr double kIdleShare = 0.1;
 // Averaging times of the demand, and of the shorter average that detects a
 // rise.
 constexpr double kDemandHorizonS = 0.6;
@@ -22,9 +21,9 @@
 // allows: below one token a share would never admit a request, however small
 // the rate.
 constexpr double kRoundedUpCapacity = 1.5;
-// Maximum debt, in seconds of this VM's share of the rate. A longer debt would
-// reject later requests of a workspace because of those that were admitted on
-// purpose.
+// Maximum debt, in seconds of this VM's share of the rate. The window also
+// counts what was admitted without a token, so a longer debt would reject later
+// requests twice for it.
 constexpr double kMaxDebtS = 2.0;
 // Fraction of the other VMs whose reports may be late without a network
 // partition.
@@ -35,6 +34,8 @@
 constexpr double kMaxRiseRatio = 10;
 // A count below this fraction of the last count was reset by a restart.
 constexpr double kRestartDetectionRatio = 0.5;
+// Below this count such a fall is usual without a restart.
+constexpr double kMinRestartCount = 8;
 
 }  // namespace
 
@@ -45,6 +46,7 @@
       contacts_(&contacts),
       started_at_(now),
       refilled_at_(now),
+      admitted_(options.window),
       reported_at_(now),
       demand_at_(now) {}
 
@@ -213,19 +215,12 @@
   }
 }
 
-// A VM that is connected with fewer than half of the others keeps the share
-// that they know of.
-workspace_quota::local_shares workspace_quota::LocalShares(
-    monotonic_time now) const {
-  const share_basis basis = ComputeShareBasis(now);
-  const double in_force = basis.ShareOf(KnownDemand(now));
-  if (!contacts_->IsIsolated(now)) {
-    return {in_force,
-            std::max(in_force, basis.ShareOf(reported_demand_.Newest()))};
-  }
-  const double kept =
-      connected_share_ == 0 ? in_force : std::min(in_force, connected_share_);
-  return {kept, kept};
+// Returns the share that all other VMs grant to this VM. A VM that is connected
+// with fewer than half of the others keeps the share that they know of.
+double workspace_quota::LocalShare(monotonic_time now) const {
+  const double share = ComputeShareBasis(now).ShareOf(KnownDemand(now));
+  if (!contacts_->IsIsolated(now) || connected_share_ == 0) return share;
+  return std::min(share, connected_share_);
 }
 
 // Returns the requests before the reset that are still in the window, as if
@@ -240,14 +235,19 @@
 // A silent VM may be cut off from this VM and use its whole share.
 double workspace_quota::Admitted(std::uint32_t index, const other_vm& other,
                                  monotonic_time now) const {
-  const double reported = std::max(other.report.admitted_in_window,
-                                   AdmittedBeforeReset(other, now));
+  const double before = AdmittedBeforeReset(other, now);
+  const double since = other.report.admitted_in_window;
+  // A small count may have fallen without a restart, and then includes what
+  // `before` counts.
+  const double reported = other.admitted_before_reset < kMinRestartCount
+                              ? std::max(since, before)
+                              : since + before;
   if (!IsSilent(index, now)) return reported;
   return std::max(reported, RecordedShare(index) * ContractLimit());
 }
 
-double workspace_quota::FleetAdmitted(monotonic_time now) const {
-  double sum = local_admitted_;
+double workspace_quota::AdmittedByOthers(monotonic_time now) const {
+  double sum = 0;
   for (const auto& [index, other] : others_) {
     sum += Admitted(index, other, now);
   }
@@ -267,6 +267,15 @@
   return std::min(contract_limit, rate_per_s_ * ToSeconds(up));
 }
 
+// Returns the requests up to which the VMs fill the window together without
+// tokens. The burst is left to the buckets, so that reports that are late don't
+// lead beyond the contract. A VM that has just started fills nothing: it
+// doesn't know when the requests that others admitted before leave the window.
+double workspace_quota::SharedLimit(monotonic_time now) const {
+  if (now - started_at_ < options_.window) return 0;
+  return rate_per_s_ * ToSeconds(options_.window);
+}
+
 // Estimates the requests that were admitted since the last reports, from the
 // demand of all VMs over the view lag.
 double workspace_quota::UnreportedAdmissions() const {
@@ -288,39 +297,23 @@
       usual, usual * std::min(rise, kMaxRiseRatio) - options_.uncounted_rise);
 }
 
+// A small share's capacity is rounded up; what that adds over all VMs stays
+// within the slack.
+double workspace_quota::MaxRoundedUp() const {
+  return options_.fleet_slack / static_cast<double>(std::max(fleet_size_, 1));
+}
+
 void workspace_quota::Refill(monotonic_time now) {
   const double seconds = ToSeconds(now - refilled_at_);
   refilled_at_ = now;
-  const local_shares shares = LocalShares(now);
-  const double share = shares.in_force;
-  if (!contacts_->IsIsolated(now)) connected_share_ = share;
-  // A small share's capacity is rounded up; what that adds over all VMs stays
-  // within the slack.
-  const double max_extra =
-      options_.fleet_slack / static_cast<double>(std::max(fleet_size_, 1));
-  const double unrounded_capacity = share * burst_;
-  const double capacity =
-      std::max(unrounded_capacity,
-               std::min(kRoundedUpCapacity, unrounded_capacity + max_extra));
-  tokens_ = std::min(capacity, tokens_ + seconds * share * rate_per_s_);
-  // Limits the debt by the requested share: the demand that caused the debt may
-  // not be in force on all VMs yet.
-  tokens_ = std::max(tokens_, -kMaxDebtS * shares.requested * rate_per_s_ - 1);
-}
-
-std::int64_t workspace_quota::SlotOf(monotonic_time at) const {
-  const auto slots = static_cast<std::int64_t>(admitted_.counts.size());
-  return at.time_since_epoch() / (options_.window / slots);
-}
-
-void workspace_quota::Advance(counter& c, monotonic_time now) const {
-  const auto slots = static_cast<std::int64_t>(c.counts.size());
-  const std::int64_t slot = SlotOf(now);
-  const std::int64_t passed = std::min(slot - c.slot, slots);
-  for (std::int64_t i = 1; i <= passed; ++i) {
-    c.counts[static_cast<std::size_t>((c.slot + i) % slots)] = 0;
-  }
-  if (slot > c.slot) c.slot = slot;
+  share_ = LocalShare(now);
+  if (!contacts_->IsIsolated(now)) connected_share_ = share_;
+  const double unrounded_capacity = share_ * burst_;
+  const double capacity = std::max(
+      unrounded_capacity,
+      std::min(kRoundedUpCapacity, unrounded_capacity + MaxRoundedUp()));
+  tokens_ = std::min(capacity, tokens_ + seconds * share_ * rate_per_s_);
+  tokens_ = std::max(tokens_, -kMaxDebtS * share_ * rate_per_s_ - 1);
 }
 
 void workspace_quota::UpdateDemand(monotonic_time now) {
@@ -336,22 +329,60 @@
   arrivals_ = 0;
 }
 
+// Returns whether this VM knows what the fleet has admitted.
+bool workspace_quota::HasWholeView(monotonic_time now) const {
+  return !contacts_->IsIsolated(now) && !AreManyReportsLate(now);
+}
+
+// Load pattern: callers that move between VMs while the workspace asks less
+// than its contract.
+bool workspace_quota::HasFleetRoom(double by_others, monotonic_time now) const {
+  return admitted_.Count() + by_others + UnreportedAdmissions() + 1 <=
+         WindowLimit(now);
+}
+
+// Load pattern: a workspace that asks more than its contract, unevenly or after
+// a rise. Each VM may add its share of what the reports leave of the window.
+// With shares that add up to at most one, all VMs together stay within
+// `fleet_limit` and the slack, however many requests arrive between two
+// reports.
+double workspace_quota::LocalLimit(double share, double by_others,
+                                   double fleet_limit) const {
+  return reported_admitted_ +
+         share * (fleet_limit - reported_admitted_ - by_others) +
+         MaxRoundedUp();
+}
+
+// Returns the number of requests in the window up to which this VM spends its
+// tokens. Requests that it admitted without a token count as well.
+double workspace_quota::TokenLimit(monotonic_time now) const {
+  const double own = share_ * ContractLimit() + MaxRoundedUp();
+  if (admitted_.Count() + 1 <= own || !HasWholeView(now)) return own;
+  return std::max(own,
+                  LocalLimit(share_, AdmittedByOthers(now), ContractLimit()));
+}
+
+bool workspace_quota::HasToken(monotonic_time now) const {
+  return tokens_ >= 1 && admitted_.Count() + 1 <= TokenLimit(now);
+}
+
+bool workspace_quota::HasRoom(monotonic_time now) const {
+  if (!HasWholeView(now)) return false;
+  const double by_others = AdmittedByOthers(now);
+  return HasFleetRoom(by_others, now) ||
+         admitted_.Count() + 1 <=
+             LocalLimit(share_, by_others, SharedLimit(now));
+}
+
 bool workspace_quota::TryAdmit(monotonic_time now) {
   arrivals_ += 1;
   UpdateDemand(now);
   if (rate_per_s_ <= 0) return true;
   Refill(now);
-  Advance(admitted_, now);
-  local_admitted_ =
-      std::accumulate(admitted_.counts.begin(), admitted_.counts.end(), 0.0);
-  const bool fleet_has_room =
-      !contacts_->IsIsolated(now) && !AreManyReportsLate(now) &&
-      FleetAdmitted(now) + UnreportedAdmissions() + 1 <= WindowLimit(now);
-  if (tokens_ < 1 && !fleet_has_room) return false;
+  admitted_.Advance(now);
+  if (!HasToken(now) && !HasRoom(now)) return false;
   tokens_ -= 1;
-  const auto slots = static_cast<std::int64_t>(admitted_.counts.size());
-  admitted_.counts[static_cast<std::size_t>(admitted_.slot % slots)] += 1;
-  local_admitted_ += 1;
+  admitted_.Add();
   return true;
 }
 
@@ -359,42 +390,42 @@
   if (rate_per_s_ <= 0) return;
   Refill(now);
   tokens_ += 1;
-  Advance(admitted_, now);
-  const auto slots = static_cast<std::int64_t>(admitted_.counts.size());
-  const std::int64_t slot = SlotOf(admitted_at);
-  if (slot <= admitted_.slot - slots) return;
-  double& count = admitted_.counts[static_cast<std::size_t>(slot % slots)];
-  count = std::max(0.0, count - 1);
+  admitted_.Advance(now);
+  admitted_.Remove(admitted_at);
 }
 
 monotonic_time workspace_quota::NextTokenAt(monotonic_time now) const {
-  const double per_s = std::max(LocalShares(now).in_force * rate_per_s_, 0.2);
-  return now + FromSeconds(std::max(0.0, 1 - tokens_) / per_s);
+  const monotonic_time window_passed = now + options_.window;
+  const double token_s = std::min(
+      std::max(0.0, 1 - tokens_) / std::max(share_ * rate_per_s_, 1e-3),
+      ToSeconds(options_.window));
+  monotonic_time at = std::max(now + FromSeconds(token_s),
+                               admitted_.WhenAtMost(TokenLimit(now) - 1));
+  if (HasWholeView(now)) {
+    const double limit =
+        LocalLimit(share_, AdmittedByOthers(now), SharedLimit(now));
+    at = std::min(at, admitted_.WhenAtMost(limit - 1));
+  }
+  return std::clamp(at, now, window_passed);
 }
 
 quota_state workspace_quota::State(monotonic_time now) const {
   const report_contacts::vm_count& count = contacts_->Count(now);
-  return {rate_per_s_,
-          burst_,
-          LocalShares(now).in_force,
-          tokens_,
-          FleetAdmitted(now),
-          WindowLimit(now),
-          count.reported,
-          count.responsive};
+  return {
+      rate_per_s_,        burst_,           LocalShare(now), tokens_,
+      FleetAdmitted(now), WindowLimit(now), count.reported,  count.responsive};
 }
 
 quota_report workspace_quota::Report(monotonic_time now) {
   RemoveIdleVms(now);
   UpdateDemand(now);
-  Advance(admitted_, now);
-  local_admitted_ =
-      std::accumulate(admitted_.counts.begin(), admitted_.counts.end(), 0.0);
+  admitted_.Advance(now);
   RecordShares(now);
   reported_demand_.Add(demand_per_s_, now);
   reported_demand_.DropReplacedBefore(now - contacts_->SilenceLimit());
   reported_at_ = now;
-  return {demand_per_s_, local_admitted_};
+  reported_admitted_ = admitted_.Count();
+  return {demand_per_s_, reported_admitted_};
 }
 
 }  // namespace citron
