A contract's parts are rounded up by one and a half requests at the most

Cause: the slack by which small parts are rounded up was divided by the VMs alone; since a VM may also fill its part of the room, a fleet of one admitted twelve requests beyond a contract of one. Fleets of eight VMs and more have the same rounding as before this commit. Tried first: no rounding of the room; protocol_workspace_quota_test then refuses 2 of about 100 requests of a workspace of 5 a second, where 1 is allowed.

--- a/src/protocol/workspace_quota.cc
+++ b/src/protocol/workspace_quota.cc
@@ -299,7 +299,9 @@
 // A small share's capacity is rounded up; what that adds over all VMs stays
 // within the slack.
 double workspace_quota::MaxRoundedUp() const {
-  return options_.fleet_slack / static_cast<double>(std::max(fleet_size_, 1));
+  return std::min(
+      kRoundedUpCapacity,
+      options_.fleet_slack / static_cast<double>(std::max(fleet_size_, 1)));
 }
 
 void workspace_quota::Refill(monotonic_time now) {
