--- a/tests/policy/memory_budget_test.cc
+++ b/tests/policy/memory_budget_test.cc
@@ -27,7 +27,7 @@
   }
   BOOST_TEST(budget.Peak() >= kLimit);
   BOOST_TEST(budget.Peak() < kLimit + 2 * kLeast);
-  BOOST_TEST(unlimited.Peak() == 400 * 200 * kKilobyte);
+  BOOST_TEST(unlimited.Peak() == kKilobyte * 200 * 400);
 }
 
 // Guards against large holders that crowd out the small requests.
