VMs of a region tell each other where objects run, and loads each 100 ms

Cause: each VM placed objects by its own weights of its region (4 to 64 at the four VMs of one region, from their logs) and of loaded upstreams, so that they sent an object to several upstreams, each time to a cold run, and saw loads that were two to six service times old.

Change: policy/object_locations remembers the upstream of each object; a VM tells the VMs of its region that serve callers within 10 ms (region_report), a VM that begins to serve is told what the others have placed. An object leaves on overload (a stable part, as before), towards the own region, to another region only by a clear preference, and to an upstream that joined if it would wait or that has none yet. Loads that upstreams told go to the region each 100 ms (more than four readers: as many times longer, at most 400 ms). Requests that are bound to regions have a location of their own.

--- a/include/citron/node/fleet_state.h
+++ b/include/citron/node/fleet_state.h
@@ -16,6 +16,7 @@
 #include "citron/config/routing_config.h"
 #include "citron/node/fleet_codec.h"
 #include "citron/node/rate_limit_report.h"
+#include "citron/node/region_report.h"
 #include "citron/node/vm_listing.h"
 #include "citron/platform/platform_store.h"
 #include "citron/policy/affinity_selector.h"
@@ -60,8 +61,14 @@
   // What an upstream said of its load to this VM.
   void OnUpstreamLoad(upstream_tracker& upstream, const load_report& report,
                       monotonic_time now);
-  // The last of them of each upstream since this was asked, for other VMs.
+  // The last of them of each upstream since this was asked, for other VMs and
+  // for those of this region.
   std::map<upstream_id, int> TakeHeardLoads();
+  std::map<upstream_id, int> TakeRegionLoads();
+  // Takes where another VM of the region placed an object.
+  void OnPlacedByPeer(const placement_line& line, monotonic_time now);
+  // The objects that this VM has placed, where the upstream is still known.
+  std::vector<placement_line> OwnPlacements();
   // Takes what an answer showed of an upstream's rate limit, to this VM or
   // another one. Returns whether the limit in force changed.
   bool OnRateLimit(const upstream_id& upstream,
@@ -125,6 +132,7 @@
   std::map<vm_id, vm_listing> vms_;
   std::uint64_t vms_version_ = 1;
   std::map<upstream_id, int> heard_loads_;
+  std::map<upstream_id, int> region_loads_;
   std::set<upstream_id> rate_limited_;  // Now, or a short time ago.
   bool rate_limit_news_ = false;
   std::map<upstream_id, std::string> unreadable_rate_limits_;  // Last logged.
--- a/include/citron/node/node_context.h
+++ b/include/citron/node/node_context.h
@@ -8,6 +8,7 @@
 #include "citron/node/crash_watch.h"
 #include "citron/node/fleet_state.h"
 #include "citron/node/header_names.h"
+#include "citron/node/placement_news.h"
 #include "citron/node/upstream_paths.h"
 #include "citron/node/upstream_pool.h"
 #include "citron/policy/memory_budget.h"
@@ -28,6 +29,7 @@
   crash_watch& crashes;
   upstream_paths& paths;
   memory_budget& memory;
+  placement_news& placements;
 };
 
 // Whether callers should be sent to a VM, as it says of itself.
--- a/include/citron/node/node_task.h
+++ b/include/citron/node/node_task.h
@@ -86,6 +86,7 @@
   upstream_paths paths_;
   upstream_pool pool_;
   crash_watch crashes_;
+  placement_news placements_;
   memory_budget memory_;
   node_context context_;
   std::string secret_;  // Of this start, for other VMs of the fleet.
@@ -103,6 +104,7 @@
   std::vector<std::unique_ptr<caller_connection>> connections_;
   loop_timer tick_;
   loop_timer crash_news_;
+  loop_timer placement_timer_;
   monotonic_time sweep_at_{};
   bool was_ready_ = false;
 
--- a/include/citron/node/peer_exchange.h
+++ b/include/citron/node/peer_exchange.h
@@ -16,6 +16,7 @@
 #include "citron/node/peer_report.h"
 #include "citron/node/rate_limit_report.h"
 #include "citron/node/reach_report.h"
+#include "citron/node/region_report.h"
 #include "citron/policy/report_budget.h"
 
 struct event;
@@ -39,6 +40,13 @@
   // at once for news, and as time passes.
   void TellCrashes(monotonic_time now);
 
+  // Tells the VMs of this region that serve callers where objects were placed
+  // and, in intervals, the loads of upstreams; to be called at once for
+  // placements, and as time passes.
+  void TellRegion(monotonic_time now);
+  // A request of a caller came in.
+  void OnRequest() { is_asked_ = true; }
+
   bool IsHeard(const vm_id& vm, monotonic_time now) const;
   // What it said last; true if it was never heard.
   bool IsReady(const vm_id& vm) const;
@@ -55,7 +63,8 @@
     bool serves = false;
     std::int64_t told_at = 0;  // By its own clock.
     monotonic_time heard_at{};
-    bool silent = false;  // As it was logged last.
+    bool silent = false;        // As it was logged last.
+    bool tells_region = false;  // Reports of the region came from it.
   };
 
   peer_exchange(node_context& context, int descriptor);
@@ -69,6 +78,13 @@
                 monotonic_time now);
   void OnReport(const crash_report& report, const sockaddr_in& source,
                 monotonic_time now);
+  void OnReport(const region_report& report, const sockaddr_in& source,
+                monotonic_time now);
+  void OnLoads(const std::vector<load_line>& loads, monotonic_time now);
+  // Tells a VM that begins to serve callers what this one has placed.
+  void TellOwnPlacements(const vm_id& vm);
+  bool IsInRegion(const vm_id& vm) const;
+  std::vector<endpoint> ServingInRegion() const;
   // Tells what is known of upstreams' rate limits, at once if this VM has
   // learned something.
   void TellRateLimits(monotonic_time now);
@@ -104,6 +120,8 @@
   bool told_ready_ = false;
   bool told_near_capacity_ = false;
   bool told_serving_ = false;
+  bool is_asked_ = false;  // Since the last report.
+  monotonic_time tell_region_loads_at_{};
   bool told_reaching_ = true;
   int reach_reports_left_ = 0;
   monotonic_time tell_reach_at_{};
@@ -114,6 +132,7 @@
   std::map<vm_id, endpoint> readers_;  // Who is told, and where.
   std::uint64_t readers_version_ = 0;  // Of the list of VMs.
   report_budget crash_budget_{report_budget_options{}};
+  report_budget placement_budget_{report_budget_options{}};
 };
 
 }  // namespace citron
--- a/include/citron/node/proxied_request.h
+++ b/include/citron/node/proxied_request.h
@@ -64,6 +64,7 @@
   std::variant<selection, selection_error> Choose(
       const std::vector<upstream_id>& left_out, monotonic_time now);
   // Takes a connection to the upstream; false if there is no way to it.
+  void TellPlacement(const selection& choice);
   bool Connect(const upstream_id& upstream, monotonic_time now);
   void OnNoUpstream(selection_error error);
   // Logs the limits of the upstreams and returns when to come back.
@@ -110,6 +111,7 @@
   admitted_request admitted_;
   caller_exchange& exchange_;
   std::string id_;
+  bool has_affinity_ = false;
   std::uint64_t object_ = 0;
   std::uint64_t fingerprint_ = 0;  // 0: of a body that isn't held.
   service_id service_;
--- a/include/citron/policy/affinity_selector.h
+++ b/include/citron/policy/affinity_selector.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -12,6 +13,7 @@
 
 #include "citron/base/strong_id.h"
 #include "citron/base/time.h"
+#include "citron/policy/object_locations.h"
 #include "citron/policy/region_balance.h"
 #include "citron/policy/service_time_estimate.h"
 #include "citron/policy/upstream_tracker.h"
@@ -26,6 +28,9 @@
   // so that the VMs of a region place an object at the same upstream.
   double same_region_weight = 4;
   double max_same_region_weight = 64;
+  // Factor by which another region must be preferred before an object moves
+  // there; towards this VM's region it moves without one.
+  double region_hysteresis = 3;
   // Weights of upstreams in this VM's zone and region for large answers, which
   // are served nearby: a large answer that crosses zones costs more than a cold
   // run. In this VM's zone both weights apply.
@@ -53,6 +58,7 @@
 // Requirements of a request for the choice of its upstream.
 struct selection_request {
   std::uint64_t object = 0;  // Equal for all requests of one object.
+  bool has_affinity = true;  // Others may ask for the same object.
   bool large_answer = false;
   duration latency_goal{};  // Zero: no goal.
   const std::set<region_id>* route_allowed_regions = nullptr;
@@ -77,6 +83,8 @@
   int slots = 0;
   bool cold = false;
   bool first_choice = true;
+  // Set if the object runs there from now on.
+  std::optional<object_location> placed;
 };
 
 // Requests for which an upstream was chosen, by its region.
@@ -86,8 +94,8 @@
 };
 
 // Chooses the upstream for each request of one service. The VMs of a region
-// send an object to the same few upstreams without communicating with each
-// other; for large answers the VMs of a zone do.
+// send an object to the same few upstreams, by its hash and by where they tell
+// each other that they placed it; for large answers the VMs of a zone do.
 class affinity_selector {
  public:
   explicit affinity_selector(const selector_options& options);
@@ -103,6 +111,11 @@
   std::variant<selection, selection_error> Choose(
       const selection_request& request, monotonic_time now);
 
+  // Takes where another VM of the region placed an object.
+  void OnPlacedByPeer(const object_location& placed,
+                      upstream_tracker& upstream);
+  const object_locations& Locations() const { return locations_; }
+
   // Records the service time of a request for which this VM counted a free slot
   // at the upstream, without the network delay in either direction.
   void RecordServiceTime(duration service_time) {
@@ -127,6 +140,12 @@
     double cost = 0;
     upstream_tracker* upstream = nullptr;
   };
+  enum class location_state {
+    kUnknown,  // Not placed yet, or at an upstream that is gone.
+    kLocated,  // At the preferred candidate.
+    kLeaves,   // Moves to the preferred candidate.
+    kAway,     // At an upstream that can't take the request now.
+  };
   struct path_state {
     int failures = 0;
     monotonic_time backoff_until{};
@@ -138,10 +157,29 @@
                    const selection_request& request, bool include_ejected,
                    monotonic_time now) const;
   void DropRateLimited(std::vector<candidate>& candidates, monotonic_time now);
-  void KeepPreferredReplicas(std::vector<candidate>& candidates) const;
-  // Returns null if no replica has spare capacity.
-  const upstream_tracker* FindSpareReplica(
-      const std::vector<candidate>& replicas, monotonic_time now) const;
+  // Returns null if the object is not known or its upstream not a candidate.
+  const candidate* FindLocated(const std::optional<object_location>& location,
+                               const std::vector<candidate>& candidates) const;
+  // Returns whether the object has to leave the upstream that runs it.
+  bool HasToLeave(const candidate& located, monotonic_time placed_at,
+                  const selection_request& request,
+                  const std::vector<candidate>& candidates,
+                  monotonic_time now) const;
+  bool PrefersOtherRegion(const candidate& located,
+                          const std::vector<candidate>& candidates) const;
+  // Moves the upstream that runs the object to the front.
+  location_state PreferLocated(const selection_request& request,
+                               std::vector<candidate>& candidates,
+                               monotonic_time now);
+  // Returns whether an upstream may come back as a candidate.
+  bool IsPresent(std::uint64_t hash) const;
+  void KeepReplicas(std::vector<candidate>& candidates) const;
+  // Returns null if no replica has room.
+  upstream_tracker* PickReplica(const std::vector<candidate>& replicas,
+                                location_state state, double load_limit,
+                                monotonic_time now) const;
+  std::uint64_t SharedKey(const selection_request& request) const;
+  std::uint64_t OwnKey(const selection_request& request) const;
   double LoadLimit(const selection_request& request) const;
   double PlacementWeight(const upstream_tracker& upstream,
                          bool large_answer) const;
@@ -157,6 +195,7 @@
   std::map<zone_id, path_state> paths_;
   service_time_estimate service_time_;
   region_balance balance_;
+  object_locations locations_;
   monotonic_time update_balance_at_{};
   region_choices choices_;
 };
--- a/include/citron/policy/upstream_tracker.h
+++ b/include/citron/policy/upstream_tracker.h
@@ -72,6 +72,15 @@
   // Takes a new announcement, which shows whether the upstream has restarted. A
   // restart resets the failures, the load of other callers and the weight.
   void OnRecord(const upstream_record& record, monotonic_time now);
+  // Treats the upstream as one that has just been announced.
+  void OnRejoined(monotonic_time now) {
+    joined_at_ = now;
+    has_objects_ = false;
+  }
+  monotonic_time JoinedAt() const { return joined_at_; }
+  void OnObjectPlaced() { has_objects_ = true; }
+  // Returns whether an object was placed here since the upstream joined.
+  bool HasObjects() const { return has_objects_; }
   void SetColdAllowance(const cold_allowance& allowance);
   // Treats the upstream as cold for at least `left`, whatever it announced.
   void MarkCold(duration left, monotonic_time now);
@@ -92,6 +101,8 @@
   void OnReport(const load_report& report, monotonic_time now);
   // Takes the number of requests at the upstream that another VM reports.
   void OnPeerLoadReport(int requests, monotonic_time now);
+  // Counts a request of another VM, until the next report.
+  void OnPeerSent(monotonic_time now);
   void OnDone(upstream_outcome outcome, monotonic_time now);
   // Takes back what connect failures at or after `since` showed: that the
   // upstream fails, and may have restarted.
@@ -129,6 +140,8 @@
   upstream_record record_;
   region_id region_;
   std::uint64_t hash_;
+  monotonic_time joined_at_;
+  bool has_objects_ = false;
   bool reported_leaving_ = false;
   int in_flight_ = 0;
 
--- a/src/node/fleet_state.cc
+++ b/src/node/fleet_state.cc
@@ -1,6 +1,7 @@
 #include "citron/node/fleet_state.h"
 
 #include <algorithm>
+#include <unordered_map>
 #include <utility>
 
 #include "citron/base/digest.h"
@@ -142,6 +143,7 @@
         selector.ForEach([&](upstream_tracker& upstream) {
           if (upstream.Record().zone == zone) {
             upstream.MarkCold(kReopenedColdSpell, now);
+            upstream.OnRejoined(now);
           }
         });
       }
@@ -364,13 +366,46 @@
                                  const load_report& report,
                                  monotonic_time now) {
   upstream.OnReport(report, now);
-  heard_loads_[upstream.Record().id] = report.running + report.waiting;
+  const int requests = report.running + report.waiting;
+  heard_loads_[upstream.Record().id] = requests;
+  region_loads_[upstream.Record().id] = requests;
 }
 
 std::map<upstream_id, int> fleet_state::TakeHeardLoads() {
   return std::exchange(heard_loads_, {});
 }
 
+std::map<upstream_id, int> fleet_state::TakeRegionLoads() {
+  return std::exchange(region_loads_, {});
+}
+
+void fleet_state::OnPlacedByPeer(const placement_line& line,
+                                 monotonic_time now) {
+  const auto service = service_of_.find(line.upstream);
+  if (service == service_of_.end()) return;
+  affinity_selector* selector = SelectorOf(service->second);
+  upstream_tracker* upstream =
+      selector == nullptr ? nullptr : selector->Find(line.upstream);
+  if (upstream == nullptr) return;
+  selector->OnPlacedByPeer({line.object, upstream->Hash(), now}, *upstream);
+}
+
+std::vector<placement_line> fleet_state::OwnPlacements() {
+  std::vector<placement_line> lines;
+  for (auto& [service, selector] : selectors_) {
+    std::unordered_map<std::uint64_t, upstream_id> by_hash;
+    selector.ForEach([&](const upstream_tracker& upstream) {
+      by_hash.emplace(upstream.Hash(), upstream.Record().id);
+    });
+    for (const object_location& placed : selector.Locations().OwnPlacements()) {
+      const auto upstream = by_hash.find(placed.upstream);
+      if (upstream == by_hash.end()) continue;
+      lines.push_back({placed.object, upstream->second});
+    }
+  }
+  return lines;
+}
+
 bool fleet_state::OnRateLimit(const upstream_id& id,
                               const rate_limit_observation& seen,
                               monotonic_time now) {
--- a/src/node/node_task.cc
+++ b/src/node/node_task.cc
@@ -21,6 +21,8 @@
 constexpr duration kTick = std::chrono::milliseconds(50);
 constexpr duration kSweepInterval = std::chrono::seconds(1);
 constexpr int kBacklog = 1024;
+// Objects that are placed within this time are told together.
+constexpr duration kPlacementDelay = std::chrono::milliseconds(10);
 constexpr std::size_t kSecretBytes = 16;
 constexpr double kBytesPerMegabit = 125'000;
 // A weight of the own region that changed by this factor is logged.
@@ -77,6 +79,9 @@
   // Once for all that is lost with one upstream.
   task->crashes_.OnNews(
       [self = task.get()] { self->crash_news_.Arm(MonotonicNow()); });
+  task->placements_.OnNews([self = task.get()] {
+    self->placement_timer_.Arm(MonotonicNow() + kPlacementDelay);
+  });
   result<std::unique_ptr<node_pages>> pages = node_pages::Make(
       task->context_, platform.pages, *task->peers_, task->relay_,
       [self = task.get()] { return self->Condition(); });
@@ -104,15 +109,16 @@
       pool_(loop, platform.names.request_id, paths_),
       crashes_(log_),
       memory_({.limit_bytes = HeldBytesLimit(settings)}),
-      context_{loop_, settings_, names_,   log_,   stats_, fleet_,
-               feed_, pool_,     crashes_, paths_, memory_},
+      context_{loop_, settings_, names_,   log_,   stats_,  fleet_,
+               feed_, pool_,     crashes_, paths_, memory_, placements_},
       secret_(RandomHex(kSecretBytes)),
       sync_(context_, *platform.store, *platform.codec, secret_),
       relay_(context_, sync_.Index(), secret_),
       processor_(settings_.processor_share),
       link_(settings_.link_mbps * kBytesPerMegabit),
       tick_(loop, [this] { OnTick(); }),
-      crash_news_(loop, [this] { peers_->TellCrashes(MonotonicNow()); }) {}
+      crash_news_(loop, [this] { peers_->TellCrashes(MonotonicNow()); }),
+      placement_timer_(loop, [this] { peers_->TellRegion(MonotonicNow()); }) {}
 
 node_task::~node_task() {
   connections_.clear();
@@ -164,6 +170,7 @@
                                                  caller_exchange& exchange) {
   const monotonic_time now = MonotonicNow();
   sync_.OnRequest(now);
+  peers_->OnRequest();
   std::variant<admitted_request, rejection> gate =
       AdmitRequest(context_, head, now);
   if (const auto* turned = std::get_if<rejection>(&gate)) {
@@ -238,6 +245,7 @@
   paths_.Run(pool_, *peers_, now);
   peers_->Run(Condition(), now);
   peers_->TellCrashes(now);
+  peers_->TellRegion(now);
   if (ready != was_ready_) {
     log_.Write("node", ready ? "ready" : "not_ready",
                {{"vm", settings_.vm.Str()}, {"stopping", bool(stopped_)}}, now);
--- a/src/node/peer_datagram.cc
+++ b/src/node/peer_datagram.cc
@@ -33,6 +33,8 @@
       return ReadAs<peer_report>(bytes);
     case kFieldsOf<crash_report>:
       return ReadAs<crash_report>(bytes);
+    case kFieldsOf<region_report>:
+      return ReadAs<region_report>(bytes);
     case kFieldsOf<reach_report>: {
       result<peer_datagram> reach = ReadAs<reach_report>(bytes);
       return IsOk(reach) ? reach : ReadAs<rate_limit_report>(bytes);
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -40,11 +40,23 @@
 // VMs that have reported and are not listed, at the most: a whole fleet may
 // start before its records are read.
 constexpr std::size_t kMaxUnlistedPeers = 1024;
+// Placements in one datagram, which fits one packet.
+constexpr std::size_t kMaxPlacements = 48;
+// Between reports of loads within a region: less than a warm request takes.
+constexpr duration kRegionInterval = std::chrono::milliseconds(100);
+// Readers up to which that interval holds; with more it grows as their number.
+constexpr int kSmallRegion = 4;
 
 duration IntervalFor(int vms) {
   return kInterval * std::max(kSmallFleet, vms) / kSmallFleet;
 }
 
+duration RegionIntervalFor(int readers) {
+  const duration interval =
+      kRegionInterval * std::max(kSmallRegion, readers) / kSmallRegion;
+  return std::min(interval, kInterval);
+}
+
 bool IsRate(double per_s) { return std::isfinite(per_s) && per_s >= 0; }
 
 // Datagrams may be repeated and overtake each other.
@@ -58,6 +70,15 @@
   return static_cast<std::uint32_t>(std::ceil(std::max(0.0, value)));
 }
 
+std::vector<load_line> LoadLines(const std::map<upstream_id, int>& loads) {
+  std::vector<load_line> lines;
+  lines.reserve(loads.size());
+  for (const auto& [upstream, requests] : loads) {
+    lines.push_back({upstream, static_cast<std::uint32_t>(requests)});
+  }
+  return lines;
+}
+
 quota_contact ContactOf(const peer_report& report, monotonic_time now) {
   monotonic_time has_heard{std::chrono::nanoseconds(report.has_heard)};
   // A time to come is one of a clock that started anew since.
@@ -111,8 +132,11 @@
   TellRateLimits(now);
   const bool for_all = now >= tell_all_at_;
   const bool for_serving = now >= tell_serving_at_;
-  const bool changed =
-      own.ready != told_ready_ || own.near_capacity != told_near_capacity_;
+  const bool begins_to_serve =
+      std::exchange(is_asked_, false) && !told_serving_;
+  const bool changed = own.ready != told_ready_ ||
+                       own.near_capacity != told_near_capacity_ ||
+                       begins_to_serve;
   if (!for_all && !for_serving && !changed) return;
   LogSilence(now);
   ForgetGonePeers(now);
@@ -157,9 +181,7 @@
   for (const auto& [vm, address] : readers_) {
     if (!context_.fleet.Vms().contains(vm)) report.heard_unlisted.push_back(vm);
   }
-  for (const auto& [upstream, requests] : context_.fleet.TakeHeardLoads()) {
-    report.loads.push_back({upstream, static_cast<std::uint32_t>(requests)});
-  }
+  report.loads = LoadLines(context_.fleet.TakeHeardLoads());
   return report;
 }
 
@@ -212,12 +234,15 @@
                          duration interval) {
   peer_report told = report;
   told.tells_again_ms = RoundedUp(ToMilliseconds(interval));
-  // Loads are of use to those who send requests.
-  if (!to_serving) told.loads.clear();
   for (const auto& [vm, address] : readers_) {
     if (Serves(vm) != to_serving) continue;
     const auto peer = peers_.find(vm);
     told.has_heard = peer == peers_.end() ? 0 : peer->second.told_at;
+    // Its loads come more often by another report.
+    const bool told_by_region =
+        peer != peers_.end() && peer->second.tells_region && IsInRegion(vm);
+    told.loads =
+        to_serving && !told_by_region ? report.loads : std::vector<load_line>();
     SendTo(address, EncodeWire(told));
   }
 }
@@ -239,6 +264,53 @@
   SendToAll(report);
 }
 
+bool peer_exchange::IsInRegion(const vm_id& vm) const {
+  const auto listing = context_.fleet.Vms().find(vm);
+  return listing != context_.fleet.Vms().end() &&
+         listing->second.region == context_.settings.region;
+}
+
+std::vector<endpoint> peer_exchange::ServingInRegion() const {
+  std::vector<endpoint> addresses;
+  for (const auto& [vm, address] : readers_) {
+    if (Serves(vm) && IsInRegion(vm)) addresses.push_back(address);
+  }
+  return addresses;
+}
+
+void peer_exchange::TellRegion(monotonic_time now) {
+  const bool loads_due = now >= tell_region_loads_at_;
+  if (!loads_due && context_.placements.IsEmpty()) return;
+  UpdateReaders();
+  const std::vector<endpoint> readers = ServingInRegion();
+  const auto count = static_cast<int>(readers.size());
+  region_report report{context_.settings.vm, {}, {}};
+  if (loads_due) {
+    tell_region_loads_at_ = now + RegionIntervalFor(count);
+    report.loads = LoadLines(context_.fleet.TakeRegionLoads());
+  }
+  while (!context_.placements.IsEmpty() || !report.loads.empty()) {
+    if (!placement_budget_.TryTake(count, now)) return;
+    report.placements = context_.placements.Take(kMaxPlacements);
+    const std::string bytes = EncodeWire(report);
+    for (const endpoint& address : readers) SendTo(address, bytes);
+    report.loads.clear();
+  }
+}
+
+void peer_exchange::TellOwnPlacements(const vm_id& vm) {
+  const auto reader = readers_.find(vm);
+  if (reader == readers_.end() || !IsInRegion(vm)) return;
+  const std::vector<placement_line> lines = context_.fleet.OwnPlacements();
+  for (std::size_t i = 0; i < lines.size(); i += kMaxPlacements) {
+    const auto begin = lines.begin() + static_cast<std::ptrdiff_t>(i);
+    const auto end = lines.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                         i + kMaxPlacements, lines.size()));
+    SendTo(reader->second,
+           EncodeWire(region_report{context_.settings.vm, {begin, end}, {}}));
+  }
+}
+
 void peer_exchange::TellReach(bool reaches_upstreams, monotonic_time now) {
   const bool changed = reaches_upstreams != told_reaching_;
   if (changed) reach_reports_left_ = kReachReports;
@@ -312,6 +384,31 @@
                      now);
 }
 
+// A stranger could send all objects to one upstream with it.
+void peer_exchange::OnReport(const region_report& report,
+                             const sockaddr_in& source, monotonic_time now) {
+  if (!IsFrom(report.vm, source)) {
+    context_.log.Write("peers", "region_report_refused",
+                       {{"vm", report.vm.Str()}}, now);
+    return;
+  }
+  const auto peer = peers_.find(report.vm);
+  if (peer != peers_.end()) peer->second.tells_region = true;
+  for (const placement_line& line : report.placements) {
+    context_.fleet.OnPlacedByPeer(line, now);
+  }
+  OnLoads(report.loads, now);
+}
+
+void peer_exchange::OnLoads(const std::vector<load_line>& loads,
+                            monotonic_time now) {
+  for (const load_line& line : loads) {
+    upstream_tracker* upstream = context_.fleet.FindUpstream(line.upstream);
+    if (upstream == nullptr) continue;
+    upstream->OnPeerLoadReport(static_cast<int>(line.requests), now);
+  }
+}
+
 // A VM may report before its record is read here. A stranger could starve a
 // workspace with reports in a listed VM's name, or fill the memory with others.
 bool peer_exchange::AcceptsReport(const vm_id& vm, const sockaddr_in& source) {
@@ -331,6 +428,8 @@
   peer_state& peer = peers_[report.vm];
   if (!IsNewer(report, peer)) return;
   const bool serves = !report.quotas.empty();
+  const bool restarted = report.incarnation != peer.incarnation;
+  const bool begins_to_serve = serves && (!peer.serves || restarted);
   peer = {report.incarnation,
           report.sequence,
           report.ready,
@@ -338,7 +437,9 @@
           serves,
           report.told_at,
           now,
-          peer.silent};
+          peer.silent,
+          !restarted && peer.tells_region};
+  if (begins_to_serve) TellOwnPlacements(report.vm);
   std::map<workspace_id, quota_report> told;
   for (const quota_line& line : report.quotas) {
     told[line.workspace] = {line.demand_tenths_per_s / 10.0,
@@ -360,11 +461,7 @@
     quota.OnReport(from, line == told.end() ? quota_report{} : line->second,
                    now);
   }
-  for (const load_line& line : report.loads) {
-    upstream_tracker* upstream = context_.fleet.FindUpstream(line.upstream);
-    if (upstream == nullptr) continue;
-    upstream->OnPeerLoadReport(static_cast<int>(line.requests), now);
-  }
+  OnLoads(report.loads, now);
 }
 
 // A stranger could keep callers away from a VM with it.
--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -110,8 +110,8 @@
       unused_timer_(context.loop, [this] { CutUnused("slow_unused"); }) {
   const route_config& route = *admitted_.route;
   const std::string object = HeaderOr(head_.headers, context.names.affinity);
-  const bool sticks = route.has_affinity && !object.empty();
-  object_ = HashBytes(sticks ? object : id_, HashBytes(route.id.Str()));
+  has_affinity_ = route.has_affinity && !object.empty();
+  object_ = HashBytes(has_affinity_ ? object : id_, HashBytes(route.id.Str()));
   caller_deadline_ = monotonic_time::max();
   const auto asked =
       ReadWhole(HeaderOr(head_.headers, context.names.deadline_ms));
@@ -242,6 +242,7 @@
       return OnNoUpstream(*none);
     }
     const selection& choice = std::get<selection>(chosen);
+    if (choice.placed) TellPlacement(choice);
     if (Connect(choice.upstream, now)) return SendTo(choice);
     left_out.push_back(choice.upstream);
   }
@@ -256,6 +257,7 @@
   if (selector == nullptr) return selection_error::kNoneKnown;
   selection_request request;
   request.object = object_;
+  request.has_affinity = has_affinity_;
   request.large_answer = admitted_.route->repeats == repetition::kDownload;
   request.latency_goal = admitted_.route->latency_goal;
   request.route_allowed_regions = &admitted_.route->homes;
@@ -266,6 +268,12 @@
   return selector->Choose(request, now);
 }
 
+void proxied_request::TellPlacement(const selection& choice) {
+  context_.stats.Count("citron_objects_placed_total",
+                       {{"service", service_.Str()}});
+  context_.placements.Add({choice.placed->object, choice.upstream});
+}
+
 bool proxied_request::Connect(const upstream_id& upstream, monotonic_time now) {
   const bool is_region_bound =
       !admitted_.route->homes.empty() ||
--- a/src/policy/affinity_selector.cc
+++ b/src/policy/affinity_selector.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "citron/base/digest.h"
 #include "citron/policy/rendezvous.h"
 
 namespace citron {
@@ -27,6 +28,11 @@
                    id) != request.excluded_upstreams->end();
 }
 
+bool IsFirstAttempt(const selection_request& request) {
+  return request.excluded_upstreams == nullptr ||
+         request.excluded_upstreams->empty();
+}
+
 }  // namespace
 
 std::string_view ToString(selection_error error) {
@@ -106,15 +112,11 @@
                                     const selection_request& request,
                                     bool include_ejected,
                                     monotonic_time now) const {
-  const upstream_record& record = upstream.Record();
-  if (upstream.IsLeaving() || closed_zones_.contains(record.zone)) return false;
-  if (WasTried(request, record.id)) return false;
-  if (upstream.IsInBackoff(now)) return false;
+  if (!IsUsable(upstream, now)) return false;
+  if (WasTried(request, upstream.Record().id)) return false;
   if (upstream.IsOnProbation() && upstream.InFlight() > 0) return false;
   if (!include_ejected && upstream.IsEjected(now)) return false;
-  if (upstream.IsCold(now) && !upstream.CanTakeColdRequest(now)) return false;
-  const auto path = paths_.find(record.zone);
-  return path == paths_.end() || now >= path->second.backoff_until;
+  return !upstream.IsCold(now) || upstream.CanTakeColdRequest(now);
 }
 
 double affinity_selector::PlacementWeight(const upstream_tracker& upstream,
@@ -131,9 +133,7 @@
 // takes no room here.
 void affinity_selector::CountObject(const selection_request& request,
                                     monotonic_time now) {
-  const bool first_attempt = request.excluded_upstreams == nullptr ||
-                             request.excluded_upstreams->empty();
-  if (first_attempt &&
+  if (IsFirstAttempt(request) &&
       AllowsRegion(request.route_allowed_regions, options_.region) &&
       AllowsRegion(request.workspace_allowed_regions, options_.region)) {
     balance_.OnRequest(request.object, now);
@@ -195,12 +195,112 @@
   });
 }
 
+// The VMs of a zone place large answers, those of a region all others.
+std::uint64_t affinity_selector::SharedKey(
+    const selection_request& request) const {
+  if (!request.large_answer) return request.object;
+  return MixHashes(request.object, HashBytes(options_.zone.Str()));
+}
+
+// A request that may not run where others for the object do has a location of
+// its own.
+std::uint64_t affinity_selector::OwnKey(
+    const selection_request& request) const {
+  std::uint64_t key = SharedKey(request);
+  for (const std::set<region_id>* regions :
+       {request.route_allowed_regions, request.workspace_allowed_regions}) {
+    if (regions == nullptr) continue;
+    for (const region_id& region : *regions) {
+      key = MixHashes(key, HashBytes(region.Str()));
+    }
+  }
+  return key;
+}
+
+const affinity_selector::candidate* affinity_selector::FindLocated(
+    const std::optional<object_location>& location,
+    const std::vector<candidate>& candidates) const {
+  if (!location) return nullptr;
+  const auto found = std::find_if(
+      candidates.begin(), candidates.end(), [&](const candidate& c) {
+        return c.upstream->Hash() == location->upstream;
+      });
+  return found == candidates.end() ? nullptr : &*found;
+}
+
+// Returns whether the object moves to the preferred region, which is not the
+// one where it is. The VMs of a region estimate its weight differently: if one
+// alone sent an object away, the others would bring it back, to a cold run each
+// time.
+bool affinity_selector::PrefersOtherRegion(
+    const candidate& located, const std::vector<candidate>& candidates) const {
+  const candidate& preferred = candidates.front();
+  const region_id& region = located.upstream->Region();
+  if (preferred.upstream->Region() == options_.region) return true;
+  const auto nearest = std::find_if(
+      candidates.begin(), candidates.end(),
+      [&](const candidate& c) { return c.upstream->Region() == region; });
+  return preferred.cost * options_.region_hysteresis < nearest->cost;
+}
+
+// An overloaded upstream loses a stable part of its objects. One that joins
+// takes over the first one that prefers it, and others where their requests
+// would wait: each object that moves is run cold once more.
+bool affinity_selector::HasToLeave(const candidate& located,
+                                   monotonic_time placed_at,
+                                   const selection_request& request,
+                                   const std::vector<candidate>& candidates,
+                                   monotonic_time now) const {
+  const upstream_tracker& from = *located.upstream;
+  const bool is_shed = HashToUnitInterval(MixHashes(
+                           from.Hash(), request.object)) > from.LoadWeight();
+  if (is_shed) return true;
+  const upstream_tracker& preferred = *candidates.front().upstream;
+  if (preferred.Region() != from.Region()) {
+    return PrefersOtherRegion(located, candidates);
+  }
+  const bool takes_over =
+      !preferred.HasObjects() || LoadPerSlot(from, now) >= 1;
+  return preferred.JoinedAt() > placed_at && takes_over &&
+         !preferred.IsCold(now);
+}
+
+affinity_selector::location_state affinity_selector::PreferLocated(
+    const selection_request& request, std::vector<candidate>& candidates,
+    monotonic_time now) {
+  if (!request.has_affinity) return location_state::kUnknown;
+  std::optional<object_location> location = locations_.Find(SharedKey(request));
+  const candidate* located = FindLocated(location, candidates);
+  if (located == nullptr) {
+    location = locations_.Find(OwnKey(request));
+    located = FindLocated(location, candidates);
+  }
+  if (located == nullptr) {
+    const bool comes_back = location && IsPresent(location->upstream);
+    return comes_back ? location_state::kAway : location_state::kUnknown;
+  }
+  if (HasToLeave(*located, location->placed_at, request, candidates, now)) {
+    return location_state::kLeaves;
+  }
+  const auto index = located - candidates.data();
+  std::rotate(candidates.begin(), candidates.begin() + index,
+              candidates.begin() + index + 1);
+  return location_state::kLocated;
+}
+
+bool affinity_selector::IsPresent(std::uint64_t hash) const {
+  return std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto& u) {
+    const upstream_tracker& upstream = u.second;
+    return upstream.Hash() == hash && !upstream.IsLeaving() &&
+           !closed_zones_.contains(upstream.Record().zone);
+  });
+}
+
 // Reduces `candidates` to the replicas that share the object, the preferred one
 // first. All are in the region of the preferred one, so that an overload does
 // not move the requests of a region to other regions from one second to the
 // next.
-void affinity_selector::KeepPreferredReplicas(
-    std::vector<candidate>& candidates) const {
+void affinity_selector::KeepReplicas(std::vector<candidate>& candidates) const {
   const region_id region = candidates.front().upstream->Region();
   std::erase_if(candidates, [&region](const candidate& c) {
     return c.upstream->Region() != region;
@@ -210,17 +310,28 @@
   }
 }
 
-// Returns a nearly idle replica for an object whose preferred upstream is full.
-// A busy replica would serve the object cold, in the time of several warm
-// requests.
-const upstream_tracker* affinity_selector::FindSpareReplica(
-    const std::vector<candidate>& replicas, monotonic_time now) const {
-  for (std::size_t i = 1; i < replicas.size(); ++i) {
-    if (LoadPerSlot(*replicas[i].upstream, now) < options_.spare_replica_load) {
-      return replicas[i].upstream;
-    }
-  }
-  return nullptr;
+// An object leaves a full upstream only for a nearly idle one: a busy one would
+// serve it cold, in the time of several warm requests.
+upstream_tracker* affinity_selector::PickReplica(
+    const std::vector<candidate>& replicas, location_state state,
+    double load_limit, monotonic_time now) const {
+  const auto first_below = [&](auto begin, double load) -> upstream_tracker* {
+    const auto found =
+        std::find_if(begin, replicas.end(), [&](const candidate& c) {
+          return LoadPerSlot(*c.upstream, now) < load;
+        });
+    return found == replicas.end() ? nullptr : found->upstream;
+  };
+  upstream_tracker* preferred = replicas.front().upstream;
+  if (LoadPerSlot(*preferred, now) < load_limit) return preferred;
+  return first_below(replicas.begin() + 1, options_.spare_replica_load);
+}
+
+void affinity_selector::OnPlacedByPeer(const object_location& placed,
+                                       upstream_tracker& upstream) {
+  locations_.OnPlacedByPeer(placed);
+  upstream.OnObjectPlaced();
+  upstream.OnPeerSent(placed.placed_at);
 }
 
 // Returns the load limit in requests per slot. Under overload an upstream
@@ -269,17 +380,26 @@
       [](const candidate& a, const candidate& b) { return a.cost < b.cost; });
   DropRateLimited(candidates, now);
   if (candidates.empty()) return selection_error::kRateLimited;
-  KeepPreferredReplicas(candidates);
-  const upstream_tracker* upstream = candidates[0].upstream;
-  if (LoadPerSlot(*upstream, now) >= LoadLimit(request)) {
-    upstream = FindSpareReplica(candidates, now);
-    if (upstream == nullptr) return selection_error::kBusy;
-  }
+  const location_state state = PreferLocated(request, candidates, now);
+  KeepReplicas(candidates);
+  const upstream_tracker* preferred = candidates.front().upstream;
+  upstream_tracker* upstream =
+      PickReplica(candidates, state, LoadLimit(request), now);
+  if (upstream == nullptr) return selection_error::kBusy;
   const bool at_home = upstream->Region() == options_.region;
   ++(at_home ? choices_.own : choices_.other);
-  return selection{upstream->Record().id, upstream->Load(now),
+  selection chosen{upstream->Record().id,    upstream->Load(now),
                    upstream->Record().slots, upstream->IsCold(now),
-                   upstream == candidates[0].upstream};
+                   upstream == preferred,    std::nullopt};
+  const bool is_placed =
+      state == location_state::kUnknown ||
+      (state == location_state::kLeaves && chosen.first_choice);
+  if (is_placed && request.has_affinity && IsFirstAttempt(request)) {
+    chosen.placed = {OwnKey(request), upstream->Hash(), now};
+    locations_.OnPlaced(*chosen.placed);
+    upstream->OnObjectPlaced();
+  }
+  return chosen;
 }
 
 }  // namespace citron
--- a/src/policy/upstream_tracker.cc
+++ b/src/policy/upstream_tracker.cc
@@ -32,6 +32,7 @@
     : record_(record),
       region_(region),
       hash_(HashBytes(record.id.Str())),
+      joined_at_(now),
       weight_(weights) {
   MarkCold(record.cold_left, now);
 }
@@ -109,6 +110,14 @@
   UpdateLoad(requests, in_flight_, record_.slots, now);
 }
 
+void upstream_tracker::OnPeerSent(monotonic_time now) {
+  if (!IsLoadKnown(now)) {
+    other_callers_load_ = 0;
+    reported_at_ = now;
+  }
+  ++other_callers_load_;
+}
+
 void upstream_tracker::UpdateLoad(int requests, int local_in_flight, int slots,
                                   monotonic_time now) {
   other_callers_load_ = std::max(0, requests - local_in_flight);
@@ -117,8 +126,7 @@
 }
 
 int upstream_tracker::Load(monotonic_time now) const {
-  const bool report_valid = now - reported_at_ < options_.report_lifetime;
-  return in_flight_ + (report_valid ? other_callers_load_ : 0);
+  return in_flight_ + (IsLoadKnown(now) ? other_callers_load_ : 0);
 }
 
 void upstream_tracker::OnDone(upstream_outcome outcome, monotonic_time now) {
--- a/tests/node/peer_datagram_test.cc
+++ b/tests/node/peer_datagram_test.cc
@@ -26,6 +26,10 @@
   const crash_report crashes{kVm, {{7, upstream_id("u1"), 30}}};
   BOOST_TEST(ReadBack(crashes).crashes.at(0).fingerprint == 7u);
   BOOST_TEST(!ReadBack(reach_report{kVm, 1, 2, false}).reaches_upstreams);
+  const region_report region{
+      kVm, {{9, upstream_id("u1")}}, {{upstream_id("u2"), 5}}};
+  BOOST_TEST(ReadBack(region).placements.at(0).object == 9u);
+  BOOST_TEST(ReadBack(region).loads.at(0).requests == 5u);
   rate_limit_report limits{kVm, 1, 2, {{upstream_id("u1"), true, 5, 6, 7}}};
   BOOST_TEST(ReadBack(limits).lines.at(0).per_s == 5);
   limits.lines.clear();
--- a/tests/node/peer_exchange_test.cc
+++ b/tests/node/peer_exchange_test.cc
@@ -13,6 +13,7 @@
 #include "citron/node/crash_report.h"
 #include "citron/node/peer_report.h"
 #include "citron/node/reach_report.h"
+#include "citron/node/region_report.h"
 #include "citron/node/vm_listing.h"
 #include "citron/policy/request_fingerprint.h"
 #include "citron/wire/codec.h"
@@ -185,6 +186,15 @@
   BOOST_TEST(!HeaderIn(answer, "Retry-After").empty());
 }
 
+// Guards against a stranger who sends all objects to one upstream.
+BOOST_AUTO_TEST_CASE(OnlyAListedVmTellsOfPlacements) {
+  BOOST_REQUIRE(RunUntil([this] { return peer_.Take().has_value(); }));
+  const region_report report{vm_id("vm2"), {{7, upstream_id("u1")}}, {}};
+  peer_socket_of_test stranger;
+  stranger.Tell(settings_.peer, report);
+  BOOST_TEST(RunUntil([this] { return HasLine("region_report_refused"); }));
+}
+
 // Guards against look-ups that name a VM that says that it reaches no upstream,
 // against a stranger who says so for it, and against a VM that stays left out
 // after its restart.
--- a/tests/policy/warm_placement_test.cc
+++ b/tests/policy/warm_placement_test.cc
@@ -116,6 +116,48 @@
   BOOST_TEST(Sum(plan, selector_options{}).InGoalFraction() > 0.995);
 }
 
+// Regions whose weights each VM estimates for itself.
+warm_plan WaveOverUnevenRegions() {
+  warm_plan plan;
+  for (const auto& [zone, region, upstreams] :
+       {std::tuple("r0a", "r0", 8), std::tuple("r0b", "r0", 8),
+        std::tuple("r1a", "r1", 9), std::tuple("r1b", "r1", 9),
+        std::tuple("r2a", "r2", 2), std::tuple("r2b", "r2", 2)}) {
+    plan.zones.push_back({zone, region, upstreams, 60});
+  }
+  plan.objects = 150;
+  plan.count_from_s = 0;
+  return plan;
+}
+
+// Guards against objects that run cold again and again, as the VMs of a region
+// weigh regions and loaded upstreams differently.
+BOOST_AUTO_TEST_CASE(VmsThatTellTheirPlacementsAgree) {
+  warm_plan plan = WaveOverUnevenRegions();
+  const warm_result told = Sum(plan, selector_options{});
+  plan.tells_placements = false;
+  const warm_result untold = Sum(plan, selector_options{});
+  BOOST_TEST(told.cold_runs < untold.cold_runs);
+  BOOST_TEST(told.InGoalFraction() > untold.InGoalFraction());
+}
+
+// Guards against VMs that queue requests at upstreams which the other VMs of
+// their region have filled since the last report.
+BOOST_AUTO_TEST_CASE(YoungLoadsKeepRequestsInTime) {
+  warm_plan plan;
+  for (const char* zone : {"r0a", "r0b", "r0c", "r0d"}) {
+    plan.zones.push_back({zone, "r0", 4, 70});
+  }
+  plan.objects = 200;
+  plan.latency_goal_s = 0.4;
+  plan.tell_loads_each_s = 0.1;
+  const warm_result young = Sum(plan, selector_options{});
+  plan.tell_loads_each_s = 0.4;
+  const warm_result old = Sum(plan, selector_options{});
+  BOOST_TEST(young.InGoalFraction() > old.InGoalFraction());
+  BOOST_TEST(young.rejected < old.rejected);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/policy/warm_simulation.h
+++ b/tests/policy/warm_simulation.h
@@ -42,7 +42,10 @@
   double warm_time_fraction = 0.3;    // Of the cold service time.
   double service_time_spread = 0.15;  // Relative standard deviation.
   double latency_goal_s = 0.5;
-  bool passes_latency_goal = true;      // Pass the goal to the selectors.
+  bool passes_latency_goal = true;  // Pass the goal to the selectors.
+  // VMs of a region tell each other where they place objects.
+  bool tells_placements = true;
+  double tell_loads_each_s = 0;  // And what they hear of loads; 0: never.
   double cross_region_delay_s = 0.035;  // One way.
   double seconds = 40;
   double count_from_s = 20;  // Earlier requests are not counted.
@@ -66,7 +69,7 @@
 // Simulates upstreams that serve recently served objects faster, in zones of
 // uneven size. Each zone has one VM with its own selector. The network is a
 // fixed delay within a region and another between regions. VMs learn the load
-// of upstreams only from answers.
+// of upstreams from answers and, if the plan says so, from each other.
 class warm_simulation {
  public:
   warm_simulation(warm_plan plan, const selector_options& options,
@@ -79,6 +82,7 @@
   warm_result Run() {
     for (std::size_t i = 0; i < vms_.size(); ++i) ScheduleArrival(i);
     ScheduleAt(plan_.closed_at_s, [this] { CloseZone(); });
+    if (plan_.tell_loads_each_s > 0) TellLoads();
     while (!events_.empty() && events_.top().at < plan_.seconds) {
       const event next = events_.top();
       events_.pop();
@@ -114,7 +118,9 @@
   struct vm {
     warm_zone zone;
     std::unique_ptr<affinity_selector> selector;
+    std::map<upstream_id, int> heard_loads;
   };
+  static constexpr double kPlacementDelayS = 0.012;
 
   monotonic_time Now() const {
     return monotonic_time(std::chrono::hours(1)) + FromSeconds(now_);
@@ -154,6 +160,33 @@
     });
   }
 
+  template <typename action>
+  void ForEachNeighbour(const vm& teller, const action& act) {
+    for (vm& v : vms_) {
+      if (&v != &teller && v.zone.region == teller.zone.region) act(v);
+    }
+  }
+  void TellPlacement(const vm& teller, const selection& chosen) {
+    ScheduleAt(now_ + kPlacementDelayS, [this, &teller, chosen] {
+      ForEachNeighbour(teller, [&](vm& v) {
+        object_location placed = *chosen.placed;
+        placed.placed_at = Now();
+        v.selector->OnPlacedByPeer(placed, *v.selector->Find(chosen.upstream));
+      });
+    });
+  }
+  void TellLoads() {
+    for (vm& teller : vms_) {
+      ForEachNeighbour(teller, [&](vm& v) {
+        for (const auto& [id, requests] : teller.heard_loads) {
+          v.selector->Find(id)->OnPeerLoadReport(requests, Now());
+        }
+      });
+      teller.heard_loads.clear();
+    }
+    ScheduleAt(now_ + plan_.tell_loads_each_s, [this] { TellLoads(); });
+  }
+
   void OnRequest(std::size_t index) {
     vm& v = vms_[index];
     const auto number = random_(static_cast<std::uint32_t>(plan_.objects));
@@ -166,6 +199,7 @@
     const auto chosen = v.selector->Choose(choice_request, Now());
     const auto* selected = std::get_if<selection>(&chosen);
     if (selected == nullptr) return Count(r, result_.rejected);
+    if (selected->placed && plan_.tells_placements) TellPlacement(v, *selected);
     r.expected_free_slot = selected->load < selected->slots;
     upstream& u = upstreams_.at(selected->upstream);
     v.selector->Find(u.record.id)->OnSent(Now());
@@ -216,6 +250,7 @@
     ScheduleAt(now_ + NetworkDelay(vms_[r.vm], u), [this, &u, r, report] {
       upstream_tracker& standing = Find(u, r);
       standing.OnReport(report, Now());
+      vms_[r.vm].heard_loads[u.record.id] = report.running + report.waiting;
       standing.OnDone(upstream_outcome::kAnswered, Now());
       if (r.expected_free_slot) {
         const double observed_service_time_s =
