--- a/include/citron/policy/affinity_selector.h
+++ b/include/citron/policy/affinity_selector.h
@@ -42,9 +42,9 @@
   // unknown. Upstreams queue three requests per slot and reject the rest.
   double min_load_limit = 2;
   double max_load_limit = 3.5;
-  // Number of upstreams that share an object. Once the preferred one reaches
-  // its limit, another one takes requests while its load per slot is below
-  // `spare_replica_load`.
+  // Number of upstreams that share an object. A new object goes to the first of
+  // them with a free slot. Once the preferred one reaches its limit, another
+  // one takes requests while its load per slot is below `spare_replica_load`.
   int replicas = 2;
   double spare_replica_load = 0.5;
   // Connect timeouts to upstreams of a zone, without a connection in between,
--- a/src/policy/affinity_selector.cc
+++ b/src/policy/affinity_selector.cc
@@ -310,8 +310,10 @@
   }
 }
 
-// An object leaves a full upstream only for a nearly idle one: a busy one would
-// serve it cold, in the time of several warm requests.
+// A new object is cold anywhere, and what waits behind its run is late, so it
+// goes to a free slot. Other objects leave a full upstream only for a nearly
+// idle one: a busy one would serve them cold, in the time of several warm
+// requests.
 upstream_tracker* affinity_selector::PickReplica(
     const std::vector<candidate>& replicas, location_state state,
     double load_limit, monotonic_time now) const {
@@ -322,6 +324,10 @@
         });
     return found == replicas.end() ? nullptr : found->upstream;
   };
+  if (state == location_state::kUnknown) {
+    upstream_tracker* free = first_below(replicas.begin(), 1);
+    if (free != nullptr) return free;
+  }
   upstream_tracker* preferred = replicas.front().upstream;
   if (LoadPerSlot(*preferred, now) < load_limit) return preferred;
   return first_below(replicas.begin() + 1, options_.spare_replica_load);
--- a/tests/policy/warm_placement_test.cc
+++ b/tests/policy/warm_placement_test.cc
@@ -141,6 +141,19 @@
   BOOST_TEST(told.InGoalFraction() > untold.InGoalFraction());
 }
 
+// Guards against cold objects that wait at one upstream beside free slots in
+// the first seconds, as hashing spreads them unevenly.
+BOOST_AUTO_TEST_CASE(AtAStartNewObjectsFindFreeSlots) {
+  warm_plan plan = WaveOverUnevenRegions();
+  plan.seconds = 2;
+  const warm_result two_places = Sum(plan, selector_options{});
+  selector_options one_place;
+  one_place.replicas = 1;
+  const warm_result hashed = Sum(plan, one_place);
+  BOOST_TEST(two_places.InGoalFraction() > hashed.InGoalFraction());
+  BOOST_TEST(two_places.rejected <= hashed.rejected);
+}
+
 // Guards against VMs that queue requests at upstreams which the other VMs of
 // their region have filled since the last report.
 BOOST_AUTO_TEST_CASE(YoungLoadsKeepRequestsInTime) {
