An object that stays at its preferred upstream is placed once

Cause: an upstream whose weight has fallen loses a part of its objects by hash. An object of that part whose preferred upstream is the one it runs at was "moved" there with each request, and told to the region each time, found by reading the diff. Seen by callers: nothing but the processor time of datagrams.

Evidence: AnObjectThatStaysIsPlacedOnce, 86 of 100 objects placed again before, none after. AnUpstreamThatJoinsGetsAnObject guards the other rule of that function.

--- a/src/policy/affinity_selector.cc
+++ b/src/policy/affinity_selector.cc
@@ -251,6 +251,7 @@
                                    const selection_request& request,
                                    const std::vector<candidate>& candidates,
                                    monotonic_time now) const {
+  if (&located == &candidates.front()) return false;
   const upstream_tracker& from = *located.upstream;
   const bool is_shed = HashToUnitInterval(MixHashes(
                            from.Hash(), request.object)) > from.LoadWeight();
--- a/tests/policy/affinity_selector_test.cc
+++ b/tests/policy/affinity_selector_test.cc
@@ -334,6 +334,45 @@
   BOOST_TEST(HomePartAfterRequests(true) < 0.8);
 }
 
+// Guards against a placement that is told with each request, after an overload
+// has lowered the weights of all upstreams.
+BOOST_AUTO_TEST_CASE(AnObjectThatStaysIsPlacedOnce) {
+  for (int i = 0; i < 200; ++i) {
+    now_ += milliseconds(200);
+    selector_.ForEach([this](upstream_tracker& upstream) {
+      upstream.OnPeerLoadReport(30, now_);
+    });
+  }
+  selector_.ForEach([this](upstream_tracker& upstream) {
+    upstream.OnPeerLoadReport(0, now_);
+  });
+  int placed_again = 0;
+  for (int object = 0; object < 100; ++object) {
+    const auto first = selector_.Choose(RequestForObject(object), now_);
+    BOOST_TEST(std::get<selection>(first).placed.has_value());
+    const auto second = selector_.Choose(RequestForObject(object), now_);
+    placed_again += std::get<selection>(second).placed.has_value();
+  }
+  BOOST_TEST(placed_again == 0);
+}
+
+// Guards against an upstream that joins and stays empty, as all objects have
+// their places.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatJoinsGetsAnObject) {
+  constexpr int kObjects = 300;
+  for (int object = 0; object < kObjects; ++object) {
+    ChosenUpstream(RequestForObject(object));
+  }
+  now_ += seconds(1);
+  AddUpstream(selector_, kUpstreams);
+  const std::string joined = fmt::format("u{}", kUpstreams);
+  int taken = 0;
+  for (int object = 0; object < kObjects; ++object) {
+    taken += ChosenUpstream(RequestForObject(object)) == joined;
+  }
+  BOOST_TEST(taken > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
