--- a/tests/node/peer_exchange_test.cc
+++ b/tests/node/peer_exchange_test.cc
@@ -10,7 +10,9 @@
 #include <boost/test/unit_test.hpp>
 #include <optional>
 
+#include "citron/base/digest.h"
 #include "citron/node/crash_report.h"
+#include "citron/node/peer_datagram.h"
 #include "citron/node/peer_report.h"
 #include "citron/node/reach_report.h"
 #include "citron/node/region_report.h"
@@ -23,6 +25,10 @@
 namespace citron {
 namespace {
 
+scripted_answer Good(const std::string& request) {
+  return {GoodAnswer(request, "whole"), false};
+}
+
 // The place of another VM, which the test plays.
 class peer_socket_of_test {
  public:
@@ -59,6 +65,20 @@
     BOOST_REQUIRE(IsOk(report));
     return ValueOf(report);
   }
+  // The next region report among what has come; none if there is none.
+  std::optional<region_report> TakeRegionReport() {
+    std::array<char, 4096> buffer{};
+    while (true) {
+      const ssize_t got = recv(descriptor_, buffer.data(), buffer.size(), 0);
+      if (got <= 0) return std::nullopt;
+      const result<peer_datagram> read =
+          ReadPeerDatagram({buffer.data(), static_cast<std::size_t>(got)});
+      BOOST_REQUIRE(IsOk(read));
+      if (const auto* report = std::get_if<region_report>(&ValueOf(read))) {
+        return *report;
+      }
+    }
+  }
 
  private:
   int descriptor_;
@@ -195,6 +215,46 @@
   BOOST_TEST(RunUntil([this] { return HasLine("region_report_refused"); }));
 }
 
+// Guards against a VM that begins to serve callers and runs all objects cold
+// at upstreams of its own choice.
+BOOST_AUTO_TEST_CASE(AVmThatBeginsToServeIsToldThePlacements) {
+  AddUpstream("u1", Good);
+  BOOST_REQUIRE(RunUntil(
+      [this] { return StatusOf(Ask(Request("GET", "/look/1"))) == "200"; }));
+  while (peer_.Take()) continue;
+  report_.quotas.push_back({workspace_id("depot"), 10, 1});
+  Tell();
+  std::optional<region_report> told;
+  BOOST_REQUIRE(RunUntil([&] {
+    told = peer_.TakeRegionReport();
+    return told && !told->placements.empty();
+  }));
+  BOOST_TEST(told->placements[0].upstream.Str() == "u1");
+}
+
+// Guards against an object that runs at several upstreams, since VMs weigh them
+// differently.
+BOOST_AUTO_TEST_CASE(RequestsFollowThePlacementOfAnotherVm) {
+  scripted_upstream* upstreams[] = {&AddUpstream("u1", Good),
+                                    &AddUpstream("u2", Good)};
+  BOOST_REQUIRE(RunUntil([this] {
+    return HasLine("event=upstream_ready upstream=u1") &&
+           HasLine("event=upstream_ready upstream=u2");
+  }));
+  Ask(Request("GET", "/look/1"));
+  const bool first = !upstreams[0]->Requests().empty();
+  scripted_upstream& other = *upstreams[first ? 1 : 0];
+  BOOST_REQUIRE(other.Requests().empty());
+  const std::uint64_t object = HashBytes("7", HashBytes("look"));
+  const upstream_id told(first ? "u2" : "u1");
+  BOOST_TEST(RunUntil([&] {
+    peer_.Tell(settings_.peer,
+               region_report{vm_id("vm2"), {{object, told}}, {}});
+    Ask(Request("GET", "/look/1"));
+    return !other.Requests().empty();
+  }));
+}
+
 // Guards against look-ups that name a VM that says that it reaches no upstream,
 // against a stranger who says so for it, and against a VM that stays left out
 // after its restart.
