A VM with nothing to tell its region doesn't walk the list of VMs

Found by reading the change: TellRegion looked up each VM of the fleet twice, ten times a second, to find its readers, also at the many VMs that few requests come to and that have neither loads nor placements to tell. By reading, not measured.

The interval between reports of loads is as before. After a pause in which nothing was heard the first loads go out at the next tick; before, at the end of an interval that ran on. Checked: node_peer_exchange_test and node_node_task_test, plain build, formatter of the source.

--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -283,15 +283,16 @@
 }
 
 void peer_exchange::TellRegion(monotonic_time now) {
-  const bool loads_due = now >= tell_region_loads_at_;
-  if (!loads_due && context_.placements.IsEmpty()) return;
+  region_report report{context_.settings.vm, {}, {}};
+  if (now >= tell_region_loads_at_) {
+    report.loads = LoadLines(context_.fleet.TakeRegionLoads());
+  }
+  if (report.loads.empty() && context_.placements.IsEmpty()) return;
   UpdateReaders();
   const std::vector<endpoint> readers = ServingInRegion();
   const auto count = static_cast<int>(readers.size());
-  region_report report{context_.settings.vm, {}, {}};
-  if (loads_due) {
+  if (!report.loads.empty()) {
     tell_region_loads_at_ = now + RegionIntervalFor(count);
-    report.loads = LoadLines(context_.fleet.TakeRegionLoads());
   }
   while (!context_.placements.IsEmpty() || !report.loads.empty()) {
     if (!placement_budget_.TryTake(count, now)) return;
