Answers in which an upstream asks for a pause, or says that it leaves, have lines

What can't be read is logged once until its text changes. Nothing else is made of either yet.

The reading of what upstreams say in heads of answers moves from proxied_request to answer_signals, as it grows by two; one line, signal_unreadable, replaces the one for rate limits alone.

--- a/include/citron/node/fleet_state.h
+++ b/include/citron/node/fleet_state.h
@@ -73,9 +73,11 @@
   // another one. Returns whether the limit in force changed.
   bool OnRateLimit(const upstream_id& upstream,
                    const rate_limit_observation& seen, monotonic_time now);
-  // A limit that can't be read changes nothing.
-  void OnUnreadableRateLimit(const upstream_id& upstream, std::string_view text,
-                             monotonic_time now);
+  // Logs a header of an upstream's answer that can't be read, once until its
+  // text changes. It changes nothing else.
+  void OnUnreadableSignal(const upstream_id& upstream,
+                          const std::string& header, std::string_view text,
+                          monotonic_time now);
   // Returns whether an answer to this VM changed a limit since the last call.
   bool TakeRateLimitNews() { return std::exchange(rate_limit_news_, false); }
   // Takes the demand of another VM for an upstream with a rate limit.
@@ -135,7 +137,8 @@
   std::map<upstream_id, int> region_loads_;
   std::set<upstream_id> rate_limited_;  // Now, or a short time ago.
   bool rate_limit_news_ = false;
-  std::map<upstream_id, std::string> unreadable_rate_limits_;  // Last logged.
+  // Last logged, by header.
+  std::map<upstream_id, std::map<std::string, std::string>> unreadable_signals_;
   bool fleet_changed_ = false;  // Since the size was last told on.
   std::map<std::string, monotonic_time> missing_;     // Key, removed then.
   std::map<std::string, store_revision> unreadable_;  // Logged once each.
--- a/include/citron/node/header_names.h
+++ b/include/citron/node/header_names.h
@@ -16,6 +16,8 @@
   std::string expected_upstream;  // Any other one answers "not run".
   std::string load;               // Running, waiting, slots.
   std::string rate_limit;         // Requests a second from all VMs together.
+  std::string pause;              // Seconds without requests, with a 503.
+  std::string leaving;            // "1": the upstream leaves.
   std::string not_run;            // The upstream did not run the request.
   std::string upstream;           // Which upstream answered.
   std::string cold_ms;            // How long it stays cold.
--- a/src/node/fleet_state.cc
+++ b/src/node/fleet_state.cc
@@ -264,7 +264,7 @@
   const auto selector = selectors_.find(known->second);
   if (selector != selectors_.end()) selector->second.RemoveUpstream(id);
   service_of_.erase(known);
-  unreadable_rate_limits_.erase(id);
+  unreadable_signals_.erase(id);
 }
 
 void fleet_state::SetClosedZones() {
@@ -423,14 +423,15 @@
   return true;
 }
 
-void fleet_state::OnUnreadableRateLimit(const upstream_id& id,
-                                        std::string_view text,
-                                        monotonic_time now) {
-  std::string& logged = unreadable_rate_limits_[id];
+void fleet_state::OnUnreadableSignal(const upstream_id& id,
+                                     const std::string& header,
+                                     std::string_view text,
+                                     monotonic_time now) {
+  std::string& logged = unreadable_signals_[id][header];
   if (logged == text) return;
   logged = text;
-  log_.Write("upstream", "rate_limit_unreadable",
-             {{"upstream", id.Str()}, {"text", text}}, now);
+  log_.Write("upstream", "signal_unreadable",
+             {{"upstream", id.Str()}, {"header", header}, {"text", text}}, now);
 }
 
 void fleet_state::OnPeerDemand(const upstream_id& id, const vm_id& vm,
--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
 #include <utility>
 
 #include "citron/base/digest.h"
@@ -60,31 +59,6 @@
   return value;
 }
 
-std::optional<load_report> ReadLoad(std::string_view text) {
-  load_report report;
-  int* const fields[] = {&report.running, &report.waiting, &report.slots};
-  const char* at = text.data();
-  const char* const end = text.data() + text.size();
-  for (int* field : fields) {
-    while (at != end && (*at == ',' || *at == ' ')) ++at;
-    const auto [next, failure] = std::from_chars(at, end, *field);
-    if (failure != std::errc() || *field < 0) return std::nullopt;
-    at = next;
-  }
-  return report;
-}
-
-// A plain decimal number of requests a second.
-std::optional<double> ReadRateLimit(std::string_view text) {
-  double per_s = 0;
-  const char* const end = text.data() + text.size();
-  const auto [rest, failure] =
-      std::from_chars(text.data(), end, per_s, std::chars_format::fixed);
-  if (failure != std::errc() || rest != end) return std::nullopt;
-  if (!std::isfinite(per_s) || std::signbit(per_s)) return std::nullopt;
-  return per_s;
-}
-
 // These promise that nothing ran, and only the upstream's own word that came
 // with them would be proof.
 bool IsPromise(int status) { return status == 429 || status == 408; }
@@ -430,47 +404,79 @@
   return head.status >= 500 ? answer_kind::kFailure : answer_kind::kWhole;
 }
 
-void proxied_request::ReportLoad(const http1_head& head) {
+void proxied_request::ReportLoad(const load_report& load) {
   affinity_selector* selector = context_.fleet.SelectorOf(service_);
   upstream_tracker* standing =
       selector == nullptr ? nullptr : selector->Find(upstream_);
   if (standing == nullptr) return;
-  const auto text = FindHeader(head.headers, context_.names.load);
-  const auto report = text ? ReadLoad(*text) : std::nullopt;
-  if (report) context_.fleet.OnUpstreamLoad(*standing, *report, MonotonicNow());
+  context_.fleet.OnUpstreamLoad(*standing, load, MonotonicNow());
 }
 
 // An answer without a limit ends it only if the upstream has certainly made the
 // answer.
-void proxied_request::ReportRateLimit(const http1_head& head) {
-  const std::string& name = context_.names.rate_limit;
-  const auto named = std::count_if(
-      head.headers.begin(), head.headers.end(),
-      [&](const http_header& h) { return HeaderNameIs(h.name, name); });
+void proxied_request::ReportRateLimit(const signal<double>& limit,
+                                      bool is_signed) {
+  if (!limit.named && !is_signed) return;
   const monotonic_time now = MonotonicNow();
-  const bool is_signed =
-      FindHeader(head.headers, context_.names.signature).has_value();
-  if (named == 0 && !is_signed) return;
-  rate_limit_observation seen{std::nullopt, context_.settings.vm, now};
-  if (named > 0) {
-    const std::string_view text = *FindHeader(head.headers, name);
-    if (named == 1) seen.per_s = ReadRateLimit(text);
-    if (!seen.per_s) {
-      return context_.fleet.OnUnreadableRateLimit(upstream_, text, now);
-    }
+  if (limit.IsUnreadable()) {
+    return context_.fleet.OnUnreadableSignal(
+        upstream_, context_.names.rate_limit, limit.text, now);
   }
+  const rate_limit_observation seen{limit.value, context_.settings.vm, now};
   if (!context_.fleet.OnRateLimit(upstream_, seen, now)) return;
   context_.stats.Count("citron_upstream_rate_limit_changes_total",
                        {{"from", "answer"}});
 }
 
+void proxied_request::ReportSignals(const http1_head& head) {
+  const answer_signals signals = ReadAnswerSignals(head, context_.names);
+  if (signals.load) ReportLoad(*signals.load);
+  // What another upstream says, or nobody knows who, is not this one's word.
+  if (kind_ == answer_kind::kForged || head.status == 421) return;
+  ReportRateLimit(
+      signals.rate_limit_per_s,
+      FindHeader(head.headers, context_.names.signature).has_value());
+  ReportPause(signals.pause, head.status);
+  ReportLeaving(signals.leaving, head.status);
+}
+
+void proxied_request::ReportPause(const signal<duration>& pause, int status) {
+  const monotonic_time now = MonotonicNow();
+  if (pause.IsUnreadable()) {
+    return context_.fleet.OnUnreadableSignal(upstream_, context_.names.pause,
+                                             pause.text, now);
+  }
+  if (!pause.value) return;
+  context_.stats.Count("citron_upstream_pauses_total",
+                       {{"service", service_.Str()}});
+  context_.log.Write("upstream", "pause_requested",
+                     {{"upstream", upstream_.Str()},
+                      {"request", id_},
+                      {"status", status},
+                      {"pause_ms", ToMilliseconds(*pause.value)},
+                      {"relay", connection_->Path().relay.Str()}},
+                     now);
+}
+
+void proxied_request::ReportLeaving(const signal<bool>& leaving, int status) {
+  const monotonic_time now = MonotonicNow();
+  if (leaving.IsUnreadable()) {
+    return context_.fleet.OnUnreadableSignal(upstream_, context_.names.leaving,
+                                             leaving.text, now);
+  }
+  if (!leaving.value.value_or(false)) return;
+  context_.log.Write("upstream", "leaving_reported",
+                     {{"upstream", upstream_.Str()},
+                      {"request", id_},
+                      {"status", status},
+                      {"relay", connection_->Path().relay.Str()}},
+                     now);
+}
+
 void proxied_request::OnAnswerHead(http1_head head) {
-  ReportLoad(head);
   if (IsOnOwnConnection()) context_.paths.OnAnswered();
   kind_ = Judge(head);
-  if (kind_ != answer_kind::kForged && head.status != 421) {
-    ReportRateLimit(head);
-  }
+  ReportSignals(head);
   answer_ = std::move(head);
   if (kind_ != answer_kind::kForged && kind_ != answer_kind::kNotRun) return;
   const auto length = answer_->body_length;
--- a/tests/node/node_fixture.h
+++ b/tests/node/node_fixture.h
@@ -58,6 +58,8 @@
     names_.expected_upstream = "X-Expected";
     names_.load = "X-Load";
     names_.rate_limit = "X-Rate-Limit";
+    names_.pause = "Retry-After";
+    names_.leaving = "X-Leaving";
     names_.not_run = "X-Not-Run";
     names_.upstream = "X-Upstream";
     names_.cold_ms = "X-Cold";
