An upstream that asks for a pause gets no requests until its end

Cause: Retry-After of an upstream's 503 was not read. The class: what an upstream says of itself in an answer. It was kept in a tracker that lives and dies with the entry in the store, so that a lapse of the entry would have lost it as well.

Now the tracker keeps the end of the pause; a shorter one doesn't end a longer one, nor do an answer, a renewal or a lapse of the entry, for which trackers stay for an hour. A paused upstream is full, not failing: such answers count in no failure rate. Its objects go to the next one of the same region and come back; a request whose connection is being opened when the answer comes is placed anew; where none is left it is rejected at once with the earliest end, spread over 250 ms by its id. The request rate limit that an upstream named survives a lapse in the same way. A request to an earlier start no longer makes the requests in flight negative.

Unit tests of each rule above.

--- a/include/citron/node/fleet_state.h
+++ b/include/citron/node/fleet_state.h
@@ -28,6 +28,12 @@
 
 namespace citron {
 
+// One start of an upstream; it may start again under the same id.
+struct upstream_start {
+  upstream_id id;
+  std::int64_t born_ms = 0;
+};
+
 // What this VM knows of the fleet, as the store and the other VMs told it, and
 // the decisions that keep state by service, route or workspace.
 class fleet_state {
@@ -73,6 +79,13 @@
   // another one. Returns whether the limit in force changed.
   bool OnRateLimit(const upstream_id& upstream,
                    const rate_limit_observation& seen, monotonic_time now);
+  // Takes until when an upstream wants no requests from this VM. Nothing is
+  // made of the word of another start than the one that is announced.
+  void OnPauseRequested(const service_id& service, const upstream_start& start,
+                        monotonic_time until, monotonic_time now);
+  int PausedUpstreams(const service_id& service, monotonic_time now);
+  // Logs the pauses that have ended, and returns how many last.
+  int LogEndedPauses(monotonic_time now);
   // Logs a header of an upstream's answer that can't be read, once until its
   // text changes. It changes nothing else.
   void OnUnreadableSignal(const upstream_id& upstream,
@@ -109,7 +122,7 @@
   bool ApplyVm(const store_item& item, const vm_id& id, monotonic_time now);
   void Remove(const std::string& key, monotonic_time now);
   void EraseMissing(monotonic_time now);
-  void RemoveUpstream(const upstream_id& id);
+  void RemoveUpstream(const upstream_id& id, monotonic_time now);
   void SetClosedZones();
   void SetFleetSize(monotonic_time now);
   void SetColdAllowances();
@@ -139,6 +152,7 @@
   bool rate_limit_news_ = false;
   // Last logged, by header.
   std::map<upstream_id, std::map<std::string, std::string>> unreadable_signals_;
+  std::map<upstream_id, monotonic_time> pauses_;  // Their ends.
   bool fleet_changed_ = false;  // Since the size was last told on.
   std::map<std::string, monotonic_time> missing_;     // Key, removed then.
   std::map<std::string, store_revision> unreadable_;  // Logged once each.
--- a/include/citron/node/proxied_request.h
+++ b/include/citron/node/proxied_request.h
@@ -40,6 +40,7 @@
 
  private:
   // upstream_call_listener
+  bool WantsToSend() override;
   void OnConnected() override;
   void OnAnswerHead(http1_head head) override;
   bool UsesAnswerBody() const override;
@@ -66,14 +67,17 @@
   void ReportPause(const signal<duration>& pause, int status);
   void ReportLeaving(const signal<bool>& leaving, int status);
   void Place();
-  std::variant<selection, selection_error> Choose(
-      const std::vector<upstream_id>& left_out, monotonic_time now);
+  // `left_out` must outlive the result.
+  selection_request SelectionFor(
+      const std::vector<upstream_id>& left_out) const;
   // Takes a connection to the upstream; false if there is no way to it.
   void TellPlacement(const selection& choice);
   bool Connect(const upstream_id& upstream, monotonic_time now);
   void OnNoUpstream(selection_error error);
   // Logs the limits of the upstreams and returns when to come back.
   duration OnRateLimited(monotonic_time now);
+  // Logs the pauses of the upstreams and returns when to come back.
+  duration OnPaused(monotonic_time now);
   // Whether it crashed upstreams before, so that no other one may run it.
   bool IsPoison(monotonic_time now);
   void RefusePoison(monotonic_time now);
@@ -91,6 +95,8 @@
   void OnUnusedAnswerEnd();
   bool IsRefusal() const { return answer_ && kind_ == answer_kind::kNotRun; }
   void OnNotRun(upstream_outcome outcome, const char* reason);
+  // The upstream wanted no more requests before this one was sent.
+  void OnWithdrawn();
   // No connection could be opened, and the upstream isn't shown to be at fault.
   void OnPathFailed(const char* reason);
   void OnMaybeRun(upstream_outcome outcome, const char* reason);
@@ -134,11 +140,13 @@
   std::unique_ptr<upstream_connection> connection_;
   upstream_id upstream_;
   zone_id upstream_zone_;
+  std::int64_t upstream_born_ms_ = 0;
   monotonic_time sent_at_;  // The present attempt.
   bool found_free_slot_ = false;
   duration round_trip_{};  // To the upstream of the last answer.
   bool attempt_open_ = false;
   bool sent_as_suspect_ = false;
+  bool asked_for_pause_ = false;  // By the present attempt's answer.
   bool sent_ = false;  // A byte may have reached the present upstream.
   std::vector<upstream_id> tried_;
   std::vector<upstream_id> reached_;  // Those that a byte may have reached.
--- a/include/citron/node/upstream_connection.h
+++ b/include/citron/node/upstream_connection.h
@@ -24,6 +24,7 @@
   kLost,            // Closed, reset or silent before the whole answer.
   kBadAnswer,       // Bytes that are no answer.
   kRelayFailed,     // The other VM opened no tunnel; nothing was sent.
+  kWithdrawn,       // Connected, but the listener wanted it unsent by then.
   // Bytes that go on beyond what an answer has.
   kEndlessHeads,
   kEndlessFraming,
@@ -47,6 +48,9 @@
 class upstream_call_listener {
  public:
   virtual ~upstream_call_listener() = default;
+  // Asked once the connection is open. If false the call ends with kWithdrawn,
+  // and the connection is idle.
+  virtual bool WantsToSend() { return true; }
   // Connected, and the request is being sent.
   virtual void OnConnected() = 0;
   virtual void OnAnswerHead(http1_head head) = 0;
--- a/include/citron/policy/affinity_selector.h
+++ b/include/citron/policy/affinity_selector.h
@@ -72,6 +72,7 @@
   kUnavailable,  // No allowed upstream can take the request now.
   kBusy,         // No replica of the object has room for the request.
   kRateLimited,  // All upstreams that can take it are at their rate limits.
+  kPaused,       // Upstreams want no requests, and no other can take it.
 };
 
 std::string_view ToString(selection_error error);
@@ -102,15 +103,27 @@
 
   void SetUpstream(const upstream_record& record, const region_id& region,
                    monotonic_time now);
-  void RemoveUpstream(const upstream_id& id);
-  // Returns null if the upstream is not known.
+  // Takes the upstream out of the choice, but keeps what is known of it for
+  // a while: its entry may have lapsed while it lives.
+  void RemoveUpstream(const upstream_id& id, monotonic_time now);
+  // Returns null if the upstream is not announced.
   upstream_tracker* Find(const upstream_id& id);
+  // The same, but also finds one whose announcement has lapsed.
+  upstream_tracker* FindKnown(const upstream_id& id);
   void ForEach(const std::function<void(upstream_tracker&)>& visit);
   void SetClosedZones(const std::set<zone_id>& zones);
 
   std::variant<selection, selection_error> Choose(
       const selection_request& request, monotonic_time now);
 
+  // Returns whether a request for which the upstream was chosen may still be
+  // sent there.
+  bool MaySendTo(const upstream_id& id, monotonic_time now);
+  // Returns the earliest end of the pauses that keep the request from being
+  // sent; `now` if there are none.
+  monotonic_time EarliestPauseEnd(const selection_request& request,
+                                  monotonic_time now) const;
+
   // Takes where another VM of the region placed an object.
   void OnPlacedByPeer(const object_location& placed,
                       upstream_tracker& upstream);
@@ -146,6 +159,15 @@
     kLeaves,   // Moves to the preferred candidate.
     kAway,     // At an upstream that can't take the request now.
   };
+  // Where the object of a request runs, and that upstream, if a candidate.
+  struct located_object {
+    std::optional<object_location> location;
+    const candidate* upstream = nullptr;
+  };
+  struct lapsed_upstream {
+    upstream_tracker tracker;
+    monotonic_time forget_at;
+  };
   struct path_state {
     int failures = 0;
     monotonic_time backoff_until{};
@@ -156,7 +178,13 @@
   bool IsAvailable(const upstream_tracker& upstream,
                    const selection_request& request, bool include_ejected,
                    monotonic_time now) const;
+  bool IsPausedCandidate(const upstream_tracker& upstream,
+                         monotonic_time now) const;
+  void DropPaused(const selection_request& request,
+                  std::vector<candidate>& candidates, monotonic_time now);
   void DropRateLimited(std::vector<candidate>& candidates, monotonic_time now);
+  located_object Locate(const selection_request& request,
+                        const std::vector<candidate>& candidates);
   // Returns null if the object is not known or its upstream not a candidate.
   const candidate* FindLocated(const std::optional<object_location>& location,
                                const std::vector<candidate>& candidates) const;
@@ -191,6 +219,7 @@
 
   selector_options options_;
   std::map<upstream_id, upstream_tracker> upstreams_;
+  std::map<upstream_id, lapsed_upstream> lapsed_;
   std::set<zone_id> closed_zones_;
   std::map<zone_id, path_state> paths_;
   service_time_estimate service_time_;
--- a/include/citron/policy/upstream_chooser.h
+++ b/include/citron/policy/upstream_chooser.h
@@ -25,6 +25,7 @@
   kAnswered,
   kServerError,
   kShedNotRun,           // The upstream refused the request as full.
+  kPaused,               // Refused with a time without requests; may have run.
   kLeavingNotRun,        // The upstream refused because it is leaving.
   kNotOwnedNotRun,       // Not sent: this process may no longer send there.
   kConnectFailedNotRun,  // No byte of the request was sent.
--- a/include/citron/policy/upstream_tracker.h
+++ b/include/citron/policy/upstream_tracker.h
@@ -69,6 +69,11 @@
   const region_id& Region() const { return region_; }
   std::uint64_t Hash() const { return hash_; }
 
+  // Returns whether the announcement is of the same start of the upstream.
+  bool IsSameStart(const upstream_record& record) const {
+    return record.born_ms == record_.born_ms &&
+           record.address == record_.address;
+  }
   // Takes a new announcement, which shows whether the upstream has restarted. A
   // restart resets the failures, the load of other callers and the weight.
   void OnRecord(const upstream_record& record, monotonic_time now);
@@ -82,6 +87,11 @@
   // Returns whether an object was placed here since the upstream joined.
   bool HasObjects() const { return has_objects_; }
   void SetColdAllowance(const cold_allowance& allowance);
+  // Takes that the upstream wants no requests from this VM until `until`. It is
+  // full, not failing. A shorter time doesn't end a longer one.
+  void OnPauseRequested(monotonic_time until, monotonic_time now);
+  bool IsPaused(monotonic_time now) const { return now < paused_until_; }
+  monotonic_time PausedUntil() const { return paused_until_; }
   // Treats the upstream as cold for at least `left`, whatever it announced.
   void MarkCold(duration left, monotonic_time now);
 
@@ -132,6 +142,9 @@
  private:
   void UpdateLoad(int requests, int local_in_flight, int slots,
                   monotonic_time now);
+  // Forgets what an earlier start of the upstream said and how it did.
+  void OnRestart(monotonic_time now);
+  void CountOutcome(bool failed, monotonic_time now);
   bool IsRestartPossible(monotonic_time now) const;
   double ColdTokens(monotonic_time now) const;
   void OnConnectFailure(monotonic_time now);
@@ -156,6 +169,9 @@
   int samples_ = 0;
   monotonic_time ejected_until_{};
 
+  monotonic_time paused_until_{};
+  monotonic_time pause_requested_at_{};
+
   monotonic_time cold_until_{};
   bool may_have_restarted_ = false;
   // monotonic_time::max() until the first answer after a connect failure.
--- a/src/node/fleet_state.cc
+++ b/src/node/fleet_state.cc
@@ -122,7 +122,7 @@
   const store_key key = codec_.ReadKey(name);
   switch (key.kind) {
     case store_key_kind::kUpstream:
-      RemoveUpstream(upstream_id(key.name));
+      RemoveUpstream(upstream_id(key.name), now);
       return;
     case store_key_kind::kVm:
       vms_.erase(vm_id(key.name));
@@ -200,7 +200,7 @@
   const result<upstream_record> read = codec_.ReadUpstream(id, item.value);
   if (!IsOk(read)) {
     // It names no upstream to use; the others hold.
-    RemoveUpstream(id);
+    RemoveUpstream(id, now);
     if (!unreadable_.emplace(item.key, item.revision).second) return false;
     log_.Write("fleet", "upstream_unreadable",
                {{"upstream", id.Str()}, {"problem", ErrorOf(read).message}},
@@ -214,7 +214,7 @@
       zone == settings_.zones.end() ? region_id() : zone->second;
   const auto known = service_of_.find(id);
   if (known != service_of_.end() && known->second != record.service) {
-    RemoveUpstream(id);
+    RemoveUpstream(id, now);
   }
   affinity_selector& selector = MakeSelector(record.service);
   const upstream_tracker* before = selector.Find(id);
@@ -225,6 +225,10 @@
   service_of_[id] = record.service;
   upstream_tracker* upstream = selector.Find(id);
   upstream->SetColdAllowance(AllowanceFor(*upstream));
+  if (is_new && upstream->RateLimitSeen()) {
+    rate_limited_.insert(id);
+    SetRateLimitFleet(now);
+  }
   if (is_new || was_draining != record.draining) {
     log_.Write("fleet",
                record.draining ? "upstream_draining" : "upstream_ready",
@@ -258,11 +262,11 @@
   return true;
 }
 
-void fleet_state::RemoveUpstream(const upstream_id& id) {
+void fleet_state::RemoveUpstream(const upstream_id& id, monotonic_time now) {
   const auto known = service_of_.find(id);
   if (known == service_of_.end()) return;
   const auto selector = selectors_.find(known->second);
-  if (selector != selectors_.end()) selector->second.RemoveUpstream(id);
+  if (selector != selectors_.end()) selector->second.RemoveUpstream(id, now);
   service_of_.erase(known);
   unreadable_signals_.erase(id);
 }
@@ -423,6 +427,45 @@
   return true;
 }
 
+void fleet_state::OnPauseRequested(const service_id& service,
+                                   const upstream_start& start,
+                                   monotonic_time until, monotonic_time now) {
+  affinity_selector* selector = SelectorOf(service);
+  upstream_tracker* upstream =
+      selector == nullptr ? nullptr : selector->FindKnown(start.id);
+  if (upstream == nullptr || upstream->Record().born_ms != start.born_ms) {
+    return;
+  }
+  upstream->OnPauseRequested(until, now);
+  pauses_[start.id] = upstream->PausedUntil();
+}
+
+int fleet_state::PausedUpstreams(const service_id& service,
+                                 monotonic_time now) {
+  int count = 0;
+  affinity_selector* selector = SelectorOf(service);
+  if (selector == nullptr) return count;
+  selector->ForEach([&](const upstream_tracker& upstream) {
+    if (upstream.IsPaused(now)) ++count;
+  });
+  return count;
+}
+
+int fleet_state::LogEndedPauses(monotonic_time now) {
+  for (auto it = pauses_.begin(); it != pauses_.end();) {
+    if (now < it->second) {
+      ++it;
+      continue;
+    }
+    log_.Write("upstream", "pause_ended",
+               {{"upstream", it->first.Str()},
+                {"announced", FindUpstream(it->first) != nullptr}},
+               now);
+    it = pauses_.erase(it);
+  }
+  return static_cast<int>(pauses_.size());
+}
+
 void fleet_state::OnUnreadableSignal(const upstream_id& id,
                                      const std::string& header,
                                      std::string_view text,
--- a/src/node/node_task.cc
+++ b/src/node/node_task.cc
@@ -259,6 +259,7 @@
         },
         now);
     crashes_.Expire(now);
+    stats_.Set("citron_upstreams_paused", {}, fleet_.LogEndedPauses(now));
     ShowRegionBalance(now);
     log_.Summarize(now);
     stats_.Set("citron_held_bytes", {}, static_cast<double>(memory_.Held()));
--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "citron/base/digest.h"
+#include "citron/policy/rendezvous.h"
 #include "citron/policy/request_fingerprint.h"
 #include "node/forwarded_head.h"
 #include "node/own_answer.h"
@@ -50,6 +51,9 @@
 constexpr duration kRetryWhenMemoryFull = std::chrono::milliseconds(1000);
 // Upstreams at their rate limits: a limit may end at any moment.
 constexpr duration kLongestRetryWhenLimited = std::chrono::milliseconds(2000);
+// Upstreams that asked for a pause: another one may join at any moment.
+constexpr duration kLongestRetryWhenPaused = std::chrono::seconds(30);
+constexpr duration kReturnSpread = std::chrono::milliseconds(250);
 
 std::optional<std::int64_t> ReadWhole(std::string_view text) {
   std::int64_t value = 0;
@@ -210,7 +214,9 @@
   std::vector<upstream_id> left_out = tried_;
   if (suspect) context_.crashes.AddUpstreamsWithSuspects(left_out);
   for (int without_way = 0; without_way <= kMaxPathFailures; ++without_way) {
-    const auto chosen = Choose(left_out, now);
+    affinity_selector* selector = context_.fleet.SelectorOf(service_);
+    if (selector == nullptr) return OnNoUpstream(selection_error::kNoneKnown);
+    const auto chosen = selector->Choose(SelectionFor(left_out), now);
     if (const auto* none = std::get_if<selection_error>(&chosen)) {
       if (without_way > 0) break;
       return OnNoUpstream(*none);
@@ -225,10 +231,8 @@
   Refuse(503, last_reason_, kRetryWhenUnavailable);
 }
 
-std::variant<selection, selection_error> proxied_request::Choose(
-    const std::vector<upstream_id>& left_out, monotonic_time now) {
-  affinity_selector* selector = context_.fleet.SelectorOf(service_);
-  if (selector == nullptr) return selection_error::kNoneKnown;
+selection_request proxied_request::SelectionFor(
+    const std::vector<upstream_id>& left_out) const {
   selection_request request;
   request.object = object_;
   request.has_affinity = has_affinity_;
@@ -239,7 +243,7 @@
     request.workspace_allowed_regions = &admitted_.workspace->homes;
   }
   request.excluded_upstreams = &left_out;
-  return selector->Choose(request, now);
+  return request;
 }
 
 void proxied_request::TellPlacement(const selection& choice) {
@@ -268,6 +272,9 @@
   if (error == selection_error::kRateLimited) {
     retry_after = OnRateLimited(MonotonicNow());
   }
+  if (error == selection_error::kPaused) {
+    retry_after = OnPaused(MonotonicNow());
+  }
   if (verdict_ != verdict::kNotRun) return FailMaybeRun(502, last_reason_);
   Refuse(503, last_reason_, retry_after);
 }
@@ -301,6 +308,29 @@
   return std::max(kRetryWhenBusy, retry_at - now);
 }
 
+// Callers that all came back at the end of a pause would fill the upstream
+// again.
+duration proxied_request::OnPaused(monotonic_time now) {
+  const affinity_selector& selector = *context_.fleet.SelectorOf(service_);
+  const monotonic_time ends_at =
+      selector.EarliestPauseEnd(SelectionFor(tried_), now);
+  const duration spread = FromSeconds(HashToUnitInterval(HashBytes(id_)) *
+                                      ToSeconds(kReturnSpread));
+  const duration retry_after =
+      std::clamp(ends_at - now, kRetryWhenBusy, kLongestRetryWhenPaused) +
+      spread;
+  context_.log.Write("request", "paused",
+                     {{"id", id_},
+                      {"service", service_.Str()},
+                      {"paused", context_.fleet.PausedUpstreams(service_, now)},
+                      {"upstreams", selector.Count()},
+                      {"earliest_end_ms", ToMilliseconds(ends_at - now)},
+                      {"retry_ms", ToMilliseconds(retry_after)},
+                      {"tries", tried_.size()}},
+                     now);
+  return retry_after;
+}
+
 bool proxied_request::IsPoison(monotonic_time now) {
   if (streaming_body_) return false;
   if (fingerprint_ == 0) {
@@ -332,6 +362,8 @@
   sent_at_ = now;
   found_free_slot_ = choice.load < choice.slots && !choice.cold;
   upstream_zone_ = standing->Record().zone;
+  upstream_born_ms_ = standing->Record().born_ms;
+  asked_for_pause_ = false;
   tried_.push_back(upstream_);
   standing->OnSent(now);
   attempt_open_ = true;
@@ -384,6 +416,27 @@
                      now);
 }
 
+bool proxied_request::WantsToSend() {
+  affinity_selector* selector = context_.fleet.SelectorOf(service_);
+  return selector != nullptr && selector->MaySendTo(upstream_, MonotonicNow());
+}
+
+void proxied_request::OnWithdrawn() {
+  constexpr char kReason[] = "withdrawn";
+  last_reason_ = kReason;
+  KeepConnection();
+  EndAttempt(upstream_outcome::kCancelled);
+  context_.log.Write("request", kReason,
+                     {{"id", id_},
+                      {"upstream", upstream_.Str()},
+                      {"left_ms", ToMilliseconds(deadline_ - MonotonicNow())}},
+                     MonotonicNow());
+  tried_ = reached_;
+  if (BodyIsReplayable()) return Place();
+  if (verdict_ != verdict::kNotRun) return FailMaybeRun(502, kReason);
+  Refuse(503, kReason, kRetryWhenBusy);
+}
+
 void proxied_request::OnConnected() {
   sent_ = true;
   reached_.push_back(upstream_);
@@ -446,7 +499,8 @@
     return context_.fleet.OnUnreadableSignal(upstream_, context_.names.pause,
                                              pause.text, now);
   }
-  if (!pause.value) return;
+  if (pause.value.value_or(duration::zero()) <= duration::zero()) return;
+  asked_for_pause_ = true;
   context_.stats.Count("citron_upstream_pauses_total",
                        {{"service", service_.Str()}});
   context_.log.Write("upstream", "pause_requested",
@@ -456,6 +510,8 @@
                       {"pause_ms", ToMilliseconds(*pause.value)},
                       {"relay", connection_->Path().relay.Str()}},
                      now);
+  context_.fleet.OnPauseRequested(service_, {upstream_, upstream_born_ms_},
+                                  now + *pause.value, now);
 }
 
 void proxied_request::ReportLeaving(const signal<bool>& leaving, int status) {
@@ -515,6 +571,7 @@
     return OnNotRun(upstream_outcome::kLeavingNotRun, "other_upstream");
   }
   context_.crashes.OnAlive(upstream_, sent_at_, MonotonicNow());
+  if (asked_for_pause_) return OnNotRun(upstream_outcome::kPaused, "paused");
   OnNotRun(upstream_outcome::kShedNotRun, "shed");
 }
 
@@ -581,11 +638,14 @@
       verdict_ = verdict::kRan;
       context_.crashes.OnAnswered(fingerprint_, upstream_, sent_at_,
                                   MonotonicNow());
-      return OnMaybeRun(upstream_outcome::kServerError, "upstream_failure");
+      return asked_for_pause_ ? OnMaybeRun(upstream_outcome::kPaused, "paused")
+                              : OnMaybeRun(upstream_outcome::kServerError,
+                                           "upstream_failure");
   }
 }
 
 void proxied_request::OnCallFailed(upstream_fault fault) {
+  if (fault == upstream_fault::kWithdrawn) return OnWithdrawn();
   const std::string_view name = UpstreamFaultName(fault);
   if (IsEndless(fault)) ReportCut(name.data());
   // The head has told it, whatever becomes of the rest.
@@ -686,8 +746,10 @@
   if (MayTryAgain(reached)) return Place();
   if (verdict_ != verdict::kNotRun) return FailMaybeRun(502, reason);
   Refuse(503, reason,
-         outcome == upstream_outcome::kShedNotRun ? kRetryWhenBusy
-                                                  : kRetryWhenUnavailable);
+         outcome == upstream_outcome::kShedNotRun ||
+                 outcome == upstream_outcome::kPaused
+             ? kRetryWhenBusy
+             : kRetryWhenUnavailable);
 }
 
 void proxied_request::OnMaybeRun(upstream_outcome outcome, const char* reason) {
@@ -714,7 +776,7 @@
   const monotonic_time now = MonotonicNow();
   affinity_selector* selector = context_.fleet.SelectorOf(service_);
   upstream_tracker* standing =
-      selector == nullptr ? nullptr : selector->Find(upstream_);
+      selector == nullptr ? nullptr : selector->FindKnown(upstream_);
   if (standing != nullptr) standing->OnDone(outcome, now);
   if (sent_as_suspect_) context_.crashes.OnSuspectDone(fingerprint_, upstream_);
   const bool answered = outcome == upstream_outcome::kAnswered;
--- a/src/node/upstream_connection.cc
+++ b/src/node/upstream_connection.cc
@@ -65,6 +65,8 @@
       return "bad_answer";
     case upstream_fault::kRelayFailed:
       return "relay_failed";
+    case upstream_fault::kWithdrawn:
+      return "withdrawn";
     case upstream_fault::kEndlessHeads:
       return "endless_heads";
     case upstream_fault::kEndlessFraming:
@@ -243,9 +245,14 @@
   idle_since_ = MonotonicNow();
   connect_time_ = idle_since_ - created_at_;
   owner_.OnConnectEnd(*this, connect_result::kConnected);
-  if (listener_ == nullptr) {
+  if (listener_ == nullptr || !listener_->WantsToSend()) {
     state_ = state::kIdle;
+    unsent_.clear();
     bufferevent_enable(bytes_, EV_READ | EV_WRITE);
+    upstream_call_listener* listener = std::exchange(listener_, nullptr);
+    if (listener != nullptr) {
+      listener->OnCallFailed(upstream_fault::kWithdrawn);
+    }
     return;
   }
   state_ = state::kBusy;
--- a/src/policy/affinity_selector.cc
+++ b/src/policy/affinity_selector.cc
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr duration kBalanceInterval = std::chrono::milliseconds(250);
+// Entries lapse while the store is away, and are back with it.
+constexpr duration kLapsedRetention = std::chrono::hours(1);
+constexpr std::size_t kMostLapsed = 256;
 
 bool AllowsRegion(const std::set<region_id>* regions, const region_id& region) {
   return regions == nullptr || regions->empty() || regions->contains(region);
@@ -47,6 +50,8 @@
       return "busy";
     case selection_error::kRateLimited:
       return "rate_limited";
+    case selection_error::kPaused:
+      return "paused";
   }
   return "unknown";
 }
@@ -61,12 +66,63 @@
                                     monotonic_time now) {
   const auto found = upstreams_.find(record.id);
   if (found != upstreams_.end()) return found->second.OnRecord(record, now);
-  upstreams_.emplace(record.id,
-                     upstream_tracker(record, region, now, options_.weights));
+  const auto lapsed = lapsed_.find(record.id);
+  const bool is_same = lapsed != lapsed_.end() &&
+                       lapsed->second.tracker.Region() == region &&
+                       lapsed->second.tracker.IsSameStart(record);
+  if (!is_same) {
+    if (lapsed != lapsed_.end()) lapsed_.erase(lapsed);
+    upstreams_.emplace(record.id,
+                       upstream_tracker(record, region, now, options_.weights));
+    return;
+  }
+  upstream_tracker& returned =
+      upstreams_.emplace(record.id, std::move(lapsed->second.tracker))
+          .first->second;
+  lapsed_.erase(lapsed);
+  returned.OnRecord(record, now);
+}
+
+void affinity_selector::RemoveUpstream(const upstream_id& id,
+                                       monotonic_time now) {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end()) return;
+  std::erase_if(lapsed_, [now](const auto& lapsed) {
+    return now >= lapsed.second.forget_at;
+  });
+  if (lapsed_.size() >= kMostLapsed) {
+    lapsed_.erase(std::min_element(
+        lapsed_.begin(), lapsed_.end(), [](const auto& a, const auto& b) {
+          return a.second.forget_at < b.second.forget_at;
+        }));
+  }
+  lapsed_.insert_or_assign(
+      id, lapsed_upstream{std::move(found->second), now + kLapsedRetention});
+  upstreams_.erase(found);
+}
+
+upstream_tracker* affinity_selector::FindKnown(const upstream_id& id) {
+  if (upstream_tracker* announced = Find(id)) return announced;
+  const auto found = lapsed_.find(id);
+  return found == lapsed_.end() ? nullptr : &found->second.tracker;
 }
 
-void affinity_selector::RemoveUpstream(const upstream_id& id) {
-  upstreams_.erase(id);
+bool affinity_selector::MaySendTo(const upstream_id& id, monotonic_time now) {
+  const upstream_tracker* upstream = Find(id);
+  return upstream != nullptr && !upstream->IsLeaving() &&
+         !upstream->IsPaused(now);
+}
+
+monotonic_time affinity_selector::EarliestPauseEnd(
+    const selection_request& request, monotonic_time now) const {
+  monotonic_time earliest = monotonic_time::max();
+  for (const auto& [id, upstream] : upstreams_) {
+    if (!IsAllowed(upstream, request) || !IsPausedCandidate(upstream, now)) {
+      continue;
+    }
+    earliest = std::min(earliest, upstream.PausedUntil());
+  }
+  return earliest == monotonic_time::max() ? now : earliest;
 }
 
 upstream_tracker* affinity_selector::Find(const upstream_id& id) {
@@ -168,6 +224,30 @@
   balance_.Update(own, others, now);
 }
 
+bool affinity_selector::IsPausedCandidate(const upstream_tracker& upstream,
+                                          monotonic_time now) const {
+  return upstream.IsPaused(now) && IsUsable(upstream, now);
+}
+
+// Load pattern: upstreams that are full and ask for a pause. The next
+// candidates are in the region where the request would run as long as there are
+// any there, as the pause is short.
+void affinity_selector::DropPaused(const selection_request& request,
+                                   std::vector<candidate>& candidates,
+                                   monotonic_time now) {
+  const auto is_paused = [now](const candidate& c) {
+    return c.upstream->IsPaused(now);
+  };
+  if (std::none_of(candidates.begin(), candidates.end(), is_paused)) return;
+  const candidate* runs = Locate(request, candidates).upstream;
+  if (runs == nullptr) runs = &candidates.front();
+  const region_id region = runs->upstream->Region();
+  std::stable_partition(
+      candidates.begin(), candidates.end(),
+      [&region](const candidate& c) { return c.upstream->Region() == region; });
+  std::erase_if(candidates, is_paused);
+}
+
 // Drops the preferred upstreams that may not have this request by their rate
 // limits, and all others that have one. The next candidates are in the same
 // region as long as there are any there: an upstream that starts to limit its
@@ -266,16 +346,24 @@
          !preferred.IsCold(now);
 }
 
-affinity_selector::location_state affinity_selector::PreferLocated(
-    const selection_request& request, std::vector<candidate>& candidates,
-    monotonic_time now) {
-  if (!request.has_affinity) return location_state::kUnknown;
+affinity_selector::located_object affinity_selector::Locate(
+    const selection_request& request,
+    const std::vector<candidate>& candidates) {
+  if (!request.has_affinity) return {};
   std::optional<object_location> location = locations_.Find(SharedKey(request));
   const candidate* located = FindLocated(location, candidates);
   if (located == nullptr) {
     location = locations_.Find(OwnKey(request));
     located = FindLocated(location, candidates);
   }
+  return {location, located};
+}
+
+affinity_selector::location_state affinity_selector::PreferLocated(
+    const selection_request& request, std::vector<candidate>& candidates,
+    monotonic_time now) {
+  if (!request.has_affinity) return location_state::kUnknown;
+  const auto [location, located] = Locate(request, candidates);
   if (located == nullptr) {
     const bool comes_back = location && IsPresent(location->upstream);
     return comes_back ? location_state::kAway : location_state::kUnknown;
@@ -371,9 +459,11 @@
   const bool include_ejected = 2 * ejected > upstreams_.size();
   std::vector<candidate> candidates;
   bool allowed = false;
+  bool any_paused = false;
   for (auto& [id, upstream] : upstreams_) {
     if (!IsAllowed(upstream, request)) continue;
     allowed = true;
+    any_paused = any_paused || IsPausedCandidate(upstream, now);
     if (!IsAvailable(upstream, request, include_ejected, now)) continue;
     const double cost =
         RendezvousCost(request.object, upstream.Hash(),
@@ -381,10 +471,14 @@
     candidates.push_back({cost, &upstream});
   }
   if (!allowed) return selection_error::kNotAllowed;
-  if (candidates.empty()) return selection_error::kUnavailable;
   std::sort(
       candidates.begin(), candidates.end(),
       [](const candidate& a, const candidate& b) { return a.cost < b.cost; });
+  if (any_paused) DropPaused(request, candidates, now);
+  if (candidates.empty()) {
+    return any_paused ? selection_error::kPaused
+                      : selection_error::kUnavailable;
+  }
   DropRateLimited(candidates, now);
   if (candidates.empty()) return selection_error::kRateLimited;
   const location_state state = PreferLocated(request, candidates, now);
--- a/src/policy/upstream_tracker.cc
+++ b/src/policy/upstream_tracker.cc
@@ -39,25 +39,36 @@
 
 void upstream_tracker::OnRecord(const upstream_record& record,
                                 monotonic_time now) {
-  const bool restarted =
-      record.born_ms != record_.born_ms || record.address != record_.address;
+  const bool restarted = !IsSameStart(record);
   record_ = record;
   reported_leaving_ = false;
   may_have_restarted_ = false;
-  if (restarted) {
-    connect_failures_ = 0;
-    backoff_until_ = {};
-    failure_rate_ = 0;
-    samples_ = 0;
-    ejected_until_ = {};
-    other_callers_load_ = 0;
-    weight_.Reset();
-    rate_limit_.reset();
-    rate_limit_seen_.reset();
-  }
+  if (restarted) OnRestart(now);
   MarkCold(record.cold_left, now);
 }
 
+void upstream_tracker::OnRestart(monotonic_time now) {
+  connect_failures_ = 0;
+  backoff_until_ = {};
+  failure_rate_ = 0;
+  samples_ = 0;
+  ejected_until_ = {};
+  other_callers_load_ = 0;
+  weight_.Reset();
+  rate_limit_.reset();
+  rate_limit_seen_.reset();
+  // The restarted upstream may have answered before its announcement came.
+  const bool may_be_its_own =
+      now - pause_requested_at_ < options_.restart_report_delay;
+  if (!may_be_its_own) paused_until_ = {};
+}
+
+void upstream_tracker::OnPauseRequested(monotonic_time until,
+                                        monotonic_time now) {
+  pause_requested_at_ = now;
+  paused_until_ = std::max(paused_until_, until);
+}
+
 void upstream_tracker::SetColdAllowance(const cold_allowance& allowance) {
   allowance_ = allowance;
 }
@@ -130,18 +141,11 @@
 }
 
 void upstream_tracker::OnDone(upstream_outcome outcome, monotonic_time now) {
-  --in_flight_;
+  // Requests to an earlier start may end at this one.
+  in_flight_ = std::max(0, in_flight_ - 1);
   if (outcome == upstream_outcome::kCancelled) return;
-  const bool failed = !IsSuccess(outcome);
-  failure_rate_ += kOutcomeWeight * ((failed ? 1.0 : 0.0) - failure_rate_);
-  ++samples_;
-  if (failure_rate_ > options_.ejection_failure_rate &&
-      samples_ >= options_.min_ejection_samples) {
-    ejected_until_ = now + options_.ejection_duration;
-    // The upstream returns with a lower rate and no samples; otherwise old
-    // outcomes would decide about its next ejection.
-    failure_rate_ = options_.ejection_failure_rate / 2;
-    samples_ = 0;
+  if (outcome != upstream_outcome::kPaused) {
+    CountOutcome(!IsSuccess(outcome), now);
   }
   switch (outcome) {
     case upstream_outcome::kConnectFailedNotRun:
@@ -152,6 +156,7 @@
       break;
     case upstream_outcome::kAnswered:
     case upstream_outcome::kServerError:
+    case upstream_outcome::kPaused:
       connect_failures_ = 0;
       if (may_have_restarted_ &&
           restart_ruled_out_at_ == monotonic_time::max()) {
@@ -166,6 +171,20 @@
   }
 }
 
+void upstream_tracker::CountOutcome(bool failed, monotonic_time now) {
+  failure_rate_ += kOutcomeWeight * ((failed ? 1.0 : 0.0) - failure_rate_);
+  ++samples_;
+  if (failure_rate_ <= options_.ejection_failure_rate ||
+      samples_ < options_.min_ejection_samples) {
+    return;
+  }
+  ejected_until_ = now + options_.ejection_duration;
+  // The upstream returns with a lower rate and no samples; otherwise old
+  // outcomes would decide about its next ejection.
+  failure_rate_ = options_.ejection_failure_rate / 2;
+  samples_ = 0;
+}
+
 void upstream_tracker::OnConnectFailure(monotonic_time now) {
   const bool may_be_restarting =
       connect_failures_ > 0 || IsRestartPossible(now);
--- a/tests/node/upstream_pool_test.cc
+++ b/tests/node/upstream_pool_test.cc
@@ -18,14 +18,17 @@
   void OnAnswerBody(std::string_view) override {}
   void OnAnswerEnd() override { ++ended_; }
   void OnCallFailed(upstream_fault) override { ++failed_; }
+  bool WantsToSend() override { return wants_to_send_; }
   void OnRequestDrained() override {}
 
   int Ended() const { return ended_; }
   int Failed() const { return failed_; }
+  void Withdraw() { wants_to_send_ = false; }
 
  private:
   int ended_ = 0;
   int failed_ = 0;
+  bool wants_to_send_ = true;
 };
 
 class ignoring_connect_listener : public connect_listener {
@@ -69,7 +72,7 @@
   }
 
   scripted_upstream& Upstream() { return upstream_; }
-  const counting_listener& Listener() const { return listener_; }
+  counting_listener& Listener() { return listener_; }
 
   const upstream_id kUpstream{"u1"};
 
@@ -83,6 +86,21 @@
 
 BOOST_FIXTURE_TEST_SUITE(upstream_pools, upstream_pool_fixture)
 
+// Guards against a request that is sent although its upstream asked for none
+// while the connection was being opened.
+BOOST_AUTO_TEST_CASE(ARequestWithdrawnDuringTheHandshakeIsNotSent) {
+  upstream_pool pool = MakePool(false);
+  const monotonic_time now = MonotonicNow();
+  std::unique_ptr<upstream_connection> connection = Take(pool, now);
+  Start(*connection);
+  Listener().Withdraw();
+  BOOST_REQUIRE(RunUntil([&] { return Listener().Failed() > 0; }));
+  BOOST_TEST(connection->IsReusable(duration::zero(), MonotonicNow()));
+  pool.Give(kUpstream, std::move(connection), MonotonicNow());
+  BOOST_TEST(pool.IdleConnections() == 1);
+  BOOST_TEST(Upstream().Requests().empty());
+}
+
 // A second request to a far upstream waits for a handshake while the first one
 // uses the only connection.
 BOOST_AUTO_TEST_CASE(AnOverlappingRequestFindsAConnection) {
--- a/tests/policy/affinity_selector_test.cc
+++ b/tests/policy/affinity_selector_test.cc
@@ -111,7 +111,7 @@
   for (int object = 0; object < 500; ++object) {
     before[object] = ChosenUpstream(RequestForObject(object));
   }
-  selector_.RemoveUpstream(upstream_id("u3"));
+  selector_.RemoveUpstream(upstream_id("u3"), now_);
   for (const auto& [object, upstream] : before) {
     if (upstream != "u3")
       BOOST_TEST(ChosenUpstream(RequestForObject(object)) == upstream);
@@ -288,6 +288,88 @@
   }
 }
 
+// Guards against an upstream that asks for a pause and moves requests to other
+// regions, or its objects to other upstreams for good.
+BOOST_AUTO_TEST_CASE(ObjectsOfAPausedUpstreamStayInTheRegionAndComeBack) {
+  for (int object = 0; object < 40; ++object) {
+    const selection_request request = RequestForObject(object);
+    const std::string before = ChosenUpstream(request);
+    upstream_tracker* paused = selector_.Find(upstream_id(before));
+    paused->OnPauseRequested(now_ + seconds(3), now_);
+    const std::string during = ChosenUpstream(request);
+    BOOST_TEST(during != before);
+    BOOST_TEST(selector_.Find(upstream_id(during))->Region().Str() ==
+               paused->Region().Str());
+    now_ += seconds(3);
+    BOOST_TEST(ChosenUpstream(request) == before);
+  }
+}
+
+// Guards against a request with nowhere else to go that is sent all the same.
+BOOST_AUTO_TEST_CASE(APauseOfAllUpstreamsEndsWithTheEarliest) {
+  int i = 0;
+  selector_.ForEach([&](upstream_tracker& upstream) {
+    upstream.OnPauseRequested(now_ + seconds(2 + ++i), now_);
+  });
+  const selection_request request = RequestForObject(1);
+  BOOST_TEST(ChosenUpstream(request) == "paused");
+  BOOST_TEST((selector_.EarliestPauseEnd(request, now_) == now_ + seconds(3)));
+  now_ += seconds(3);
+  BOOST_TEST(ChosenUpstream(request) != "paused");
+}
+
+// Guards against a pause that the loss and the return of an entry, or the end
+// of a request that was sent before, takes back.
+BOOST_AUTO_TEST_CASE(WhatAnUpstreamSaidOutlivesALapseOfItsEntry) {
+  const upstream_id id("u3");
+  const upstream_record record = selector_.Find(id)->Record();
+  selector_.Find(id)->OnSent(now_);
+  selector_.Find(id)->OnPauseRequested(now_ + seconds(8), now_);
+  selector_.Find(id)->OnRateLimit({5.0, vm_id("vm1"), now_}, now_);
+  selector_.RemoveUpstream(id, now_);
+  BOOST_TEST(selector_.Find(id) == nullptr);
+  selector_.FindKnown(id)->OnDone(upstream_outcome::kAnswered, now_);
+  selector_.SetUpstream(record, region_id("r1"), now_ + seconds(1));
+  BOOST_TEST(selector_.Find(id)->IsPaused(now_ + seconds(7)));
+  BOOST_TEST(selector_.Find(id)->RateLimit() != nullptr);
+  BOOST_TEST(selector_.Find(id)->InFlight() == 0);
+}
+
+// Guards against an upstream that starts again, and is left without requests
+// for what an earlier start had asked.
+BOOST_AUTO_TEST_CASE(ANewStartOfAnUpstreamIsNotPaused) {
+  const upstream_id id("u3");
+  upstream_record again = selector_.Find(id)->Record();
+  ++again.born_ms;
+  selector_.Find(id)->OnPauseRequested(now_ + seconds(60), now_);
+  now_ += seconds(4);
+  selector_.SetUpstream(again, region_id("r1"), now_);
+  BOOST_TEST(!selector_.Find(id)->IsPaused(now_));
+}
+
+// Guards against the answer of a started upstream that is taken for the word of
+// the start before, since its announcement comes later.
+BOOST_AUTO_TEST_CASE(APauseThatWasAskedJustBeforeAStartIsAnnouncedIsKept) {
+  const upstream_id id("u3");
+  upstream_record again = selector_.Find(id)->Record();
+  ++again.born_ms;
+  selector_.Find(id)->OnPauseRequested(now_ + seconds(6), now_);
+  now_ += seconds(1);
+  selector_.SetUpstream(again, region_id("r1"), now_);
+  BOOST_TEST(selector_.Find(id)->IsPaused(now_));
+}
+
+// Guards against a full upstream that is ejected as one that fails.
+BOOST_AUTO_TEST_CASE(RejectionsWithAPauseAreNoFailures) {
+  upstream_tracker* upstream = selector_.Find(upstream_id("u3"));
+  for (int i = 0; i < 20; ++i) {
+    upstream->OnSent(now_);
+    upstream->OnDone(upstream_outcome::kPaused, now_);
+  }
+  BOOST_TEST(!upstream->IsEjected(now_));
+  BOOST_TEST(upstream->FailureRate() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(AllUpstreamsAtTheirRateLimitsTakeNothing) {
   selector_.ForEach([this](upstream_tracker& upstream) {
     upstream.OnRateLimit({0.5, vm_id("vm1"), now_}, now_);
