An upstream that says that it leaves gets no more requests

What callers would see: requests that go on to an upstream until it ends are cut with it, where its entry comes late, lapses or never says so.

Cause: Server-Leaving was not read. The class is that of the pause: what an upstream says of itself in an answer, kept with its entry. A 421 from its address did mark it, and each renewal of its entry took that back, rightly, since that is the word of another upstream; it has a mark of its own now.

Now the first answer that says so takes the upstream out of the choice until a new start of it is announced, whatever its entry says, and also through a lapse of the entry. Answers of other starts count for nothing. The header is not passed to callers.

--- a/include/citron/node/fleet_state.h
+++ b/include/citron/node/fleet_state.h
@@ -83,6 +83,9 @@
   // made of the word of another start than the one that is announced.
   void OnPauseRequested(const service_id& service, const upstream_start& start,
                         monotonic_time until, monotonic_time now);
+  // Takes that an upstream said in an answer that it leaves. Returns whether it
+  // is news.
+  bool OnSaidLeaving(const service_id& service, const upstream_start& start);
   int PausedUpstreams(const service_id& service, monotonic_time now);
   // Logs the pauses that have ended, and returns how many last.
   int LogEndedPauses(monotonic_time now);
@@ -123,6 +126,9 @@
   void Remove(const std::string& key, monotonic_time now);
   void EraseMissing(monotonic_time now);
   void RemoveUpstream(const upstream_id& id, monotonic_time now);
+  // Returns null if nothing is known of this start of the upstream.
+  upstream_tracker* FindStart(const service_id& service,
+                              const upstream_start& start);
   void SetClosedZones();
   void SetFleetSize(monotonic_time now);
   void SetColdAllowances();
--- a/include/citron/node/upstream_pool.h
+++ b/include/citron/node/upstream_pool.h
@@ -61,8 +61,8 @@
   // Closes the connections through a relay that no request uses.
   void CloseIdle(const vm_id& relay);
   // Closes what is too old to be used again, and what belongs to upstreams
-  // that `is_known` doesn't know.
-  void Sweep(const std::function<bool(const upstream_id&)>& is_known,
+  // that `is_of_use` denies.
+  void Sweep(const std::function<bool(const upstream_id&)>& is_of_use,
              monotonic_time now);
   int IdleConnections() const;
 
--- a/include/citron/policy/upstream_tracker.h
+++ b/include/citron/policy/upstream_tracker.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <utility>
 
 #include "citron/base/strong_id.h"
 #include "citron/base/time.h"
@@ -63,9 +64,11 @@
                    const weight_control_options& weights = {});
 
   const upstream_record& Record() const { return record_; }
-  // Returns whether the upstream announced that it leaves, or answered so since
-  // its last announcement.
-  bool IsLeaving() const { return record_.draining || reported_leaving_; }
+  // Returns whether the upstream announced that it leaves, said so in an
+  // answer, or another one answered in its place since its last announcement.
+  bool IsLeaving() const {
+    return record_.draining || said_leaving_ || is_displaced_;
+  }
   const region_id& Region() const { return region_; }
   std::uint64_t Hash() const { return hash_; }
 
@@ -87,6 +90,9 @@
   // Returns whether an object was placed here since the upstream joined.
   bool HasObjects() const { return has_objects_; }
   void SetColdAllowance(const cold_allowance& allowance);
+  // Takes that the upstream said in an answer that it leaves. Only a new start
+  // takes it back. Returns whether it is news.
+  bool OnSaidLeaving() { return !std::exchange(said_leaving_, true); }
   // Takes that the upstream wants no requests from this VM until `until`. It is
   // full, not failing. A shorter time doesn't end a longer one.
   void OnPauseRequested(monotonic_time until, monotonic_time now);
@@ -155,7 +161,8 @@
   std::uint64_t hash_;
   monotonic_time joined_at_;
   bool has_objects_ = false;
-  bool reported_leaving_ = false;
+  bool said_leaving_ = false;
+  bool is_displaced_ = false;  // Another upstream has answered at its address.
   int in_flight_ = 0;
 
   int other_callers_load_ = 0;
--- a/src/node/fleet_state.cc
+++ b/src/node/fleet_state.cc
@@ -430,14 +430,26 @@
 void fleet_state::OnPauseRequested(const service_id& service,
                                    const upstream_start& start,
                                    monotonic_time until, monotonic_time now) {
+  upstream_tracker* upstream = FindStart(service, start);
+  if (upstream == nullptr) return;
+  upstream->OnPauseRequested(until, now);
+  pauses_[start.id] = upstream->PausedUntil();
+}
+
+bool fleet_state::OnSaidLeaving(const service_id& service,
+                                const upstream_start& start) {
+  upstream_tracker* upstream = FindStart(service, start);
+  return upstream != nullptr && upstream->OnSaidLeaving();
+}
+
+upstream_tracker* fleet_state::FindStart(const service_id& service,
+                                         const upstream_start& start) {
   affinity_selector* selector = SelectorOf(service);
   upstream_tracker* upstream =
       selector == nullptr ? nullptr : selector->FindKnown(start.id);
-  if (upstream == nullptr || upstream->Record().born_ms != start.born_ms) {
-    return;
-  }
-  upstream->OnPauseRequested(until, now);
-  pauses_[start.id] = upstream->PausedUntil();
+  const bool is_it =
+      upstream != nullptr && upstream->Record().born_ms == start.born_ms;
+  return is_it ? upstream : nullptr;
 }
 
 int fleet_state::PausedUpstreams(const service_id& service,
--- a/src/node/forwarded_head.cc
+++ b/src/node/forwarded_head.cc
@@ -85,8 +85,9 @@
   http_headers passed;
   for (const http_header& header : headers) {
     if (!PassesConnection(header.name, named)) continue;
-    // Load and start of an upstream concern nobody outside.
+    // The state of an upstream concerns nobody outside.
     if (HeaderNameIs(header.name, names.load)) continue;
+    if (HeaderNameIs(header.name, names.leaving)) continue;
     if (HeaderNameIs(header.name, names.cold_ms)) continue;
     passed.push_back(header);
   }
--- a/src/node/node_task.cc
+++ b/src/node/node_task.cc
@@ -255,7 +255,8 @@
     sweep_at_ = now + kSweepInterval;
     pool_.Sweep(
         [this](const upstream_id& id) {
-          return fleet_.FindUpstream(id) != nullptr;
+          const upstream_tracker* upstream = fleet_.FindUpstream(id);
+          return upstream != nullptr && !upstream->IsLeaving();
         },
         now);
     crashes_.Expire(now);
--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -521,6 +521,11 @@
                                              leaving.text, now);
   }
   if (!leaving.value.value_or(false)) return;
+  if (!context_.fleet.OnSaidLeaving(service_, {upstream_, upstream_born_ms_})) {
+    return;
+  }
+  context_.stats.Count("citron_upstreams_said_leaving_total",
+                       {{"service", service_.Str()}});
   context_.log.Write("upstream", "leaving_reported",
                      {{"upstream", upstream_.Str()},
                       {"request", id_},
@@ -799,6 +804,11 @@
 
 void proxied_request::KeepConnection() {
   if (connection_ == nullptr) return;
+  affinity_selector* selector = context_.fleet.SelectorOf(service_);
+  const upstream_tracker* standing =
+      selector == nullptr ? nullptr : selector->FindKnown(upstream_);
+  // It ends sooner without connections.
+  if (standing != nullptr && standing->IsLeaving()) return DropConnection();
   context_.pool.Give(upstream_, std::move(connection_), MonotonicNow());
 }
 
--- a/src/node/upstream_pool.cc
+++ b/src/node/upstream_pool.cc
@@ -103,19 +103,19 @@
 }
 
 void upstream_pool::Sweep(
-    const std::function<bool(const upstream_id&)>& is_known,
+    const std::function<bool(const upstream_id&)>& is_of_use,
     monotonic_time now) {
   for (auto it = upstreams_.begin(); it != upstreams_.end();) {
-    const bool known = is_known(it->first);
+    const bool wanted = is_of_use(it->first);
     auto& unused = it->second.unused;
     for (auto& connection : unused) {
-      const bool is_of_use =
+      const bool is_usable =
           connection->IsConnecting() || connection->IsReusable(kLeastLeft, now);
-      if (known && is_of_use) continue;
+      if (wanted && is_usable) continue;
       CloseLater(std::move(connection));
     }
     std::erase(unused, nullptr);
-    it = known ? std::next(it) : upstreams_.erase(it);
+    it = wanted ? std::next(it) : upstreams_.erase(it);
   }
 }
 
--- a/src/policy/upstream_tracker.cc
+++ b/src/policy/upstream_tracker.cc
@@ -41,7 +41,7 @@
                                 monotonic_time now) {
   const bool restarted = !IsSameStart(record);
   record_ = record;
-  reported_leaving_ = false;
+  is_displaced_ = false;
   may_have_restarted_ = false;
   if (restarted) OnRestart(now);
   MarkCold(record.cold_left, now);
@@ -57,6 +57,7 @@
   weight_.Reset();
   rate_limit_.reset();
   rate_limit_seen_.reset();
+  said_leaving_ = false;
   // The restarted upstream may have answered before its announcement came.
   const bool may_be_its_own =
       now - pause_requested_at_ < options_.restart_report_delay;
@@ -152,7 +153,7 @@
       OnConnectFailure(now);
       break;
     case upstream_outcome::kLeavingNotRun:
-      reported_leaving_ = true;
+      is_displaced_ = true;
       break;
     case upstream_outcome::kAnswered:
     case upstream_outcome::kServerError:
--- a/tests/node/fleet_state_test.cc
+++ b/tests/node/fleet_state_test.cc
@@ -76,5 +76,31 @@
   }
 }
 
+// Guards against a late answer of an earlier start of an upstream that counts
+// against the new one.
+BOOST_AUTO_TEST_CASE(AnEarlierStartSaysNothingOfTheNewOne) {
+  plain_codec codec;
+  const service_id service("s");
+  codec.upstreams["cold"] = {{}, service, zone_id("z0"), {"10.0.0.2", 80},
+                             4,  false,   duration{},    7};
+  event_log log([](std::string_view) { return true; });
+  const monotonic_time now{std::chrono::hours(1)};
+  const node_settings settings;
+  fleet_state fleet(settings, codec, log);
+  fleet.ApplyCopy(ColdUpstreamAndVms(1), now, now);
+  const upstream_id id("cold");
+  fleet.OnPauseRequested(service, {id, 6}, now + FromSeconds(9), now);
+  BOOST_TEST(!fleet.OnSaidLeaving(service, {id, 6}));
+  BOOST_TEST(!fleet.FindUpstream(id)->IsPaused(now));
+  BOOST_TEST(!fleet.FindUpstream(id)->IsLeaving());
+  fleet.OnPauseRequested(service, {id, 7}, now + FromSeconds(9), now);
+  BOOST_TEST(fleet.OnSaidLeaving(service, {id, 7}));
+  BOOST_TEST(!fleet.OnSaidLeaving(service, {id, 7}));
+  BOOST_TEST(fleet.FindUpstream(id)->IsPaused(now));
+  BOOST_TEST(fleet.FindUpstream(id)->IsLeaving());
+  BOOST_TEST(fleet.PausedUpstreams(service, now) == 1);
+  BOOST_TEST(fleet.LogEndedPauses(now + FromSeconds(9)) == 0);
+}
+
 }  // namespace
 }  // namespace citron
