Objects of a paused upstream go elsewhere only where a slot is free

Cause: while an upstream is paused, its objects run cold at others, in three times the time of a warm run. Under load that fills these; they reject and ask for pauses as well, until few upstreams are left in use.

Objects that come back one after the other gain nothing, since each VM's pause ends at another moment. VMs don't tell each other: the answer to one VM would keep all away, and the others fill up.

--- a/include/citron/policy/affinity_selector.h
+++ b/include/citron/policy/affinity_selector.h
@@ -47,6 +47,9 @@
   // one takes requests while its load per slot is below `spare_replica_load`.
   int replicas = 2;
   double spare_replica_load = 0.5;
+  // Load per slot below which an upstream takes the objects of one that has
+  // asked for a pause: they run cold, so that what waits behind them is late.
+  double paused_object_load = 1;
   // Connect timeouts to upstreams of a zone, without a connection in between,
   // after which the zone counts as unreachable.
   int path_failure_limit = 2;
@@ -180,7 +183,8 @@
                    monotonic_time now) const;
   bool IsPausedCandidate(const upstream_tracker& upstream,
                          monotonic_time now) const;
-  void DropPaused(const selection_request& request,
+  // Returns whether the object runs at one of the dropped upstreams.
+  bool DropPaused(const selection_request& request,
                   std::vector<candidate>& candidates, monotonic_time now);
   void DropRateLimited(std::vector<candidate>& candidates, monotonic_time now);
   located_object Locate(const selection_request& request,
--- a/src/policy/affinity_selector.cc
+++ b/src/policy/affinity_selector.cc
@@ -232,20 +232,24 @@
 // Load pattern: upstreams that are full and ask for a pause. The next
 // candidates are in the region where the request would run as long as there are
 // any there, as the pause is short.
-void affinity_selector::DropPaused(const selection_request& request,
+bool affinity_selector::DropPaused(const selection_request& request,
                                    std::vector<candidate>& candidates,
                                    monotonic_time now) {
   const auto is_paused = [now](const candidate& c) {
     return c.upstream->IsPaused(now);
   };
-  if (std::none_of(candidates.begin(), candidates.end(), is_paused)) return;
+  if (std::none_of(candidates.begin(), candidates.end(), is_paused)) {
+    return false;
+  }
   const candidate* runs = Locate(request, candidates).upstream;
+  const bool runs_at_paused = runs != nullptr && is_paused(*runs);
   if (runs == nullptr) runs = &candidates.front();
   const region_id region = runs->upstream->Region();
   std::stable_partition(
       candidates.begin(), candidates.end(),
       [&region](const candidate& c) { return c.upstream->Region() == region; });
   std::erase_if(candidates, is_paused);
+  return runs_at_paused;
 }
 
 // Drops the preferred upstreams that may not have this request by their rate
@@ -474,7 +478,8 @@
   std::sort(
       candidates.begin(), candidates.end(),
       [](const candidate& a, const candidate& b) { return a.cost < b.cost; });
-  if (any_paused) DropPaused(request, candidates, now);
+  const bool runs_at_paused =
+      any_paused && DropPaused(request, candidates, now);
   if (candidates.empty()) {
     return any_paused ? selection_error::kPaused
                       : selection_error::kUnavailable;
@@ -484,8 +489,9 @@
   const location_state state = PreferLocated(request, candidates, now);
   KeepReplicas(candidates);
   const upstream_tracker* preferred = candidates.front().upstream;
-  upstream_tracker* upstream =
-      PickReplica(candidates, state, LoadLimit(request), now);
+  const double load_limit =
+      runs_at_paused ? options_.paused_object_load : LoadLimit(request);
+  upstream_tracker* upstream = PickReplica(candidates, state, load_limit, now);
   if (upstream == nullptr) return selection_error::kBusy;
   const bool at_home = upstream->Region() == options_.region;
   ++(at_home ? choices_.own : choices_.other);
--- a/tests/policy/warm_placement_test.cc
+++ b/tests/policy/warm_placement_test.cc
@@ -30,10 +30,13 @@
     sum.rejected += run.rejected;
     sum.cold_runs += run.cold_runs;
     sum.from_other_regions += run.from_other_regions;
+    sum.lost_round_trips += run.lost_round_trips;
   }
-  fmt::print("in goal {:.3f}, late {}, rejected {}, cold runs {}, remote {}\n",
-             sum.InGoalFraction(), sum.late, sum.rejected, sum.cold_runs,
-             sum.from_other_regions);
+  fmt::print(
+      "in goal {:.3f}, late {}, rejected {}, cold runs {}, remote {}, lost "
+      "round trips {}\n",
+      sum.InGoalFraction(), sum.late, sum.rejected, sum.cold_runs,
+      sum.from_other_regions, sum.lost_round_trips);
   return sum;
 }
 
@@ -171,6 +174,50 @@
   BOOST_TEST(young.rejected < old.rejected);
 }
 
+// Guards against pauses that spread: the objects of a full upstream run cold at
+// the others, fill them, and these ask for pauses as well.
+BOOST_AUTO_TEST_CASE(PausesOfFullUpstreamsDoNotFillTheOthers) {
+  warm_plan plan;
+  for (int i = 0; i < 10; ++i) {
+    plan.zones.push_back(
+        {fmt::format("z{}", i), i % 2 == 0 ? "r0" : "r1", i == 0 ? 6 : 1, 32});
+  }
+  plan.objects = 110;
+  plan.attempts = 3;
+  plan.tell_loads_each_s = 0.1;
+  plan.count_from_s = 5;
+  const warm_result not_asked = Sum(plan, selector_options{});
+  plan.pause_s = 3;
+  const warm_result asked = Sum(plan, selector_options{});
+  BOOST_TEST(asked.InGoalFraction() > 0.95 * not_asked.InGoalFraction());
+  BOOST_TEST(asked.lost_round_trips <= not_asked.lost_round_trips);
+}
+
+// Guards against round trips that are lost at slow upstreams which asked for a
+// pause, and against their objects that don't come back.
+BOOST_AUTO_TEST_CASE(PausesOfSlowUpstreamsCostNoService) {
+  warm_plan plan;
+  for (int i = 0; i < 10; ++i) {
+    plan.zones.push_back(
+        {fmt::format("z{}", i), i % 2 == 0 ? "r0" : "r1", i == 0 ? 6 : 1, 20});
+  }
+  plan.objects = 110;
+  plan.attempts = 3;
+  plan.tell_loads_each_s = 0.1;
+  plan.slow_upstreams = 3;
+  plan.slow_factor = 6;
+  plan.slow_from_s = 10;
+  plan.slow_until_s = 20;
+  plan.seconds = 35;
+  plan.count_from_s = 5;
+  const warm_result not_asked = Sum(plan, selector_options{});
+  plan.pause_s = 3;
+  const warm_result asked = Sum(plan, selector_options{});
+  BOOST_TEST(asked.InGoalFraction() > 0.97 * not_asked.InGoalFraction());
+  plan.count_from_s = 25;
+  BOOST_TEST(Sum(plan, selector_options{}).InGoalFraction() > 0.95);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/policy/warm_simulation.h
+++ b/tests/policy/warm_simulation.h
@@ -46,6 +46,15 @@
   // VMs of a region tell each other where they place objects.
   bool tells_placements = true;
   double tell_loads_each_s = 0;  // And what they hear of loads; 0: never.
+  // A rejected request is tried at so many upstreams.
+  int attempts = 1;
+  // Full upstreams ask for a pause of this length; 0: of none.
+  double pause_s = 0;
+  // Of the first zone, so many upstreams take so many times as long meanwhile.
+  int slow_upstreams = 0;
+  double slow_factor = 1;
+  double slow_from_s = 0;
+  double slow_until_s = 0;
   double cross_region_delay_s = 0.035;  // One way.
   double seconds = 40;
   double count_from_s = 20;  // Earlier requests are not counted.
@@ -59,6 +68,7 @@
   int rejected = 0;
   int cold_runs = 0;
   int from_other_regions = 0;  // Requests that were sent to another region.
+  int lost_round_trips = 0;    // Rejections by upstreams.
 
   int RequestCount() const { return in_goal + late + rejected; }
   double InGoalFraction() const {
@@ -107,6 +117,7 @@
     std::uint64_t object = 0;
     double arrived = 0;
     bool expected_free_slot = false;
+    std::vector<upstream_id> tried;
   };
   struct upstream {
     upstream_record record;
@@ -114,6 +125,7 @@
     int running = 0;
     std::deque<request> waiting;
     std::list<std::uint64_t> warm;  // Most recent first.
+    bool may_be_slow = false;
   };
   struct vm {
     warm_zone zone;
@@ -135,6 +147,7 @@
       added.record.zone = zone_id(zone.name);
       added.record.slots = plan_.slots;
       added.region = region_id(zone.region);
+      added.may_be_slow = vms_.empty() && i < plan_.slow_upstreams;
       upstreams_.emplace(added.record.id, std::move(added));
     }
     options.zone = zone_id(zone.name);
@@ -192,8 +205,13 @@
     const auto number = random_(static_cast<std::uint32_t>(plan_.objects));
     request r{index, HashBytes(fmt::format("{} {}", v.zone.region, number)),
               now_};
+    Place(std::move(r));
+  }
+  void Place(request r) {
+    vm& v = vms_[r.vm];
     selection_request choice_request;
     choice_request.object = r.object;
+    choice_request.excluded_upstreams = &r.tried;
     if (plan_.passes_latency_goal)
       choice_request.latency_goal = FromSeconds(plan_.latency_goal_s);
     const auto chosen = v.selector->Choose(choice_request, Now());
@@ -202,6 +220,7 @@
     if (selected->placed && plan_.tells_placements) TellPlacement(v, *selected);
     r.expected_free_slot = selected->load < selected->slots;
     upstream& u = upstreams_.at(selected->upstream);
+    r.tried.push_back(u.record.id);
     v.selector->Find(u.record.id)->OnSent(Now());
     if (u.region.Str() != v.zone.region) Count(r, result_.from_other_regions);
     ScheduleAt(now_ + NetworkDelay(v, u),
@@ -217,10 +236,21 @@
       u.waiting.push_back(r);
       return;
     }
-    ScheduleAt(now_ + NetworkDelay(vms_[r.vm], u), [this, &u, r] {
-      Find(u, r).OnDone(upstream_outcome::kShedNotRun, Now());
-      Count(r, result_.rejected);
-    });
+    const monotonic_time until = Now() + FromSeconds(plan_.pause_s);
+    ScheduleAt(now_ + NetworkDelay(vms_[r.vm], u),
+               [this, &u, r, until] { OnRejected(u, r, until); });
+  }
+  void OnRejected(const upstream& u, const request& r, monotonic_time until) {
+    Count(r, result_.lost_round_trips);
+    const bool pauses = plan_.pause_s > 0;
+    if (pauses) Find(u, r).OnPauseRequested(until, Now());
+    Find(u, r).OnDone(
+        pauses ? upstream_outcome::kPaused : upstream_outcome::kShedNotRun,
+        Now());
+    if (static_cast<int>(r.tried.size()) >= plan_.attempts) {
+      return Count(r, result_.rejected);
+    }
+    Place(r);
   }
   void Start(upstream& u, const request& r) {
     ++u.running;
@@ -233,7 +263,10 @@
     }
     if (!is_warm) Count(r, result_.cold_runs);
     std::normal_distribution<double> jitter(1, plan_.service_time_spread);
+    const bool is_slow =
+        u.may_be_slow && now_ >= plan_.slow_from_s && now_ < plan_.slow_until_s;
     const double service_time_s = plan_.cold_service_time_s *
+                                  (is_slow ? plan_.slow_factor : 1) *
                                   (is_warm ? plan_.warm_time_fraction : 1) *
                                   std::max(0.3, jitter(random_));
     ScheduleAt(now_ + service_time_s, [this, &u, r] { OnServiceDone(u, r); });
