What an upstream says in a tunnel binds the VM whose connection it is

Cause: a VM that reaches no upstream sends through others. The upstream sees the relay, and asks the relay for a pause; the relay carries bytes only, and went on with its own requests and opened further tunnels. The same holds for an upstream that says that it leaves.

Now the VM that reads the answer tells all VMs in a datagram of its own, three times 150 ms apart, which VM was asked. It binds that VM, and those that reach no upstream and may send through it; so does what a relay itself was asked, as long as it has tunnels to that upstream. A relay refuses a tunnel to a paused upstream with 429 and what is left of the pause, and the asking VM keeps to that; the relay doesn't count as failed. Taken only from the address at which the teller is listed.

Tests: relayed_signals_test, and cases in peer_exchange_test (a stranger, the word of another relay), tunnel_server_test and upstream_pool_test; each needs calls that did not exist before, so that none could be run on the old code.

--- a/include/citron/node/fleet_state.h
+++ b/include/citron/node/fleet_state.h
@@ -86,6 +86,10 @@
   // Takes that an upstream said in an answer that it leaves. Returns whether it
   // is news.
   bool OnSaidLeaving(const service_id& service, const upstream_start& start);
+  // Takes what another VM heard of an upstream over a tunnel.
+  void OnToldSignal(const upstream_start& start, const vm_id& told_by,
+                    monotonic_time paused_until, bool is_leaving,
+                    monotonic_time now);
   int PausedUpstreams(const service_id& service, monotonic_time now);
   // Logs the pauses that have ended, and returns how many last.
   int LogEndedPauses(monotonic_time now);
--- a/include/citron/node/node_context.h
+++ b/include/citron/node/node_context.h
@@ -9,6 +9,7 @@
 #include "citron/node/fleet_state.h"
 #include "citron/node/header_names.h"
 #include "citron/node/placement_news.h"
+#include "citron/node/relayed_signals.h"
 #include "citron/node/upstream_paths.h"
 #include "citron/node/upstream_pool.h"
 #include "citron/policy/memory_budget.h"
@@ -30,6 +31,7 @@
   upstream_paths& paths;
   memory_budget& memory;
   placement_news& placements;
+  relayed_signals& relayed;
 };
 
 // Whether callers should be sent to a VM, as it says of itself.
--- a/include/citron/node/node_task.h
+++ b/include/citron/node/node_task.h
@@ -87,6 +87,7 @@
   upstream_pool pool_;
   crash_watch crashes_;
   placement_news placements_;
+  relayed_signals relayed_;
   memory_budget memory_;
   node_context context_;
   std::string secret_;  // Of this start, for other VMs of the fleet.
--- a/include/citron/node/peer_exchange.h
+++ b/include/citron/node/peer_exchange.h
@@ -17,6 +17,7 @@
 #include "citron/node/rate_limit_report.h"
 #include "citron/node/reach_report.h"
 #include "citron/node/region_report.h"
+#include "citron/node/upstream_signal_report.h"
 #include "citron/policy/report_budget.h"
 
 struct event;
@@ -80,6 +81,8 @@
                 monotonic_time now);
   void OnReport(const region_report& report, const sockaddr_in& source,
                 monotonic_time now);
+  void OnReport(const upstream_signal_report& report, const sockaddr_in& source,
+                monotonic_time now);
   void OnLoads(const std::vector<load_line>& loads, monotonic_time now);
   // Tells a VM that begins to serve callers what this one has placed.
   void TellOwnPlacements(const vm_id& vm);
@@ -88,6 +91,8 @@
   // Tells what is known of upstreams' rate limits, at once if this VM has
   // learned something.
   void TellRateLimits(monotonic_time now);
+  // Tells what upstreams said to requests in tunnels.
+  void TellRelayedSignals(monotonic_time now);
   // Tells all while this VM reaches no upstream, and for a while after.
   void TellReach(bool reaches_upstreams, monotonic_time now);
   // Whether the datagram is from where the VM is listed.
--- a/include/citron/node/proxied_request.h
+++ b/include/citron/node/proxied_request.h
@@ -66,6 +66,8 @@
   void ReportRateLimit(const signal<double>& limit, bool is_signed);
   void ReportPause(const signal<duration>& pause, int status);
   void ReportLeaving(const signal<bool>& leaving, int status);
+  // Tells the VMs whose requests share the connection's origin.
+  void TellRelayed(monotonic_time paused_until, bool is_leaving);
   void Place();
   // `left_out` must outlive the result.
   selection_request SelectionFor(
--- a/include/citron/node/tunnel_messages.h
+++ b/include/citron/node/tunnel_messages.h
@@ -7,6 +7,7 @@
 #include "citron/base/endpoint.h"
 #include "citron/base/result.h"
 #include "citron/base/strong_id.h"
+#include "citron/base/time.h"
 #include "citron/net/http1_reader.h"
 
 namespace citron {
@@ -21,6 +22,7 @@
 
 constexpr int kTunnelOpen = 200;
 constexpr int kTunnelUnsealed = 401;
+constexpr int kTunnelUpstreamPaused = 429;    // It wants no requests from here.
 constexpr int kTunnelUpstreamRefused = 502;   // The upstream's fault.
 constexpr int kTunnelUnavailable = 503;       // The relay can't open any.
 constexpr int kTunnelUpstreamTimedOut = 504;  // The upstream's fault.
@@ -29,6 +31,13 @@
                               std::string_view secret);
 result<tunnel_request> ReadTunnelRequest(const http1_head& head,
                                          std::string_view secret);
+// Why no tunnel is opened, and when to ask again; zero: not said.
+struct tunnel_refusal {
+  int status = kTunnelUnavailable;
+  duration retry_after{};
+};
+
+std::string MakeTunnelAnswer(const tunnel_refusal& refusal);
 std::string MakeTunnelAnswer(int status);
 
 }  // namespace citron
--- a/include/citron/node/upstream_connection.h
+++ b/include/citron/node/upstream_connection.h
@@ -25,6 +25,7 @@
   kBadAnswer,       // Bytes that are no answer.
   kRelayFailed,     // The other VM opened no tunnel; nothing was sent.
   kWithdrawn,       // Connected, but the listener wanted it unsent by then.
+  kPausedAtRelay,   // The upstream wants no requests from the other VM.
   // Bytes that go on beyond what an answer has.
   kEndlessHeads,
   kEndlessFraming,
@@ -113,6 +114,8 @@
   // Zero until it is connected.
   duration ConnectTime() const { return connect_time_; }
   std::size_t PendingBytes() const;
+  // With kPausedAtRelay: for how long.
+  duration RelayPause() const { return relay_pause_; }
 
  private:
   enum class state { kConnecting, kBusy, kIdle, kDead };
@@ -148,6 +151,7 @@
   std::string request_id_;
   bool expects_body_ = true;
   int relay_status_ = 0;
+  duration relay_pause_{};
   bool skipping_ = false;  // The answer of an earlier request.
   bool stays_open_ = true;
   bool paused_ = false;
--- a/include/citron/node/upstream_paths.h
+++ b/include/citron/node/upstream_paths.h
@@ -28,6 +28,12 @@
 
   // Whether connections of this VM's own can be opened, as far as it knows.
   bool IsReachable() const { return reach_.IsReachable(); }
+  // This VM carries requests of another one to the upstream, or did.
+  void OnTunnelBegin(const upstream_id& upstream) { ++tunnels_[upstream]; }
+  void OnTunnelEnd(const upstream_id& upstream);
+  bool HasTunnelsTo(const upstream_id& upstream) const {
+    return tunnels_.contains(upstream);
+  }
   // Empty if no way to the upstream is known. `is_region_bound`: the request
   // may be handled in some regions only.
   std::optional<connection_path> PathTo(const upstream_tracker& upstream,
@@ -78,6 +84,7 @@
   upstream_reach reach_;
   // Since the last connect that succeeded.
   kept_state kept_ = kept_state::kSound;
+  std::map<upstream_id, int> tunnels_;  // Open ones for other VMs.
   std::vector<relay_candidate> relays_;
   monotonic_time look_for_relays_at_{};
   std::map<vm_id, monotonic_time> relay_failed_until_;
--- a/src/node/fleet_state.cc
+++ b/src/node/fleet_state.cc
@@ -431,7 +431,7 @@
                                    const upstream_start& start,
                                    monotonic_time until, monotonic_time now) {
   upstream_tracker* upstream = FindStart(service, start);
-  if (upstream == nullptr) return;
+  if (upstream == nullptr || until <= now) return;
   upstream->OnPauseRequested(until, now);
   pauses_[start.id] = upstream->PausedUntil();
 }
@@ -442,6 +442,26 @@
   return upstream != nullptr && upstream->OnSaidLeaving();
 }
 
+void fleet_state::OnToldSignal(const upstream_start& start,
+                               const vm_id& told_by,
+                               monotonic_time paused_until, bool is_leaving,
+                               monotonic_time now) {
+  const auto service = service_of_.find(start.id);
+  if (service == service_of_.end()) return;
+  const upstream_tracker* upstream = FindStart(service->second, start);
+  if (upstream == nullptr) return;
+  const monotonic_time before = std::max(now, upstream->PausedUntil());
+  OnPauseRequested(service->second, start, paused_until, now);
+  const bool leaves = is_leaving && OnSaidLeaving(service->second, start);
+  if (!leaves && paused_until <= before) return;
+  log_.Write("upstream", "signal_told",
+             {{"upstream", start.id.Str()},
+              {"told_by", told_by.Str()},
+              {"pause_ms", ToMilliseconds(paused_until - now)},
+              {"leaving", leaves}},
+             now);
+}
+
 upstream_tracker* fleet_state::FindStart(const service_id& service,
                                          const upstream_start& start) {
   affinity_selector* selector = SelectorOf(service);
--- a/src/node/peer_datagram.cc
+++ b/src/node/peer_datagram.cc
@@ -35,6 +35,8 @@
       return ReadAs<crash_report>(bytes);
     case kFieldsOf<region_report>:
       return ReadAs<region_report>(bytes);
+    case kFieldsOf<upstream_signal_report>:
+      return ReadAs<upstream_signal_report>(bytes);
     case kFieldsOf<reach_report>: {
       result<peer_datagram> reach = ReadAs<reach_report>(bytes);
       return IsOk(reach) ? reach : ReadAs<rate_limit_report>(bytes);
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -14,6 +14,7 @@
 #include <tuple>
 #include <utility>
 
+#include "citron/node/answer_signals.h"
 #include "citron/node/peer_datagram.h"
 #include "citron/wire/codec.h"
 #include "citron/wire/fields.h"
@@ -133,6 +134,7 @@
 void peer_exchange::Run(const vm_condition& own, monotonic_time now) {
   TellReach(own.reaches_upstreams, now);
   TellRateLimits(now);
+  TellRelayedSignals(now);
   const bool for_all = now >= tell_all_at_;
   const bool for_serving = now >= tell_serving_at_;
   const bool begins_to_serve =
@@ -340,6 +342,15 @@
   SendToAll(report);
 }
 
+void peer_exchange::TellRelayedSignals(monotonic_time now) {
+  for (const upstream_signal& signal : context_.relayed.TakeDue(now)) {
+    const double left_ms = ToMilliseconds(signal.paused_until - now);
+    SendToAll(upstream_signal_report{context_.settings.vm, signal.asked,
+                                     signal.upstream, signal.born_ms,
+                                     RoundedUp(left_ms), signal.is_leaving});
+  }
+}
+
 // One that can't be sent is a lost one; the next follows.
 void peer_exchange::SendTo(const endpoint& address, const std::string& bytes) {
   const sockaddr_in to = SocketAddress(address);
@@ -514,6 +525,23 @@
   }
 }
 
+// A stranger could keep requests from an upstream with it.
+void peer_exchange::OnReport(const upstream_signal_report& report,
+                             const sockaddr_in& source, monotonic_time now) {
+  if (!IsFrom(report.vm, source)) {
+    context_.log.Write("peers", "upstream_signal_refused",
+                       {{"vm", report.vm.Str()}}, now);
+    return;
+  }
+  // It also binds a VM that may send through the one that was asked.
+  const bool is_asked = report.asked == context_.settings.vm;
+  if (!is_asked && context_.paths.IsReachable()) return;
+  const duration pause = std::min<duration>(
+      std::chrono::milliseconds(report.pause_ms), kLongestPause);
+  context_.fleet.OnToldSignal({report.upstream, report.born_ms}, report.vm,
+                              now + pause, report.is_leaving, now);
+}
+
 duration peer_exchange::SilenceLimit() const {
   return IntervalFor(context_.fleet.FleetSize()) * kLostReports;
 }
--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -510,8 +510,10 @@
                       {"pause_ms", ToMilliseconds(*pause.value)},
                       {"relay", connection_->Path().relay.Str()}},
                      now);
+  const monotonic_time until = now + *pause.value;
   context_.fleet.OnPauseRequested(service_, {upstream_, upstream_born_ms_},
-                                  now + *pause.value, now);
+                                  until, now);
+  TellRelayed(until, false);
 }
 
 void proxied_request::ReportLeaving(const signal<bool>& leaving, int status) {
@@ -532,6 +534,19 @@
                       {"status", status},
                       {"relay", connection_->Path().relay.Str()}},
                      now);
+  TellRelayed(now, true);
+}
+
+// The upstream means the VM whose connection it is.
+void proxied_request::TellRelayed(monotonic_time paused_until,
+                                  bool is_leaving) {
+  const bool is_relayed = connection_->IsRelayed();
+  if (!is_relayed && !context_.paths.HasTunnelsTo(upstream_)) return;
+  const vm_id asked =
+      is_relayed ? connection_->Path().relay : context_.settings.vm;
+  context_.relayed.Add(
+      {upstream_, upstream_born_ms_, asked, paused_until, is_leaving},
+      MonotonicNow());
 }
 
 void proxied_request::OnAnswerHead(http1_head head) {
@@ -650,7 +665,15 @@
 }
 
 void proxied_request::OnCallFailed(upstream_fault fault) {
-  if (fault == upstream_fault::kWithdrawn) return OnWithdrawn();
+  if (fault == upstream_fault::kPausedAtRelay) {
+    const monotonic_time now = MonotonicNow();
+    context_.fleet.OnPauseRequested(service_, {upstream_, upstream_born_ms_},
+                                    now + connection_->RelayPause(), now);
+  }
+  if (fault == upstream_fault::kWithdrawn ||
+      fault == upstream_fault::kPausedAtRelay) {
+    return OnWithdrawn();
+  }
   const std::string_view name = UpstreamFaultName(fault);
   if (IsEndless(fault)) ReportCut(name.data());
   // The head has told it, whatever becomes of the rest.
--- a/src/node/tunnel.cc
+++ b/src/node/tunnel.cc
@@ -76,8 +76,10 @@
       reader_.Read(bufferevent_get_input(vm_side_));
   if (made == http1_reader::progress::kFault) return End();
   if (made == http1_reader::progress::kNeedsMore) return;
-  std::variant<tunnel_request, int> admitted = host_.Admit(*head_);
-  if (const int* status = std::get_if<int>(&admitted)) return Refuse(*status);
+  std::variant<tunnel_request, tunnel_refusal> admitted = host_.Admit(*head_);
+  if (const auto* refusal = std::get_if<tunnel_refusal>(&admitted)) {
+    return Refuse(*refusal);
+  }
   request_ = std::get<tunnel_request>(std::move(admitted));
   state_ = state::kConnecting;
   upstream_side_ = bufferevent_socket_new(
@@ -107,8 +109,8 @@
 void tunnel::OnConnectFailed(connect_result result) {
   bufferevent_disable(upstream_side_, EV_READ | EV_WRITE);
   host_.OnConnectEnd(request_.upstream, connect_began_, result);
-  Refuse(result == connect_result::kTimedOut ? kTunnelUpstreamTimedOut
-                                             : kTunnelUpstreamRefused);
+  Refuse({result == connect_result::kTimedOut ? kTunnelUpstreamTimedOut
+                                              : kTunnelUpstreamRefused});
 }
 
 void tunnel::Pass(bufferevent* from) {
@@ -142,10 +144,10 @@
   if (PendingBytes(vm_side_) == 0) End();
 }
 
-void tunnel::Refuse(int status) {
+void tunnel::Refuse(const tunnel_refusal& refusal) {
   timer_.Disarm();
   state_ = state::kEnding;
-  const std::string answer = MakeTunnelAnswer(status);
+  const std::string answer = MakeTunnelAnswer(refusal);
   bufferevent_write(vm_side_, answer.data(), answer.size());
 }
 
--- a/src/node/tunnel.h
+++ b/src/node/tunnel.h
@@ -19,8 +19,9 @@
 class tunnel_host {
  public:
   virtual ~tunnel_host() = default;
-  // The upstream to connect to, or the status of the refusal.
-  virtual std::variant<tunnel_request, int> Admit(const http1_head& head) = 0;
+  // The upstream to connect to, or why not.
+  virtual std::variant<tunnel_request, tunnel_refusal> Admit(
+      const http1_head& head) = 0;
   virtual void OnConnectEnd(const upstream_id& upstream, monotonic_time began,
                             connect_result result) = 0;
   // The last call; it may not destroy the tunnel at once.
@@ -37,6 +38,9 @@
   tunnel(const tunnel&) = delete;
   tunnel& operator=(const tunnel&) = delete;
 
+  // Empty until a tunnel was asked for.
+  const upstream_id& Upstream() const { return request_.upstream; }
+
  private:
   enum class state { kReadingHead, kConnecting, kOpen, kEnding, kEnded };
   struct callbacks;
@@ -52,7 +56,7 @@
   bufferevent* Other(bufferevent* side) const;
   void Pass(bufferevent* from);
   // Answers the other VM and closes once the answer is out.
-  void Refuse(int status);
+  void Refuse(const tunnel_refusal& refusal);
   void Reset();
   void End();
 
--- a/src/node/tunnel_messages.cc
+++ b/src/node/tunnel_messages.cc
@@ -47,9 +47,18 @@
   return request;
 }
 
+std::string MakeTunnelAnswer(const tunnel_refusal& refusal) {
+  const std::string retry_after =
+      refusal.retry_after > duration::zero()
+          ? fmt::format("Retry-After: {:.3f}\r\n",
+                        ToSeconds(refusal.retry_after))
+          : "";
+  return fmt::format("HTTP/1.1 {} {}\r\n{}Content-Length: 0\r\n\r\n",
+                     refusal.status, StatusText(refusal.status), retry_after);
+}
+
 std::string MakeTunnelAnswer(int status) {
-  return fmt::format("HTTP/1.1 {} {}\r\nContent-Length: 0\r\n\r\n", status,
-                     StatusText(status));
+  return MakeTunnelAnswer(tunnel_refusal{status, duration::zero()});
 }
 
 }  // namespace citron
--- a/src/node/tunnel_server.cc
+++ b/src/node/tunnel_server.cc
@@ -20,6 +20,8 @@
 constexpr int kBacklog = 256;
 // Each holds two descriptors.
 constexpr std::size_t kMaxTunnels = 300;
+// By then the asking VM knows it, too.
+constexpr duration kRetryWhenLeaving = std::chrono::seconds(3);
 
 }  // namespace
 
@@ -27,21 +29,31 @@
  public:
   explicit host(tunnel_server& server) : server_(server) {}
 
-  std::variant<tunnel_request, int> Admit(const http1_head& head) override {
+  std::variant<tunnel_request, tunnel_refusal> Admit(
+      const http1_head& head) override {
     node_context& context = server_.context_;
     result<tunnel_request> read = ReadTunnelRequest(head, server_.secret_);
     if (!IsOk(read)) {
       context.log.Write("tunnel", "refused",
                         {{"problem", ErrorOf(read).message}}, MonotonicNow());
-      return kTunnelUnsealed;
+      return tunnel_refusal{kTunnelUnsealed};
     }
     tunnel_request& request = ValueOf(read);
     const upstream_tracker* upstream =
         context.fleet.FindUpstream(request.upstream);
     const bool opens = !server_.stopping_ && context.paths.IsReachable();
-    if (upstream == nullptr || !opens) return kTunnelUnavailable;
+    if (upstream == nullptr || !opens) return tunnel_refusal{};
+    const monotonic_time now = MonotonicNow();
+    if (upstream->IsPaused(now)) {
+      return tunnel_refusal{kTunnelUpstreamPaused,
+                            upstream->PausedUntil() - now};
+    }
+    if (upstream->IsLeaving()) {
+      return tunnel_refusal{kTunnelUpstreamPaused, kRetryWhenLeaving};
+    }
     // Only to upstreams, and where this VM knows them to be.
     request.address = upstream->Record().address;
+    context.paths.OnTunnelBegin(request.upstream);
     return request;
   }
 
@@ -60,6 +72,7 @@
     if (found == tunnels.end()) return;
     const std::shared_ptr<tunnel> retired = std::move(*found);
     tunnels.erase(found);
+    server_.context_.paths.OnTunnelEnd(retired->Upstream());
     server_.context_.loop.Defer([retired] {});
   }
 
--- a/src/node/upstream_connection.cc
+++ b/src/node/upstream_connection.cc
@@ -11,6 +11,7 @@
 #include <optional>
 #include <utility>
 
+#include "citron/node/answer_signals.h"
 #include "citron/node/tunnel_messages.h"
 #include "node/socket_address.h"
 #include "node/socket_options.h"
@@ -25,6 +26,7 @@
 // An upstream may end a connection on which its answer stays unread for this
 // long.
 constexpr duration kUnreadLimit = std::chrono::seconds(1);
+constexpr duration kUnstatedRelayPause = std::chrono::seconds(1);
 // Around the name and value of a header.
 constexpr std::size_t kHeaderFraming = 4;
 
@@ -67,6 +69,8 @@
       return "relay_failed";
     case upstream_fault::kWithdrawn:
       return "withdrawn";
+    case upstream_fault::kPausedAtRelay:
+      return "paused_at_relay";
     case upstream_fault::kEndlessHeads:
       return "endless_heads";
     case upstream_fault::kEndlessFraming:
@@ -229,6 +233,8 @@
   switch (relay_status_) {
     case kTunnelOpen:
       return OnConnected();
+    case kTunnelUpstreamPaused:
+      return Fail(upstream_fault::kPausedAtRelay);
     case kTunnelUpstreamRefused:
       return Fail(upstream_fault::kConnectFailed);
     case kTunnelUpstreamTimedOut:
@@ -288,6 +294,8 @@
 void upstream_connection::OnHead(http1_head head) {
   if (state_ == state::kConnecting) {
     relay_status_ = head.status;
+    const auto pause = FindHeader(head.headers, "Retry-After");
+    relay_pause_ = ReadPause(pause.value_or("")).value_or(kUnstatedRelayPause);
     return;
   }
   const auto id = FindHeader(head.headers, id_header_);
--- a/src/node/upstream_paths.cc
+++ b/src/node/upstream_paths.cc
@@ -50,6 +50,11 @@
       [&vm](const relay_candidate& relay) { return relay.vm == vm; });
 }
 
+void upstream_paths::OnTunnelEnd(const upstream_id& upstream) {
+  const auto found = tunnels_.find(upstream);
+  if (found != tunnels_.end() && --found->second == 0) tunnels_.erase(found);
+}
+
 void upstream_paths::OnConnectEnd(const upstream_connection& connection,
                                   connect_result result) {
   const connection_path& path = connection.Path();
--- a/tests/node/peer_datagram_test.cc
+++ b/tests/node/peer_datagram_test.cc
@@ -30,6 +30,10 @@
       kVm, {{9, upstream_id("u1")}}, {{upstream_id("u2"), 5}}};
   BOOST_TEST(ReadBack(region).placements.at(0).object == 9u);
   BOOST_TEST(ReadBack(region).loads.at(0).requests == 5u);
+  const upstream_signal_report signal{kVm, vm_id("vm2"), upstream_id("u1"),
+                                      7,   3000,         true};
+  BOOST_TEST(ReadBack(signal).pause_ms == 3000u);
+  BOOST_TEST(ReadBack(signal).asked.Str() == "vm2");
   rate_limit_report limits{kVm, 1, 2, {{upstream_id("u1"), true, 5, 6, 7}}};
   BOOST_TEST(ReadBack(limits).lines.at(0).per_s == 5);
   limits.lines.clear();
--- a/tests/node/peer_exchange_test.cc
+++ b/tests/node/peer_exchange_test.cc
@@ -16,6 +16,7 @@
 #include "citron/node/peer_report.h"
 #include "citron/node/reach_report.h"
 #include "citron/node/region_report.h"
+#include "citron/node/upstream_signal_report.h"
 #include "citron/node/vm_listing.h"
 #include "citron/policy/request_fingerprint.h"
 #include "citron/wire/codec.h"
@@ -282,6 +283,31 @@
   BOOST_TEST(RunUntil(is_named));
 }
 
+// Guards against requests that go on to an upstream which asked this VM for a
+// pause with the answer to another VM's request, against a stranger who says
+// so, and against the word to a VM that this one does not send through.
+BOOST_AUTO_TEST_CASE(WhatAnUpstreamSaidInATunnelIsKept) {
+  scripted_upstream& upstream = AddUpstream("u1", Good);
+  BOOST_REQUIRE(RunUntil([this] { return peer_.Take().has_value(); }));
+  BOOST_REQUIRE(RunUntil(
+      [this] { return StatusOf(Ask(Request("GET", "/look/1"))) == "200"; }));
+  const upstream_signal_report told{
+      vm_id("vm2"), vm_id("vm1"), upstream_id("u1"), 0, 60000, false};
+  peer_socket_of_test stranger;
+  stranger.Tell(settings_.peer, told);
+  BOOST_REQUIRE(
+      RunUntil([this] { return HasLine("upstream_signal_refused"); }));
+  upstream_signal_report of_another = told;
+  of_another.asked = vm_id("vm3");
+  peer_.Tell(settings_.peer, of_another);
+  BOOST_TEST(StatusOf(Ask(Request("GET", "/look/1"))) == "200");
+  peer_.Tell(settings_.peer, told);
+  BOOST_REQUIRE(RunUntil([this] { return HasLine("event=signal_told"); }));
+  const std::size_t before = upstream.Requests().size();
+  BOOST_TEST(StatusOf(Ask(Request("GET", "/look/1"))) == "503");
+  BOOST_TEST(upstream.Requests().size() == before);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/node/tunnel_server_test.cc
+++ b/tests/node/tunnel_server_test.cc
@@ -77,6 +77,25 @@
   BOOST_TEST(Wait(caller).starts_with("HTTP/1.1 503 "));
 }
 
+// Guards against requests of other VMs that reach an upstream from this one
+// while it has asked this one for a pause.
+BOOST_AUTO_TEST_CASE(NoTunnelToAPausedUpstream) {
+  scripted_upstream& upstream = StartWithUpstream([](const std::string& sent) {
+    return scripted_answer{
+        fmt::format("HTTP/1.1 503 Full\r\nX-Id: {}\r\nX-Not-Run: full\r\n"
+                    "Retry-After: 60\r\nContent-Length: 0\r\n\r\n",
+                    HeaderIn(sent, "X-Id"))};
+  });
+  BOOST_TEST(StatusOf(Ask(Request("GET", "/look/1"))) == "503");
+  const int accepted = upstream.Accepted();
+  raw_caller caller(settings_.tunnels);
+  caller.Send(AskFor("u1", Listing().secret));
+  const std::string refusal = Wait(caller);
+  BOOST_TEST(refusal.starts_with("HTTP/1.1 429 "));
+  BOOST_TEST(std::stod(HeaderIn(refusal, "Retry-After")) > 50);
+  BOOST_TEST(upstream.Accepted() == accepted);
+}
+
 // Guards against an asking VM that can't tell a dead upstream from a dead
 // relay.
 BOOST_AUTO_TEST_CASE(ARefusalOfTheUpstreamIsTold) {
--- a/tests/node/upstream_pool_test.cc
+++ b/tests/node/upstream_pool_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "citron/node/tunnel_messages.h"
 #include "net/loop_fixture.h"
 #include "node/scripted_upstream.h"
 
@@ -17,17 +18,22 @@
   void OnAnswerHead(http1_head) override {}
   void OnAnswerBody(std::string_view) override {}
   void OnAnswerEnd() override { ++ended_; }
-  void OnCallFailed(upstream_fault) override { ++failed_; }
+  void OnCallFailed(upstream_fault fault) override {
+    ++failed_;
+    last_fault_ = fault;
+  }
   bool WantsToSend() override { return wants_to_send_; }
   void OnRequestDrained() override {}
 
   int Ended() const { return ended_; }
   int Failed() const { return failed_; }
+  upstream_fault LastFault() const { return last_fault_; }
   void Withdraw() { wants_to_send_ = false; }
 
  private:
   int ended_ = 0;
   int failed_ = 0;
+  upstream_fault last_fault_ = upstream_fault::kConnectFailed;
   bool wants_to_send_ = true;
 };
 
@@ -101,6 +107,27 @@
   BOOST_TEST(Upstream().Requests().empty());
 }
 
+// Guards against a relay that keeps to a pause and is taken for one that
+// failed, or an upstream that is asked again and again.
+BOOST_AUTO_TEST_CASE(ARelayTellsForHowLongTheUpstreamIsPaused) {
+  scripted_upstream relay(Loop(), [](const std::string&) {
+    return scripted_answer{
+        MakeTunnelAnswer({kTunnelUpstreamPaused, std::chrono::seconds(7)})};
+  });
+  upstream_pool pool = MakePool(false);
+  connection_path path;
+  path.address = Upstream().Address();
+  path.relay = vm_id("vm2");
+  path.relay_address = relay.Address();
+  std::unique_ptr<upstream_connection> connection =
+      pool.Take(kUpstream, path, std::chrono::seconds(10), duration::zero(),
+                MonotonicNow());
+  Start(*connection);
+  BOOST_REQUIRE(RunUntil([&] { return Listener().Failed() > 0; }));
+  BOOST_TEST((Listener().LastFault() == upstream_fault::kPausedAtRelay));
+  BOOST_TEST((connection->RelayPause() == std::chrono::seconds(7)));
+}
+
 // A second request to a far upstream waits for a handshake while the first one
 // uses the only connection.
 BOOST_AUTO_TEST_CASE(AnOverlappingRequestFindsAConnection) {
