What upstreams say in answers is taken in a class of its own

proxied_request grew with each header; signal_intake takes loads, rate limits, pauses and leavings to the fleet's state, with the upstream's start and the way of the answer.

--- a/include/citron/node/answer_signals.h
+++ b/include/citron/node/answer_signals.h
@@ -15,7 +15,7 @@
 // A header that at most one value makes sense of. `text` is as it came, empty
 // if the header is not there; `value` is empty if it can't be read.
 template <typename T>
-struct signal {
+struct header_signal {
   bool named = false;
   std::string text;
   std::optional<T> value;
@@ -26,9 +26,9 @@
 // What an upstream says of itself in the head of an answer.
 struct answer_signals {
   std::optional<load_report> load;
-  signal<double> rate_limit_per_s;
-  signal<duration> pause;  // Of a 503: it wants no requests for so long.
-  signal<bool> leaving;
+  header_signal<double> rate_limit_per_s;
+  header_signal<duration> pause;  // Of a 503: it wants no requests for so long.
+  header_signal<bool> leaving;
 };
 
 // The longest pause that is kept; a longer one would be longer than any
--- a/include/citron/node/proxied_request.h
+++ b/include/citron/node/proxied_request.h
@@ -11,7 +11,6 @@
 
 #include "citron/base/time.h"
 #include "citron/base/verdict.h"
-#include "citron/node/answer_signals.h"
 #include "citron/node/caller_exchange.h"
 #include "citron/node/node_context.h"
 #include "citron/node/request_gate.h"
@@ -60,14 +59,6 @@
   bool IsRepeatable() const;
   bool BodyIsReplayable() const { return !streaming_body_; }
   answer_kind Judge(const http1_head& head) const;
-  // Takes what the upstream says of itself with its answer.
-  void ReportSignals(const http1_head& head);
-  void ReportLoad(const load_report& load);
-  void ReportRateLimit(const signal<double>& limit, bool is_signed);
-  void ReportPause(const signal<duration>& pause, int status);
-  void ReportLeaving(const signal<bool>& leaving, int status);
-  // Tells the VMs whose requests share the connection's origin.
-  void TellRelayed(monotonic_time paused_until, bool is_leaving);
   void Place();
   // `left_out` must outlive the result.
   selection_request SelectionFor(
--- a/src/node/answer_signals.cc
+++ b/src/node/answer_signals.cc
@@ -43,10 +43,10 @@
 
 // Two headers of a name contradict each other or are a fault of the upstream.
 template <typename T>
-signal<T> ReadSignal(
+header_signal<T> ReadSignal(
     const http1_head& head, const std::string& name,
     const std::function<std::optional<T>(std::string_view)>& read) {
-  signal<T> found;
+  header_signal<T> found;
   const auto count = std::count_if(
       head.headers.begin(), head.headers.end(),
       [&](const http_header& h) { return HeaderNameIs(h.name, name); });
--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -11,6 +11,7 @@
 #include "citron/policy/request_fingerprint.h"
 #include "node/forwarded_head.h"
 #include "node/own_answer.h"
+#include "node/signal_intake.h"
 
 namespace citron {
 
@@ -457,102 +458,18 @@
   return head.status >= 500 ? answer_kind::kFailure : answer_kind::kWhole;
 }
 
-void proxied_request::ReportLoad(const load_report& load) {
-  affinity_selector* selector = context_.fleet.SelectorOf(service_);
-  upstream_tracker* standing =
-      selector == nullptr ? nullptr : selector->Find(upstream_);
-  if (standing == nullptr) return;
-  context_.fleet.OnUpstreamLoad(*standing, load, MonotonicNow());
-}
-
-// An answer without a limit ends it only if the upstream has certainly made the
-// answer.
-void proxied_request::ReportRateLimit(const signal<double>& limit,
-                                      bool is_signed) {
-  if (!limit.named && !is_signed) return;
-  const monotonic_time now = MonotonicNow();
-  if (limit.IsUnreadable()) {
-    return context_.fleet.OnUnreadableSignal(
-        upstream_, context_.names.rate_limit, limit.text, now);
-  }
-  const rate_limit_observation seen{limit.value, context_.settings.vm, now};
-  if (!context_.fleet.OnRateLimit(upstream_, seen, now)) return;
-  context_.stats.Count("citron_upstream_rate_limit_changes_total",
-                       {{"from", "answer"}});
-}
-
-void proxied_request::ReportSignals(const http1_head& head) {
-  const answer_signals signals = ReadAnswerSignals(head, context_.names);
-  if (signals.load) ReportLoad(*signals.load);
-  // What another upstream says, or nobody knows who, is not this one's word.
-  if (kind_ == answer_kind::kForged || head.status == 421) return;
-  ReportRateLimit(
-      signals.rate_limit_per_s,
-      FindHeader(head.headers, context_.names.signature).has_value());
-  ReportPause(signals.pause, head.status);
-  ReportLeaving(signals.leaving, head.status);
-}
-
-void proxied_request::ReportPause(const signal<duration>& pause, int status) {
-  const monotonic_time now = MonotonicNow();
-  if (pause.IsUnreadable()) {
-    return context_.fleet.OnUnreadableSignal(upstream_, context_.names.pause,
-                                             pause.text, now);
-  }
-  if (pause.value.value_or(duration::zero()) <= duration::zero()) return;
-  asked_for_pause_ = true;
-  context_.stats.Count("citron_upstream_pauses_total",
-                       {{"service", service_.Str()}});
-  context_.log.Write("upstream", "pause_requested",
-                     {{"upstream", upstream_.Str()},
-                      {"request", id_},
-                      {"status", status},
-                      {"pause_ms", ToMilliseconds(*pause.value)},
-                      {"relay", connection_->Path().relay.Str()}},
-                     now);
-  const monotonic_time until = now + *pause.value;
-  context_.fleet.OnPauseRequested(service_, {upstream_, upstream_born_ms_},
-                                  until, now);
-  TellRelayed(until, false);
-}
-
-void proxied_request::ReportLeaving(const signal<bool>& leaving, int status) {
-  const monotonic_time now = MonotonicNow();
-  if (leaving.IsUnreadable()) {
-    return context_.fleet.OnUnreadableSignal(upstream_, context_.names.leaving,
-                                             leaving.text, now);
-  }
-  if (!leaving.value.value_or(false)) return;
-  if (!context_.fleet.OnSaidLeaving(service_, {upstream_, upstream_born_ms_})) {
-    return;
-  }
-  context_.stats.Count("citron_upstreams_said_leaving_total",
-                       {{"service", service_.Str()}});
-  context_.log.Write("upstream", "leaving_reported",
-                     {{"upstream", upstream_.Str()},
-                      {"request", id_},
-                      {"status", status},
-                      {"relay", connection_->Path().relay.Str()}},
-                     now);
-  TellRelayed(now, true);
-}
-
-// The upstream means the VM whose connection it is.
-void proxied_request::TellRelayed(monotonic_time paused_until,
-                                  bool is_leaving) {
-  const bool is_relayed = connection_->IsRelayed();
-  if (!is_relayed && !context_.paths.HasTunnelsTo(upstream_)) return;
-  const vm_id asked =
-      is_relayed ? connection_->Path().relay : context_.settings.vm;
-  context_.relayed.Add(
-      {upstream_, upstream_born_ms_, asked, paused_until, is_leaving},
-      MonotonicNow());
-}
-
 void proxied_request::OnAnswerHead(http1_head head) {
   if (IsOnOwnConnection()) context_.paths.OnAnswered();
   kind_ = Judge(head);
-  ReportSignals(head);
+  // What another upstream says, or nobody knows who, is not this one's word.
+  const bool is_own_word = kind_ != answer_kind::kForged && head.status != 421;
+  asked_for_pause_ =
+      signal_intake(context_).Take(head,
+                                   {service_,
+                                    {upstream_, upstream_born_ms_},
+                                    connection_->Path().relay,
+                                    id_},
+                                   is_own_word);
   answer_ = std::move(head);
   if (kind_ != answer_kind::kForged && kind_ != answer_kind::kNotRun) return;
   const auto length = answer_->body_length;
--- a/tests/node/upstream_pause_test.cc
+++ b/tests/node/upstream_pause_test.cc
@@ -103,6 +103,9 @@
 
   void CheckPauses() {
     for (int i = 0; i < kUpstreams; ++i) {
+      BOOST_TEST_MESSAGE(fmt::format("{}: {} pauses, at most {} in one",
+                                     Name(i), At(i).pauses.size(),
+                                     At(i).MostInAPause()));
       BOOST_TEST_CONTEXT(Name(i)) {
         BOOST_TEST(At(i).MostInAPause() <= kAllowed);
       }
