--- a/standins/upstream/upstream_server.cc
+++ b/standins/upstream/upstream_server.cc
@@ -209,6 +209,7 @@
                   {"Content-Length", std::to_string(item.answer_size)},
                   {"X-Request-Digest", fmt::format("{:016x}", item.digest)},
                   {"X-Upstream", settings_.id}};
+  AddSignals(work_outcome::kAnswered, head.headers);
   item.exchange->StartReply(head);
   item.exchange->OnDrained([this, id] { SendMore(id); });
   SendMore(id);
@@ -234,11 +235,21 @@
   item->exchange->SendBody(AnswerBytes(item->digest, offset, size));
 }
 
+void upstream_server::AddSignals(work_outcome outcome,
+                                 http_headers& headers) const {
+  if (outcome == work_outcome::kShed && faults_.pause > duration::zero()) {
+    headers.push_back(
+        {"Retry-After", fmt::format("{:.3f}", ToSeconds(faults_.pause))});
+  }
+  if (faults_.say_leaving) headers.push_back({"Server-Leaving", "1"});
+}
+
 void upstream_server::ReplyAndEnd(std::uint64_t id, int status,
                                   std::string_view reason,
                                   work_outcome outcome) {
   http_response response = JsonResponse(status, {{"status", reason}});
   response.head.headers.push_back({"Upstream-Status", std::string(reason)});
+  AddSignals(outcome, response.head.headers);
   FindWork(id)->exchange->Reply(response);
   End(id, outcome);
 }
--- a/standins/upstream/upstream_server.h
+++ b/standins/upstream/upstream_server.h
@@ -64,6 +64,8 @@
   void Complete(std::uint64_t id);
   void StartAnswer(std::uint64_t id);
   void SendMore(std::uint64_t id);
+  // Adds what the upstream says of itself with the answer.
+  void AddSignals(work_outcome outcome, http_headers& headers) const;
   void ReplyAndEnd(std::uint64_t id, int status, std::string_view reason,
                    work_outcome outcome);
   void OnGone(std::uint64_t id);
--- a/standins/upstream/upstream_settings.cc
+++ b/standins/upstream/upstream_settings.cc
@@ -83,6 +83,8 @@
   reader.Bool("lie_idle", changed.lie_idle);
   reader.Bool("mute_reports", changed.mute_reports);
   reader.Bool("drain", changed.drain);
+  reader.Bool("say_leaving", changed.say_leaving);
+  reader.Milliseconds("pause_ms", changed.pause, 0, kMaxMs);
   reader.Milliseconds("delay_accept_ms", changed.accept_delay, 0, kMaxMs);
   status finished = reader.Finish();
   if (IsOk(finished)) faults = changed;
--- a/standins/upstream/upstream_settings.h
+++ b/standins/upstream/upstream_settings.h
@@ -42,7 +42,9 @@
   bool lie_idle = false;
   bool mute_reports = false;  // Health and load are never answered.
   bool drain = false;
-  duration accept_delay{};  // Before a request is looked at.
+  bool say_leaving = false;  // In all answers; requests are served.
+  duration pause{};          // That is asked for where a request is shed.
+  duration accept_delay{};   // Before a request is looked at.
 };
 
 // From a list of objects; the error names the path of the bad value.
--- a/tests/standins/upstream_test.cc
+++ b/tests/standins/upstream_test.cc
@@ -212,6 +212,25 @@
   BOOST_TEST(Outcomes()["over_connections"] >= 1);
 }
 
+BOOST_AUTO_TEST_CASE(ItSaysThatItIsFullAndThatItLeaves) {
+  StartWith({});
+  SetFault({{"pause_ms", 1500}, {"say_leaving", true}});
+  const auto header = [](const caller_call& call, const char* name) {
+    return std::string(
+        FindHeader(call.response.head.headers, name).value_or(""));
+  };
+  const auto one = Begin("/a?work_ms=3000");
+  const auto two = Begin("/a?work_ms=3000");
+  BOOST_REQUIRE(WaitForInFlight(2));
+  const caller_call shed = Call("/a");
+  BOOST_TEST(shed.response.head.status == 503);
+  BOOST_TEST(header(shed, "Retry-After") == "1.500");
+  BOOST_TEST(header(shed, "Server-Leaving") == "1");
+  BOOST_REQUIRE(Caller().WaitFor([&] { return one->IsDone(); }));
+  BOOST_TEST(header(*one, "Server-Leaving") == "1");
+  BOOST_TEST(header(*one, "Retry-After") == "");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
