Ejected upstreams serve where all others are paused

Cause: ejections are ignored once more than half of all upstreams are ejected; a paused one counted as one that serves. With most paused and the rest ejected, requests were rejected as paused beside upstreams that might answer. Now the half is of those that want requests.

EjectedUpstreamsServeWhileTheOthersArePaused (ten of twelve paused, two ejected): rejected before, served by an ejected one now.

--- a/include/citron/policy/affinity_selector.h
+++ b/include/citron/policy/affinity_selector.h
@@ -181,6 +181,7 @@
   bool IsAvailable(const upstream_tracker& upstream,
                    const selection_request& request, bool include_ejected,
                    monotonic_time now) const;
+  bool AreManyEjected(monotonic_time now) const;
   bool IsPausedCandidate(const upstream_tracker& upstream,
                          monotonic_time now) const;
   // Returns whether the object runs at one of the dropped upstreams.
--- a/src/policy/affinity_selector.cc
+++ b/src/policy/affinity_selector.cc
@@ -446,6 +446,20 @@
                     options_.min_load_limit, options_.max_load_limit);
 }
 
+// Ejections are ignored if more than half of the upstreams that want requests
+// are ejected: the cause is then likely elsewhere, and the remaining upstreams
+// would be overloaded.
+bool affinity_selector::AreManyEjected(monotonic_time now) const {
+  std::size_t open = 0;
+  std::size_t ejected = 0;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.IsPaused(now)) continue;
+    ++open;
+    if (upstream.IsEjected(now)) ++ejected;
+  }
+  return 2 * ejected > open;
+}
+
 // Load pattern: more work than the upstreams can serve cold. The VMs of a
 // region compute nearly the same rendezvous order, so that each object stays at
 // an upstream that is warm for it.
@@ -454,13 +468,7 @@
   if (upstreams_.empty()) return selection_error::kNoneKnown;
   CountObject(request, now);
   UpdateBalance(now);
-  // Ejections are ignored if more than half of the upstreams are ejected: the
-  // cause is then likely elsewhere, and the remaining upstreams would be
-  // overloaded.
-  const auto ejected = static_cast<std::size_t>(
-      std::count_if(upstreams_.begin(), upstreams_.end(),
-                    [now](const auto& u) { return u.second.IsEjected(now); }));
-  const bool include_ejected = 2 * ejected > upstreams_.size();
+  const bool include_ejected = AreManyEjected(now);
   std::vector<candidate> candidates;
   bool allowed = false;
   bool any_paused = false;
--- a/tests/policy/affinity_selector_test.cc
+++ b/tests/policy/affinity_selector_test.cc
@@ -318,6 +318,23 @@
   BOOST_TEST(ChosenUpstream(request) != "paused");
 }
 
+// Guards against requests that are rejected beside upstreams which failed
+// lately, since all others want none.
+BOOST_AUTO_TEST_CASE(EjectedUpstreamsServeWhileTheOthersArePaused) {
+  int i = 0;
+  selector_.ForEach([&](upstream_tracker& upstream) {
+    if (++i > 2) return upstream.OnPauseRequested(now_ + seconds(9), now_);
+    for (int sent = 0; sent < 20; ++sent) {
+      upstream.OnSent(now_);
+      upstream.OnDone(upstream_outcome::kServerError, now_);
+    }
+    BOOST_TEST(upstream.IsEjected(now_));
+  });
+  const std::string chosen = ChosenUpstream(RequestForObject(1));
+  BOOST_REQUIRE(chosen != "paused");
+  BOOST_TEST(selector_.Find(upstream_id(chosen))->IsEjected(now_));
+}
+
 // Guards against a pause that the loss and the return of an entry, or the end
 // of a request that was sent before, takes back.
 BOOST_AUTO_TEST_CASE(WhatAnUpstreamSaidOutlivesALapseOfItsEntry) {
