--- a/include/citron/node/peer_exchange.h
+++ b/include/citron/node/peer_exchange.h
@@ -97,6 +97,9 @@
   void TellReach(bool reaches_upstreams, monotonic_time now);
   // Whether the datagram is from where the VM is listed.
   bool IsFrom(const vm_id& vm, const sockaddr_in& source);
+  // The same; logs a datagram that isn't.
+  bool IsListedSender(const vm_id& vm, const sockaddr_in& source,
+                      const char* refused_event, monotonic_time now);
   void OnDatagram(std::string_view bytes, const sockaddr_in& source,
                   monotonic_time now);
   peer_report MakeReport(const vm_condition& own, monotonic_time now);
--- a/include/citron/node/proxied_request.h
+++ b/include/citron/node/proxied_request.h
@@ -63,8 +63,8 @@
   // `left_out` must outlive the result.
   selection_request SelectionFor(
       const std::vector<upstream_id>& left_out) const;
-  // Takes a connection to the upstream; false if there is no way to it.
   void TellPlacement(const selection& choice);
+  // Takes a connection to the upstream; false if there is no way to it.
   bool Connect(const upstream_id& upstream, monotonic_time now);
   void OnNoUpstream(selection_error error);
   // Logs the limits of the upstreams and returns when to come back.
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -380,6 +380,14 @@
          listed.sin_port == source.sin_port;
 }
 
+bool peer_exchange::IsListedSender(const vm_id& vm, const sockaddr_in& source,
+                                   const char* refused_event,
+                                   monotonic_time now) {
+  if (IsFrom(vm, source)) return true;
+  context_.log.Write("peers", refused_event, {{"vm", vm.Str()}}, now);
+  return false;
+}
+
 void peer_exchange::OnDatagram(std::string_view bytes,
                                const sockaddr_in& source, monotonic_time now) {
   result<peer_datagram> read = ReadPeerDatagram(bytes);
@@ -395,19 +403,14 @@
 // A stranger could get requests refused with it.
 void peer_exchange::OnReport(const crash_report& report,
                              const sockaddr_in& source, monotonic_time now) {
-  if (IsFrom(report.vm, source)) return context_.crashes.OnTold(report, now);
-  context_.log.Write("peers", "crash_report_refused", {{"vm", report.vm.Str()}},
-                     now);
+  if (!IsListedSender(report.vm, source, "crash_report_refused", now)) return;
+  context_.crashes.OnTold(report, now);
 }
 
 // A stranger could send all objects to one upstream with it.
 void peer_exchange::OnReport(const region_report& report,
                              const sockaddr_in& source, monotonic_time now) {
-  if (!IsFrom(report.vm, source)) {
-    context_.log.Write("peers", "region_report_refused",
-                       {{"vm", report.vm.Str()}}, now);
-    return;
-  }
+  if (!IsListedSender(report.vm, source, "region_report_refused", now)) return;
   const auto peer = peers_.find(report.vm);
   if (peer != peers_.end()) peer->second.tells_region = true;
   for (const placement_line& line : report.placements) {
@@ -483,11 +486,7 @@
 // A stranger could keep callers away from a VM with it.
 void peer_exchange::OnReport(const reach_report& report,
                              const sockaddr_in& source, monotonic_time now) {
-  if (!IsFrom(report.vm, source)) {
-    context_.log.Write("peers", "reach_report_refused",
-                       {{"vm", report.vm.Str()}}, now);
-    return;
-  }
+  if (!IsListedSender(report.vm, source, "reach_report_refused", now)) return;
   reach_report& last = reach_reports_[report.vm];
   if (!IsNewer(report, last)) return;
   if (last.reaches_upstreams != report.reaches_upstreams) {
@@ -502,11 +501,8 @@
 // A stranger could starve an upstream with it.
 void peer_exchange::OnReport(const rate_limit_report& report,
                              const sockaddr_in& source, monotonic_time now) {
-  if (!IsFrom(report.vm, source)) {
-    context_.log.Write("peers", "rate_limit_report_refused",
-                       {{"vm", report.vm.Str()}}, now);
+  if (!IsListedSender(report.vm, source, "rate_limit_report_refused", now))
     return;
-  }
   rate_limit_report& last = rate_limit_reports_[report.vm];
   if (!IsNewer(report, last)) return;
   last = report;
@@ -528,11 +524,8 @@
 // A stranger could keep requests from an upstream with it.
 void peer_exchange::OnReport(const upstream_signal_report& report,
                              const sockaddr_in& source, monotonic_time now) {
-  if (!IsFrom(report.vm, source)) {
-    context_.log.Write("peers", "upstream_signal_refused",
-                       {{"vm", report.vm.Str()}}, now);
+  if (!IsListedSender(report.vm, source, "upstream_signal_refused", now))
     return;
-  }
   // It also binds a VM that may send through the one that was asked.
   const bool is_asked = report.asked == context_.settings.vm;
   if (!is_asked && context_.paths.IsReachable()) return;
