Soak: an upstream that said that it leaves starts again a moment later

The new disturbance closed the listener and opened it again at once, while a VM was being started (vm3 was gone at that moment): inferred, a process between fork and exec still held it. Now 200 ms lie between, as with a crash.

--- a/tests/soak/soak_upstream.cc
+++ b/tests/soak/soak_upstream.cc
@@ -27,6 +27,7 @@
 constexpr duration kLateAfter = std::chrono::milliseconds(60);
 constexpr double kFaultPart = 0.4;
 constexpr double kLongestPauseS = 3;
+constexpr duration kDownTime = std::chrono::milliseconds(200);
 constexpr std::size_t kMaxHead = std::size_t{16} << 10;
 
 std::string Header(const http1_head& head, const char* name) {
@@ -153,6 +154,13 @@
   connections_.clear();
 }
 
+void soak_upstream::Restart() {
+  Crash();
+  auto timer = std::make_unique<loop_timer>(loop_, [this] { Start(); });
+  timer->Arm(MonotonicNow() + kDownTime);
+  timers_.push_back(std::move(timer));
+}
+
 void soak_upstream::OnAccept(int descriptor) {
   connections_.push_back(std::make_shared<connection>(*this, descriptor));
   connections_.back()->SetSelf(connections_.back());
--- a/tests/soak/soak_upstream.h
+++ b/tests/soak/soak_upstream.h
@@ -49,6 +49,9 @@
   // Ends with all that it knows; Start brings it back under the same id.
   void Crash();
   void Start();
+  // Both, a moment apart: a process that is being started may hold the port
+  // until then.
+  void Restart();
 
  private:
   class connection;
--- a/tests/soak/soak_world.cc
+++ b/tests/soak/soak_world.cc
@@ -371,8 +371,7 @@
       return ledger_.OnBack(target.Id());
     case kind::kUpstreamSaysItLeaves:
       ledger_.OnDisturbed(soak_ledger::kWays, now);
-      target.Crash();
-      target.Start();
+      target.Restart();
       return ledger_.OnCalmAgain(soak_ledger::kWays, now);
     case kind::kUpstreamWayDelayed:
     case kind::kUpstreamWayReset:
