Tests: one paced load and one plan of ten VMs

upstream_pause_test and upstream_leaving_test sent their load alike, and two replays made the same plan.

--- a/tests/node/node_fixture.h
+++ b/tests/node/node_fixture.h
@@ -148,6 +148,29 @@
     return text + "\r\n" + body;
   }
 
+  // For an object of the test's choice.
+  std::string RequestForObject(const std::string& target, int object) {
+    std::string text = Request("GET", target);
+    const std::string own = "X-Object: 7";
+    text.replace(text.find(own), own.size(),
+                 fmt::format("X-Object: {}", object));
+    return text;
+  }
+
+  // Sends the requests that `next` makes at an even rate, one at a time, and
+  // returns how many weren't served.
+  int SendEvenly(double seconds, double per_s,
+                 const std::function<std::string(int)>& next) {
+    const monotonic_time start = MonotonicNow();
+    int failed = 0;
+    for (int i = 0; i < per_s * seconds; ++i) {
+      const monotonic_time due = start + FromSeconds(i / per_s);
+      RunUntil([due] { return MonotonicNow() >= due; });
+      if (!Ask(next(i)).starts_with("HTTP/1.1 200 ")) ++failed;
+    }
+    return failed;
+  }
+
   // The whole answer to one request on a connection of its own.
   std::string Ask(const std::string& request) {
     raw_caller caller(settings_.callers);
--- a/tests/node/upstream_leaving_test.cc
+++ b/tests/node/upstream_leaving_test.cc
@@ -44,19 +44,10 @@
   }
 
   // Sends requests for many objects and returns how many weren't served.
-  int Load(double seconds, double per_s = 40) {
-    const monotonic_time start = MonotonicNow();
-    int failed = 0;
-    for (int i = 0; i < per_s * seconds; ++i) {
-      const monotonic_time due = start + FromSeconds(i / per_s);
-      RunUntil([due] { return MonotonicNow() >= due; });
-      std::string text = Request("GET", "/look/1");
-      const std::string own = "X-Object: 7";
-      text.replace(text.find(own), own.size(),
-                   fmt::format("X-Object: {}", i % 53));
-      if (StatusOf(Ask(text)) != "200") ++failed;
-    }
-    return failed;
+  int Load(double seconds) {
+    return SendEvenly(seconds, 40, [this](int i) {
+      return RequestForObject("/look/1", i % 53);
+    });
   }
 
   int LateArrivals() const {
@@ -160,10 +151,7 @@
 BOOST_AUTO_TEST_CASE(TheHeaderIsNotPassedToCallers) {
   said_ = "1";
   for (int object = 0; arrivals_.empty() && object < 53; ++object) {
-    std::string text = Request("GET", "/look/1");
-    const std::string own = "X-Object: 7";
-    text.replace(text.find(own), own.size(),
-                 fmt::format("X-Object: {}", object));
+    const std::string text = RequestForObject("/look/1", object);
     BOOST_TEST(HeaderIn(Ask(text), "X-Leaving") == "");
   }
   BOOST_TEST(!arrivals_.empty());
--- a/tests/node/upstream_pause_test.cc
+++ b/tests/node/upstream_pause_test.cc
@@ -84,22 +84,13 @@
 
   // Sends requests for many objects and returns how many weren't served.
   int Load(double seconds, double per_s = 80) {
-    const monotonic_time start = MonotonicNow();
-    int failed = 0;
-    for (int i = 0; i < per_s * seconds; ++i) {
-      const monotonic_time due = start + FromSeconds(i / per_s);
-      RunUntil([due] { return MonotonicNow() >= due; });
-      if (StatusOf(Ask(RequestFor(object_++))) != "200") ++failed;
-    }
-    return failed;
+    return SendEvenly(seconds, per_s,
+                      [this](int) { return RequestFor(object_++); });
   }
 
   std::string RequestFor(int object) {
-    std::string text = Request("GET", fmt::format("/look/{}", object % 97));
-    const std::string own = "X-Object: 7";
-    text.replace(text.find(own), own.size(),
-                 fmt::format("X-Object: {}", object * 7919 % 97));
-    return text;
+    return RequestForObject(fmt::format("/look/{}", object % 97),
+                            object * 7919 % 97);
   }
 
   void CheckPauses() {
--- a/tests/policy/warm_placement_test.cc
+++ b/tests/policy/warm_placement_test.cc
@@ -174,18 +174,24 @@
   BOOST_TEST(young.rejected < old.rejected);
 }
 
-// Guards against pauses that spread: the objects of a full upstream run cold at
-// the others, fill them, and these ask for pauses as well.
-BOOST_AUTO_TEST_CASE(PausesOfFullUpstreamsDoNotFillTheOthers) {
+// Ten VMs of two regions, which try a rejected request again.
+warm_plan TenVms(double requests_per_s) {
   warm_plan plan;
   for (int i = 0; i < 10; ++i) {
-    plan.zones.push_back(
-        {fmt::format("z{}", i), i % 2 == 0 ? "r0" : "r1", i == 0 ? 6 : 1, 32});
+    plan.zones.push_back({fmt::format("z{}", i), i % 2 == 0 ? "r0" : "r1",
+                          i == 0 ? 6 : 1, requests_per_s});
   }
   plan.objects = 110;
   plan.attempts = 3;
   plan.tell_loads_each_s = 0.1;
   plan.count_from_s = 5;
+  return plan;
+}
+
+// Guards against pauses that spread: the objects of a full upstream run cold at
+// the others, fill them, and these ask for pauses as well.
+BOOST_AUTO_TEST_CASE(PausesOfFullUpstreamsDoNotFillTheOthers) {
+  warm_plan plan = TenVms(32);
   const warm_result not_asked = Sum(plan, selector_options{});
   plan.pause_s = 3;
   const warm_result asked = Sum(plan, selector_options{});
@@ -196,20 +202,12 @@
 // Guards against round trips that are lost at slow upstreams which asked for a
 // pause, and against their objects that don't come back.
 BOOST_AUTO_TEST_CASE(PausesOfSlowUpstreamsCostNoService) {
-  warm_plan plan;
-  for (int i = 0; i < 10; ++i) {
-    plan.zones.push_back(
-        {fmt::format("z{}", i), i % 2 == 0 ? "r0" : "r1", i == 0 ? 6 : 1, 20});
-  }
-  plan.objects = 110;
-  plan.attempts = 3;
-  plan.tell_loads_each_s = 0.1;
+  warm_plan plan = TenVms(20);
   plan.slow_upstreams = 3;
   plan.slow_factor = 6;
   plan.slow_from_s = 10;
   plan.slow_until_s = 20;
   plan.seconds = 35;
-  plan.count_from_s = 5;
   const warm_result not_asked = Sum(plan, selector_options{});
   plan.pause_s = 3;
   const warm_result asked = Sum(plan, selector_options{});
