--- a/include/citron/policy/affinity_selector.h
+++ b/include/citron/policy/affinity_selector.h
@@ -184,6 +184,9 @@
   bool AreManyEjected(monotonic_time now) const;
   bool IsPausedCandidate(const upstream_tracker& upstream,
                          monotonic_time now) const;
+  // Otherwise keeps their order.
+  static void PutRegionFirst(const region_id& region,
+                             std::vector<candidate>& candidates);
   // Returns whether the object runs at one of the dropped upstreams.
   bool DropPaused(const selection_request& request,
                   std::vector<candidate>& candidates, monotonic_time now);
--- a/src/policy/affinity_selector.cc
+++ b/src/policy/affinity_selector.cc
@@ -229,6 +229,13 @@
   return upstream.IsPaused(now) && IsUsable(upstream, now);
 }
 
+void affinity_selector::PutRegionFirst(const region_id& region,
+                                       std::vector<candidate>& candidates) {
+  std::stable_partition(
+      candidates.begin(), candidates.end(),
+      [&region](const candidate& c) { return c.upstream->Region() == region; });
+}
+
 // Load pattern: upstreams that are full and ask for a pause. The next
 // candidates are in the region where the request would run as long as there are
 // any there, as the pause is short.
@@ -245,9 +252,7 @@
   const bool runs_at_paused = runs != nullptr && is_paused(*runs);
   if (runs == nullptr) runs = &candidates.front();
   const region_id region = runs->upstream->Region();
-  std::stable_partition(
-      candidates.begin(), candidates.end(),
-      [&region](const candidate& c) { return c.upstream->Region() == region; });
+  PutRegionFirst(region, candidates);
   std::erase_if(candidates, is_paused);
   return runs_at_paused;
 }
@@ -263,9 +268,7 @@
       [](const candidate& c) { return c.upstream->RateLimit() != nullptr; });
   if (!any_limited) return;
   const region_id region = candidates.front().upstream->Region();
-  std::stable_partition(
-      candidates.begin(), candidates.end(),
-      [&region](const candidate& c) { return c.upstream->Region() == region; });
+  PutRegionFirst(region, candidates);
   bool found = false;
   std::erase_if(candidates, [&](const candidate& c) {
     upstream_rate_limit* limit = c.upstream->RateLimit();
