--- a/review/build.sh
+++ b/review/build.sh
@@ -7,7 +7,7 @@
 for case in review/[1-5]/case.cc; do
   [ -f "$case" ] || continue
   number=$(basename "$(dirname "$case")")
-  g++ -std=c++20 -O1 -pthread -Ireview/play "$case" review/play/play.cc \
+  g++ -std=c++20 -O1 -pthread -Ireview "$case" review/play.cc \
     -o "target/review/case_$number" &
 done
 wait
