Lines for requests and answers that a stop or a close cuts

Now: ended outcome=cut (verdict may_have_run once sent), taken_in_stop with the time since the signal and to the end, connection_cut with its cause and the bytes unsent, signal_repeated, stopped with its time, and citron_caller_connections_cut_total. No decision changes.

--- a/apps/citron_node.cc
+++ b/apps/citron_node.cc
@@ -76,8 +76,12 @@
              {"version", CITRON_VERSION},
              {"callers", citron::ValueOf(settings).callers.Str()}},
             citron::MonotonicNow());
-  citron::RunUntilSignal(*loop, [&node](std::function<void()> stopped) {
-    node.Stop(std::move(stopped));
-  });
+  citron::RunUntilSignal(
+      *loop,
+      [&node](std::function<void()> stopped) { node.Stop(std::move(stopped)); },
+      [&log](int signal_number) {
+        log.Write("node", "signal_repeated", {{"signal", signal_number}},
+                  citron::MonotonicNow());
+      });
   return 0;
 }
--- a/include/citron/net/daemon_runner.h
+++ b/include/citron/net/daemon_runner.h
@@ -8,9 +8,11 @@
 namespace citron {
 
 // Runs the loop until `stop`, called at the first SIGTERM or SIGINT, has
-// called its argument; a second signal ends at once.
-void RunUntilSignal(event_loop& loop,
-                    const std::function<void(std::function<void()>)>& stop);
+// called its argument; a second signal ends at once, after `repeated` was
+// called with its number.
+void RunUntilSignal(
+    event_loop& loop, const std::function<void(std::function<void()>)>& stop,
+    const std::function<void(int)>& repeated = [](int) {});
 
 }  // namespace citron
 
--- a/include/citron/node/caller_connection.h
+++ b/include/citron/node/caller_connection.h
@@ -66,7 +66,7 @@
   void StopInput();
   void StartInput();
   void LookForEnd();
-  void OnClosed();
+  void OnClosed(connection_cut cause);
   void OnDeadline();
   void ReadOn();
   void RefuseMalformed();
--- a/include/citron/node/caller_exchange.h
+++ b/include/citron/node/caller_exchange.h
@@ -37,13 +37,22 @@
   virtual void ResumeBody() = 0;
 };
 
+// Why a caller's connection ended with work left on it.
+enum class connection_cut {
+  kClosedByCaller,
+  kTimedOut,    // The kernel heard nothing of the caller for too long.
+  kCloseLimit,  // The caller didn't take the last answer in time.
+};
+
+std::string_view ToString(connection_cut cause);
+
 // What becomes of one request.
 class request_handler {
  public:
   virtual ~request_handler() = default;
   virtual void OnBody(std::string_view bytes) = 0;
   virtual void OnBodyEnd() = 0;
-  // The caller hung up; the last call.
+  // The caller hung up or is refused; the last call.
   virtual void OnCallerGone() = 0;
   virtual void OnDrained() = 0;
 };
@@ -56,6 +65,9 @@
   virtual std::unique_ptr<request_handler> Make(http1_head head,
                                                 caller_exchange& exchange) = 0;
   virtual void OnBytesWritten(std::size_t bytes) = 0;
+  // The connection ended under an answer of which `unsent` bytes were left, or
+  // under a request.
+  virtual void OnCut(connection_cut cause, std::size_t unsent) = 0;
 };
 
 }  // namespace citron
--- a/include/citron/node/node_task.h
+++ b/include/citron/node/node_task.h
@@ -66,6 +66,9 @@
   std::unique_ptr<request_handler> Make(http1_head head,
                                         caller_exchange& exchange) override;
   void OnBytesWritten(std::size_t bytes) override { bytes_written_ += bytes; }
+  void OnCut(connection_cut cause, std::size_t unsent) override;
+  // A line for a request that comes while the VM stops.
+  void LogTakenInStop(const http1_head& head, monotonic_time now);
   void UpdateGauges(monotonic_time now);
   // Shows how strongly each service's requests are kept in this region.
   void ShowRegionBalance(monotonic_time now);
@@ -110,6 +113,7 @@
   bool was_ready_ = false;
 
   std::function<void()> stopped_;
+  monotonic_time stop_began_{};
   monotonic_time close_at_{};
   monotonic_time end_at_{};
 };
--- a/src/net/daemon_runner.cc
+++ b/src/net/daemon_runner.cc
@@ -5,15 +5,21 @@
 namespace citron {
 
 void RunUntilSignal(event_loop& loop,
-                    const std::function<void(std::function<void()>)>& stop) {
+                    const std::function<void(std::function<void()>)>& stop,
+                    const std::function<void(int)>& repeated) {
   bool stopping = false;
-  const auto on_signal = [&] {
-    if (stopping) return loop.Stop();
+  const auto on_signal = [&](int signal_number) {
+    if (stopping) {
+      repeated(signal_number);
+      return loop.Stop();
+    }
     stopping = true;
     stop([&loop] { loop.Stop(); });
   };
-  loop.OnSignal(SIGTERM, on_signal);
-  loop.OnSignal(SIGINT, on_signal);
+  for (const int signal_number : {SIGTERM, SIGINT}) {
+    loop.OnSignal(signal_number,
+                  [&on_signal, signal_number] { on_signal(signal_number); });
+  }
   loop.Run();
 }
 
--- a/src/node/caller_connection.cc
+++ b/src/node/caller_connection.cc
@@ -3,12 +3,14 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <event2/util.h>
 #include <fmt/format.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <utility>
 
 #include "node/socket_options.h"
@@ -30,6 +32,18 @@
 
 }  // namespace
 
+std::string_view ToString(connection_cut cause) {
+  switch (cause) {
+    case connection_cut::kClosedByCaller:
+      return "closed_by_caller";
+    case connection_cut::kTimedOut:
+      return "timed_out";
+    case connection_cut::kCloseLimit:
+      return "close_limit";
+  }
+  return "unknown";
+}
+
 struct caller_connection::callbacks {
   static void Readable(bufferevent*, void* self) {
     static_cast<caller_connection*>(self)->OnReadable();
@@ -38,9 +52,14 @@
     static_cast<caller_connection*>(self)->OnWritten();
   }
   static void Event(bufferevent*, short what, void* self) {  // NOLINT
-    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0) {
-      static_cast<caller_connection*>(self)->OnClosed();
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) == 0) {
+      return;
     }
+    const bool timed_out =
+        (what & BEV_EVENT_ERROR) != 0 && EVUTIL_SOCKET_ERROR() == ETIMEDOUT;
+    static_cast<caller_connection*>(self)->OnClosed(
+        timed_out ? connection_cut::kTimedOut
+                  : connection_cut::kClosedByCaller);
   }
 };
 
@@ -147,6 +166,7 @@
   if (answered_ || handler_ == nullptr) return;
   body_bytes_ += bytes.size();
   if (body_bytes_ > limits_.max_body_bytes) {
+    handler_->OnCallerGone();
     Reply(413, {}, R"({"error":"body_too_large"})");
     return;
   }
@@ -170,7 +190,12 @@
 }
 
 void caller_connection::OnDeadline() {
-  if (state_ == state::kClosing) return End();
+  if (state_ == state::kClosing) {
+    if (PendingBytes() > 0) {
+      handlers_.OnCut(connection_cut::kCloseLimit, PendingBytes());
+    }
+    return End();
+  }
   if (state_ != state::kReading) return;
   if (!request_begun_) return BeginClose();
   keep_alive_ = false;
@@ -178,8 +203,11 @@
   Reply(408, {}, R"({"error":"request_too_slow"})");
 }
 
-void caller_connection::OnClosed() {
+void caller_connection::OnClosed(connection_cut cause) {
   if (state_ == state::kEnded) return;
+  if (handler_ != nullptr || PendingBytes() > 0) {
+    handlers_.OnCut(cause, PendingBytes());
+  }
   if (handler_ != nullptr) {
     handler_->OnCallerGone();
     RetireHandler();
@@ -303,7 +331,7 @@
 
 void caller_connection::LookForEnd() {
   pollfd look{bufferevent_getfd(bytes_), POLLRDHUP, 0};
-  if (poll(&look, 1, 0) > 0) return OnClosed();
+  if (poll(&look, 1, 0) > 0) return OnClosed(connection_cut::kClosedByCaller);
   end_timer_.Arm(MonotonicNow() + kEndInterval);
 }
 
--- a/src/node/node_task.cc
+++ b/src/node/node_task.cc
@@ -171,6 +171,7 @@
   const monotonic_time now = MonotonicNow();
   sync_.OnRequest(now);
   peers_->OnRequest();
+  if (stopped_) LogTakenInStop(head, now);
   std::variant<admitted_request, rejection> gate =
       AdmitRequest(context_, head, now);
   if (const auto* turned = std::get_if<rejection>(&gate)) {
@@ -208,6 +209,31 @@
   return request;
 }
 
+void node_task::OnCut(connection_cut cause, std::size_t unsent) {
+  stats_.Count("citron_caller_connections_cut_total",
+               {{"cause", std::string(ToString(cause))}});
+  // Callers that leave are told with their requests.
+  if (cause == connection_cut::kClosedByCaller) return;
+  const monotonic_time now = MonotonicNow();
+  log_.Write(
+      "callers", "connection_cut",
+      {{"cause", ToString(cause)},
+       {"unsent", unsent},
+       {"since_stop_ms", stopped_ ? ToMilliseconds(now - stop_began_) : -1.0}},
+      now);
+}
+
+void node_task::LogTakenInStop(const http1_head& head, monotonic_time now) {
+  log_.Write(
+      "request", "taken_in_stop",
+      {{"id", FindHeader(head.headers, names_.request_id).value_or("")},
+       {"target", head.target},
+       {"asked_ms", FindHeader(head.headers, names_.deadline_ms).value_or("")},
+       {"since_stop_ms", ToMilliseconds(now - stop_began_)},
+       {"to_end_ms", ToMilliseconds(end_at_ - now)}},
+      now);
+}
+
 bool node_task::IsReady() const {
   if (stopped_ || fleet_.Routing() == nullptr) return false;
   // A VM that can't let keys in is of no use to most callers, and sends them
@@ -333,6 +359,7 @@
   const monotonic_time now = MonotonicNow();
   const double grace_s = ToSeconds(settings_.bounds.grace_period);
   stopped_ = std::move(stopped);
+  stop_began_ = now;
   close_at_ = now + FromSeconds(kAcceptPart * grace_s);
   end_at_ = now + FromSeconds(kEndPart * grace_s);
   log_.Write("node", "stopping",
@@ -356,7 +383,11 @@
   const bool serves = !connections_.empty() || tunnels_->Open() > 0;
   if (serves && now < end_at_) return;
   log_.Write("node", "stopped",
-             {{"vm", settings_.vm.Str()}, {"cut", connections_.size()}}, now);
+             {{"vm", settings_.vm.Str()},
+              {"cut", connections_.size()},
+              {"tunnels_cut", tunnels_->Open()},
+              {"since_stop_ms", ToMilliseconds(now - stop_began_)}},
+             now);
   stopped_();
 }
 
--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -101,8 +101,12 @@
 }
 
 proxied_request::~proxied_request() {
-  if (attempt_open_) EndAttempt(upstream_outcome::kCancelled);
+  if (done_) return;
+  // The process ends before the request.
+  if (sent_ && verdict_ == verdict::kNotRun) verdict_ = verdict::kMayHaveRun;
+  EndAttempt(upstream_outcome::kCancelled);
   DropConnection();
+  Finish(0, "cut");
 }
 
 request_rank proxied_request::Rank() const {
