--- a/tests/integration/node_fleet.h
+++ b/tests/integration/node_fleet.h
@@ -100,13 +100,13 @@
     return fmt::format(
         "nodeName = \"vm{2}\"\nzone = \"z1\"\nregion = \"r1\"\n"
         "internalPorts = [7600,7615]\n"
-        "bounds = [\"gracePeriodS=3\",\"revokeS=2.5\"]\n"
+        "bounds = [\"gracePeriodS={3}\",\"revokeS=2.5\"]\n"
         "[zones]\nz1 = \"r1\"\n"
         "[listen]\nfront = \"{0}:8206\"\nready = \"{0}:8201\"\n"
         "directory = \"{0}:8209\"\n"
         "[limits]\nmemoryMb = 260\nmaxFds = 4100\n"
         "[provider]\naddress = \"{1}\"\n",
-        VmAddress(vm), store_.Str(), vm);
+        VmAddress(vm), store_.Str(), vm, grace_s_);
   }
 
   child_process& StartNode(int vm = 1) {
@@ -158,6 +158,7 @@
   endpoint store_;
   std::vector<std::unique_ptr<scripted_upstream>> upstreams_;
   int id_ = 0;
+  int grace_s_ = 3;
 };
 
 }  // namespace citron
