A stopping VM passes late requests on only if they are due before its end

Callers saw: a request sent 3.0 to 3.3 s after a SIGTERM was passed on and its connection closed 5.7 s after the signal without an answer; a booking can't be repeated then.

Cause: the door stayed open for 0.55 of the grace period and the process ended at 0.95 of it, and nothing compared a request's deadline with that end. Under load a request waits in its upstream's queue for several times its work, so that 2.4 s aren't enough. The rule excuses only what came within 3 s of the signal.

protocol/planned_stop holds the phases. From 2.75 s after the signal on (3 s less what a signal and a request take to be seen) a request that hasn't run is passed on only if its deadline comes before the end; others are refused at once, 503, not run. It is asked where a request is placed, so that bodies that end late and further tries obey it, too.

--- a/include/citron/config/node_settings.h
+++ b/include/citron/config/node_settings.h
@@ -15,6 +15,8 @@
 // defaults are those of deployments that say nothing.
 struct fleet_bounds {
   duration grace_period = FromSeconds(6);
+  // Requests that come later than this after a stop are never cut by it.
+  duration late_arrival = FromSeconds(3);
   // A declaration is in force this long after the store acknowledged it.
   duration config_apply = FromSeconds(2.5);
   // Keys that were withdrawn stop working within this, also on a VM that has
--- a/include/citron/node/node_context.h
+++ b/include/citron/node/node_context.h
@@ -14,6 +14,7 @@
 #include "citron/node/upstream_pool.h"
 #include "citron/policy/memory_budget.h"
 #include "citron/protocol/fleet_feed.h"
+#include "citron/protocol/planned_stop.h"
 
 namespace citron {
 
@@ -32,6 +33,7 @@
   memory_budget& memory;
   placement_news& placements;
   relayed_signals& relayed;
+  const planned_stop& stop;
 };
 
 // Whether callers should be sent to a VM, as it says of itself.
--- a/include/citron/node/node_task.h
+++ b/include/citron/node/node_task.h
@@ -26,6 +26,7 @@
 #include "citron/node/upstream_pool.h"
 #include "citron/platform/platform_store.h"
 #include "citron/policy/capacity_gauge.h"
+#include "citron/protocol/planned_stop.h"
 
 struct evconnlistener;
 
@@ -92,6 +93,7 @@
   placement_news placements_;
   relayed_signals relayed_;
   memory_budget memory_;
+  planned_stop stop_;
   node_context context_;
   std::string secret_;  // Of this start, for other VMs of the fleet.
   store_sync sync_;
@@ -113,9 +115,6 @@
   bool was_ready_ = false;
 
   std::function<void()> stopped_;
-  monotonic_time stop_began_{};
-  monotonic_time close_at_{};
-  monotonic_time end_at_{};
 };
 
 }  // namespace citron
--- a/src/node/node_task.cc
+++ b/src/node/node_task.cc
@@ -61,10 +61,6 @@
 
 // Descriptors for upstreams, the store, pages and files.
 constexpr int kKeptDescriptors = 1200;
-// Of the grace period: callers use what they were told for three times the
-// lifetime of a look-up, and requests that came in then need the rest.
-constexpr double kAcceptPart = 0.55;
-constexpr double kEndPart = 0.95;
 
 }  // namespace
 
@@ -109,8 +105,8 @@
       pool_(loop, platform.names.request_id, paths_),
       crashes_(log_),
       memory_({.limit_bytes = HeldBytesLimit(settings)}),
-      context_{loop_, settings_, names_, log_,    stats_,      fleet_,  feed_,
-               pool_, crashes_,  paths_, memory_, placements_, relayed_},
+      context_{loop_, settings_, names_, log_,    stats_,      fleet_,   feed_,
+               pool_, crashes_,  paths_, memory_, placements_, relayed_, stop_},
       secret_(RandomHex(kSecretBytes)),
       sync_(context_, *platform.store, *platform.codec, secret_),
       relay_(context_, sync_.Index(), secret_),
@@ -215,12 +211,12 @@
   // Callers that leave are told with their requests.
   if (cause == connection_cut::kClosedByCaller) return;
   const monotonic_time now = MonotonicNow();
-  log_.Write(
-      "callers", "connection_cut",
-      {{"cause", ToString(cause)},
-       {"unsent", unsent},
-       {"since_stop_ms", stopped_ ? ToMilliseconds(now - stop_began_) : -1.0}},
-      now);
+  log_.Write("callers", "connection_cut",
+             {{"cause", ToString(cause)},
+              {"unsent", unsent},
+              {"since_stop_ms",
+               stopped_ ? ToMilliseconds(now - stop_.BeganAt()) : -1.0}},
+             now);
 }
 
 void node_task::LogTakenInStop(const http1_head& head, monotonic_time now) {
@@ -229,8 +225,8 @@
       {{"id", FindHeader(head.headers, names_.request_id).value_or("")},
        {"target", head.target},
        {"asked_ms", FindHeader(head.headers, names_.deadline_ms).value_or("")},
-       {"since_stop_ms", ToMilliseconds(now - stop_began_)},
-       {"to_end_ms", ToMilliseconds(end_at_ - now)}},
+       {"since_stop_ms", ToMilliseconds(now - stop_.BeganAt())},
+       {"to_end_ms", ToMilliseconds(stop_.EndsAt() - now)}},
       now);
 }
 
@@ -357,11 +353,9 @@
 
 void node_task::Stop(std::function<void()> stopped) {
   const monotonic_time now = MonotonicNow();
-  const double grace_s = ToSeconds(settings_.bounds.grace_period);
   stopped_ = std::move(stopped);
-  stop_began_ = now;
-  close_at_ = now + FromSeconds(kAcceptPart * grace_s);
-  end_at_ = now + FromSeconds(kEndPart * grace_s);
+  stop_.Begin({settings_.bounds.grace_period, settings_.bounds.late_arrival},
+              now);
   log_.Write("node", "stopping",
              {{"vm", settings_.vm.Str()}, {"connections", connections_.size()}},
              now);
@@ -374,19 +368,19 @@
 // Callers come for a while after the stop was told; then the door closes, and
 // what was let in is brought to its end.
 void node_task::OnStopStep(monotonic_time now) {
-  if (now < close_at_) return;
+  if (stop_.Listens(now)) return;
   CloseListener();
   // Closing one takes it out of the list.
   std::vector<caller_connection*> open;
   for (const auto& connection : connections_) open.push_back(connection.get());
   for (caller_connection* connection : open) connection->CloseIfIdle();
   const bool serves = !connections_.empty() || tunnels_->Open() > 0;
-  if (serves && now < end_at_) return;
+  if (serves && now < stop_.EndsAt()) return;
   log_.Write("node", "stopped",
              {{"vm", settings_.vm.Str()},
               {"cut", connections_.size()},
               {"tunnels_cut", tunnels_->Open()},
-              {"since_stop_ms", ToMilliseconds(now - stop_began_)}},
+              {"since_stop_ms", ToMilliseconds(now - stop_.BeganAt())}},
              now);
   stopped_();
 }
--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -54,6 +54,8 @@
 constexpr duration kLongestRetryWhenLimited = std::chrono::milliseconds(2000);
 // Upstreams that asked for a pause: another one may join at any moment.
 constexpr duration kLongestRetryWhenPaused = std::chrono::seconds(30);
+// Another VM is there already.
+constexpr duration kRetryElsewhere = std::chrono::milliseconds(1);
 constexpr duration kReturnSpread = std::chrono::milliseconds(250);
 
 std::optional<std::int64_t> ReadWhole(std::string_view text) {
@@ -208,6 +210,10 @@
                ? Refuse(503, "no_time_left", kRetryWhenBusy)
                : FailMaybeRun(504, "no_time_left");
   }
+  const bool is_new = verdict_ == verdict::kNotRun;
+  if (is_new && !context_.stop.MayPassOn(deadline_, now)) {
+    return Refuse(503, "stopping", kRetryElsewhere);
+  }
   if (IsPoison(now)) return RefusePoison(now);
   const bool suspect = IsSuspect(now);
   // Its copy in flight tells whether it is the one that crashes upstreams.
