A repeated SIGTERM cuts nothing

Callers saw: with a second SIGTERM to the same process every request that was under way lost its connection. The second signal ended the loop at once; platforms and process groups may send it twice, and the grace period still runs.

A later SIGTERM is now logged (signal_repeated) and changes nothing; a later SIGINT still ends at once. The same runner serves the older daemons.

--- a/include/citron/net/daemon_runner.h
+++ b/include/citron/net/daemon_runner.h
@@ -8,8 +8,8 @@
 namespace citron {
 
 // Runs the loop until `stop`, called at the first SIGTERM or SIGINT, has
-// called its argument; a second signal ends at once, after `repeated` was
-// called with its number.
+// called its argument. A later signal is told to `repeated`, with its number; a
+// later SIGINT ends at once, a later SIGTERM changes nothing.
 void RunUntilSignal(
     event_loop& loop, const std::function<void(std::function<void()>)>& stop,
     const std::function<void(int)>& repeated = [](int) {});
--- a/src/net/daemon_runner.cc
+++ b/src/net/daemon_runner.cc
@@ -11,7 +11,10 @@
   const auto on_signal = [&](int signal_number) {
     if (stopping) {
       repeated(signal_number);
-      return loop.Stop();
+      // Who sends SIGTERM twice wants the same as before; who presses ^C twice
+      // doesn't want to wait.
+      if (signal_number == SIGINT) loop.Stop();
+      return;
     }
     stopping = true;
     stop([&loop] { loop.Stop(); });
