A connection closes once its answer is taken, not once it is buffered

Callers saw: an answer that they still read was cut 1.5 s after it had been written into the VM's buffer, after a SIGTERM, or where they had asked to close; on a kept connection the idle limit ran while the answer was on its way, and their next request met a close.

Cause: the limits of a close and of idleness ran from the moment at which the answer was handed to a buffer.

Now a closing connection is looked at each 1.5 s and stays while bytes of its answer, in the process or in the kernel, are being taken; a caller that takes none for the idle limit is given up. Idleness counts from the last byte taken. The kernel is asked only where the process itself still held bytes, or at a limit.

--- a/src/node/caller_connection.cc
+++ b/src/node/caller_connection.cc
@@ -5,9 +5,11 @@
 #include <event2/event.h>
 #include <event2/util.h>
 #include <fmt/format.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -26,8 +28,9 @@
 // How long the end of a caller may go unseen while nothing is read from it.
 constexpr duration kEndInterval = std::chrono::milliseconds(250);
 constexpr std::size_t kMaxHeardOutput = std::size_t{1} << 30;
-// How long a caller gets to take the last answer and close its side. Closing
-// first would reset the connection under bytes that are still on their way.
+// How long a caller that has taken the last answer gets to close its side, and
+// how often it is looked whether it takes on. Closing first would reset the
+// connection under bytes that are still on their way.
 constexpr duration kCloseLimit = std::chrono::milliseconds(1500);
 
 }  // namespace
@@ -190,19 +193,47 @@
 }
 
 void caller_connection::OnDeadline() {
-  if (state_ == state::kClosing) {
-    if (PendingBytes() > 0) {
-      handlers_.OnCut(connection_cut::kCloseLimit, PendingBytes());
-    }
-    return End();
-  }
+  if (state_ == state::kClosing) return OnCloseLimit();
   if (state_ != state::kReading) return;
-  if (!request_begun_) return BeginClose();
+  if (!request_begun_) return OnIdleLimit();
   keep_alive_ = false;
   state_ = state::kServing;
   Reply(408, {}, R"({"error":"request_too_slow"})");
 }
 
+void caller_connection::OnCloseLimit() {
+  const monotonic_time now = MonotonicNow();
+  if (TakesOn(now)) return timer_.Arm(now + kCloseLimit);
+  if (untaken_ > 0) handlers_.OnCut(connection_cut::kCloseLimit, untaken_);
+  End();
+}
+
+void caller_connection::OnIdleLimit() {
+  const monotonic_time now = MonotonicNow();
+  if (TakesOn(now)) return timer_.Arm(now + limits_.idle_limit);
+  BeginClose();
+}
+
+void caller_connection::StartTaking(monotonic_time now) {
+  untaken_ = PendingBytes();  // Without a call to the kernel for each answer.
+  give_up_at_ = now + limits_.idle_limit;
+}
+
+bool caller_connection::TakesOn(monotonic_time now) {
+  const std::size_t before = std::exchange(untaken_, UntakenBytes());
+  if (before == 0 && untaken_ == 0) return false;
+  if (untaken_ < before) give_up_at_ = now + limits_.idle_limit;
+  return now < give_up_at_;
+}
+
+std::size_t caller_connection::UntakenBytes() const {
+  int in_kernel = 0;
+  const bool is_known =
+      ioctl(bufferevent_getfd(bytes_), SIOCOUTQ, &in_kernel) == 0;
+  return PendingBytes() +
+         (is_known ? static_cast<std::size_t>(in_kernel) : std::size_t{0});
+}
+
 void caller_connection::OnClosed(connection_cut cause) {
   if (state_ == state::kEnded) return;
   if (handler_ != nullptr || PendingBytes() > 0) {
@@ -296,7 +327,9 @@
     StartInput();
     state_ = state::kReading;
     if (closing_after_answer_) return BeginClose();
-    timer_.Arm(MonotonicNow() + limits_.idle_limit);
+    const monotonic_time now = MonotonicNow();
+    StartTaking(now);
+    timer_.Arm(now + limits_.idle_limit);
     ReadOn();
   });
 }
@@ -352,7 +385,9 @@
 void caller_connection::BeginClose() {
   if (state_ == state::kClosing || state_ == state::kEnded) return;
   state_ = state::kClosing;
-  timer_.Arm(MonotonicNow() + kCloseLimit);
+  const monotonic_time now = MonotonicNow();
+  StartTaking(now);
+  timer_.Arm(now + kCloseLimit);
   if (PendingBytes() == 0) shutdown(bufferevent_getfd(bytes_), SHUT_WR);
   StartInput();
   // What has come must be taken, or the close would become a reset that takes
--- a/tests/net/raw_caller.h
+++ b/tests/net/raw_caller.h
@@ -3,6 +3,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -18,8 +19,19 @@
 // A caller that writes bytes of its own choice and never waits.
 class raw_caller {
  public:
-  explicit raw_caller(const endpoint& server) {
+  enum class buffers { kOrdinary, kSmall };
+
+  // With small buffers, and segments as on a network, what the caller doesn't
+  // read stays with the server.
+  explicit raw_caller(const endpoint& server,
+                      buffers size = buffers::kOrdinary) {
     fd_ = socket(AF_INET, SOCK_STREAM, 0);
+    if (size == buffers::kSmall) {
+      const int bytes = 4096;
+      const int segment = 1400;
+      setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+      setsockopt(fd_, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment));
+    }
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(server.port);
--- /dev/null
+++ b/tests/node/caller_connection_test.cc
@@ -0,0 +1,94 @@
+#include "citron/node/caller_connection.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "node/node_fixture.h"
+
+namespace citron {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kAnswerBytes = 900'000;
+constexpr duration kWork = milliseconds(300);
+constexpr duration kReadingTime = seconds(4);
+// Longer than any limit of the connection that is no matter of the caller's.
+constexpr duration kPause = milliseconds(2500);
+
+class slow_caller_fixture : public node_fixture {
+ public:
+  slow_caller_fixture() {
+    settings_.bounds.grace_period = seconds(6);
+    AddUpstream("u1", [](const std::string& request) {
+      scripted_answer answer{
+          GoodAnswer(request, std::string(kAnswerBytes, 'a'))};
+      answer.after = kWork;
+      return answer;
+    });
+  }
+
+  bool ReadUntil(raw_caller& caller, std::size_t bytes) {
+    return RunUntil(
+        [&] { return caller.Received().size() >= bytes || caller.IsClosed(); });
+  }
+  // Reads at an even pace, as long as there is something to read.
+  void ReadSlowly(raw_caller& caller) {
+    constexpr int kSteps = 100;
+    for (int i = 0; i < kSteps && !caller.IsClosed(); ++i) {
+      ReadUntil(caller, kAnswerBytes * i / kSteps);
+      Pass(kReadingTime / kSteps);
+    }
+    Wait(caller);
+  }
+  void Pass(duration time) {
+    const monotonic_time until = MonotonicNow() + time;
+    RunUntil([until] { return MonotonicNow() >= until; });
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(slow_caller, slow_caller_fixture)
+
+// Guards against a stop that cuts an answer which its caller still reads.
+BOOST_AUTO_TEST_CASE(AStopLeavesAnswersToSlowCallers) {
+  Start();
+  raw_caller caller(settings_.callers, raw_caller::buffers::kSmall);
+  caller.Send(Request("GET", "/look/1"));
+  BOOST_REQUIRE(
+      RunUntil([this] { return !upstreams_[0]->Requests().empty(); }));
+  bool stopped = false;
+  node_->Stop([&] { stopped = true; });
+  ReadSlowly(caller);
+  BOOST_TEST(IsWhole(caller.Received()));
+  BOOST_TEST(RunUntil([&] { return stopped; }));
+}
+
+// Guards against a close that doesn't wait for a slow caller.
+BOOST_AUTO_TEST_CASE(ACallerThatAsksToCloseGetsItsWholeAnswer) {
+  Start();
+  raw_caller caller(settings_.callers, raw_caller::buffers::kSmall);
+  caller.Send(Request("GET", "/look/1", "Connection: close\r\n"));
+  ReadSlowly(caller);
+  BOOST_TEST(IsWhole(caller.Received()));
+}
+
+// Guards against an idle limit that runs while the answer is still on its way.
+BOOST_AUTO_TEST_CASE(AnAnswerOnItsWayIsNoIdleTime) {
+  routing_.limits.idle_limit = seconds(2);
+  Start();
+  raw_caller caller(settings_.callers, raw_caller::buffers::kSmall);
+  caller.Send(Request("GET", "/look/1"));
+  ReadSlowly(caller);
+  BOOST_REQUIRE(IsWhole(caller.Received()));
+  const std::size_t first = caller.Received().size();
+  Pass(milliseconds(500));
+  caller.Send(Request("GET", "/look/2"));
+  ReadUntil(caller, first + 1);
+  BOOST_TEST(StatusOf(caller.Received().substr(first)) == "200");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace citron
