A caller that pauses while it reads keeps its connection

Callers saw: a client that stopped reading for 1.5 s, once, lost the rest of its answer to a reset.

Cause: TCP_USER_TIMEOUT of 1.5 s on callers' connections. Same class: a limit that runs without a look at whether the caller is there.

--- a/src/node/caller_connection.cc
+++ b/src/node/caller_connection.cc
@@ -79,7 +79,7 @@
       reader_(http1_reader::direction::kRequests, limits.max_head_bytes, *this),
       timer_(loop, [this] { OnDeadline(); }),
       end_timer_(loop, [this] { LookForEnd(); }) {
-  SetSocketOptions(descriptor);
+  SetCallerSocketOptions(descriptor);
   bytes_ = bufferevent_socket_new(
       loop.Base(), descriptor, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   bufferevent_setcb(bytes_, callbacks::Readable, callbacks::Written,
--- a/src/node/socket_options.cc
+++ b/src/node/socket_options.cc
@@ -22,10 +22,16 @@
 
 // A failure of any of these leaves a connection that works, with a default.
 void SetSocketOptions(int descriptor) {
-  const int on = 1;
-  setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  SetCallerSocketOptions(descriptor);
   setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnconfirmedLimitMs,
              sizeof(kUnconfirmedLimitMs));
+}
+
+// Without TCP_USER_TIMEOUT: it also ends connections of peers that confirm
+// every probe and keep their window closed.
+void SetCallerSocketOptions(int descriptor) {
+  const int on = 1;
+  setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
   setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeAfterS,
              sizeof(kProbeAfterS));
--- a/src/node/socket_options.h
+++ b/src/node/socket_options.h
@@ -4,9 +4,13 @@
 namespace citron {
 
 // Sends small writes at once, and makes a peer that has vanished without a word
-// show itself within seconds.
+// show itself within seconds: for connections to upstreams and VMs.
 void SetSocketOptions(int descriptor);
 
+// The same for callers, but one that is there and reads nothing isn't taken for
+// vanished. Bytes that a vanished one doesn't confirm are the owner's to limit.
+void SetCallerSocketOptions(int descriptor);
+
 }  // namespace citron
 
 #endif  // NODE_SOCKET_OPTIONS_H_
--- a/tests/node/caller_connection_test.cc
+++ b/tests/node/caller_connection_test.cc
@@ -88,6 +88,26 @@
   BOOST_TEST(StatusOf(caller.Received().substr(first)) == "200");
 }
 
+// Guards against a limit of the kernel that takes a pausing caller for a dead
+// one.
+BOOST_AUTO_TEST_CASE(ACallerThatPausesKeepsItsAnswer) {
+  Start();
+  raw_caller caller(settings_.callers, raw_caller::buffers::kSmall);
+  caller.Send(Request("GET", "/look/1"));
+  BOOST_REQUIRE(ReadUntil(caller, kAnswerBytes / 5));
+  Pass(kPause);
+  BOOST_TEST(IsWhole(Wait(caller)));
+}
+
+BOOST_AUTO_TEST_CASE(ACallerThatTakesNothingIsGivenUp) {
+  routing_.limits.idle_limit = seconds(1);
+  Start();
+  raw_caller caller(settings_.callers, raw_caller::buffers::kSmall);
+  caller.Send(Request("GET", "/look/1", "Connection: close\r\n"));
+  BOOST_TEST(RunUntil(
+      [this] { return HasLine("event=connection_cut cause=close_limit"); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
