An upstream that pauses while it reads a long request is not given up after 1.5 s

Callers saw: an upload whose upstream stopped reading for 1.5 s ended with 502.

Cause: as towards callers, TCP_USER_TIMEOUT also ends connections of peers that confirm every probe and keep their window closed. Requests above 16 KiB, pieces of streamed ones, and open tunnels now have 10 s; the deadline ends a request before that, mostly. Requests that fit into any upstream's buffers keep 1.5 s, by which a silent connection shows itself. What it costs: an upload to an upstream that was cut off ends at its deadline in place of 1.5 s; it couldn't be repeated either way.

Tunnels were changed by the same reasoning; no test has a slow reader behind one.

--- a/include/citron/node/upstream_connection.h
+++ b/include/citron/node/upstream_connection.h
@@ -131,6 +131,8 @@
   void OnConnected();
   void OnReadable();
   void OnEnd(bool reset);
+  // The upstream may read a long request slowly.
+  void AllowPauses();
   void Finish();
   void Fail(upstream_fault fault);
   void EndIdle();
@@ -156,6 +158,7 @@
   bool stays_open_ = true;
   bool paused_ = false;
   bool was_left_unread_ = false;
+  bool allows_pauses_ = false;  // In the present request.
   monotonic_time paused_at_{};
   monotonic_time created_at_;
   duration connect_time_{};
--- a/src/node/socket_options.cc
+++ b/src/node/socket_options.cc
@@ -11,6 +11,7 @@
 // A connection on which nothing is confirmed for this long has lost its peer:
 // ten round trips between the farthest regions, and three lost packets.
 constexpr unsigned int kUnconfirmedLimitMs = 1500;
+constexpr unsigned int kPausedLimitMs = 10'000;
 // Probes of a connection that is silent, so that a waiting answer or an idle
 // connection behind a cut isn't held for ever. A probe each 2 s on every kept
 // connection costs under 100 bytes.
@@ -23,12 +24,18 @@
 // A failure of any of these leaves a connection that works, with a default.
 void SetSocketOptions(int descriptor) {
   SetCallerSocketOptions(descriptor);
-  setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnconfirmedLimitMs,
-             sizeof(kUnconfirmedLimitMs));
+  SetUnconfirmedLimit(descriptor, peer_reading::kAtOnce);
+}
+
+// TCP_USER_TIMEOUT also ends connections of peers that confirm every probe and
+// keep their window closed.
+void SetUnconfirmedLimit(int descriptor, peer_reading reading) {
+  const unsigned int limit_ms =
+      reading == peer_reading::kAtOnce ? kUnconfirmedLimitMs : kPausedLimitMs;
+  setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms,
+             sizeof(limit_ms));
 }
 
-// Without TCP_USER_TIMEOUT: it also ends connections of peers that confirm
-// every probe and keep their window closed.
 void SetCallerSocketOptions(int descriptor) {
   const int on = 1;
   setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
--- a/src/node/socket_options.h
+++ b/src/node/socket_options.h
@@ -7,8 +7,14 @@
 // show itself within seconds: for connections to upstreams and VMs.
 void SetSocketOptions(int descriptor);
 
-// The same for callers, but one that is there and reads nothing isn't taken for
-// vanished. Bytes that a vanished one doesn't confirm are the owner's to limit.
+// How long a peer may confirm nothing of what was sent to it. One that reads
+// slowly may keep its window closed for some seconds.
+enum class peer_reading { kAtOnce, kMayPause };
+void SetUnconfirmedLimit(int descriptor, peer_reading reading);
+
+// The same as SetSocketOptions for callers, but one that is there and reads
+// nothing isn't taken for vanished. Bytes that a vanished one doesn't confirm
+// are the owner's to limit.
 void SetCallerSocketOptions(int descriptor);
 
 }  // namespace citron
--- a/src/node/tunnel.cc
+++ b/src/node/tunnel.cc
@@ -98,6 +98,9 @@
 void tunnel::OnConnected() {
   timer_.Disarm();
   SetSocketOptions(bufferevent_getfd(upstream_side_));
+  for (bufferevent* side : {vm_side_, upstream_side_}) {
+    SetUnconfirmedLimit(bufferevent_getfd(side), peer_reading::kMayPause);
+  }
   host_.OnConnectEnd(request_.upstream, connect_began_,
                      connect_result::kConnected);
   state_ = state::kOpen;
--- a/src/node/upstream_connection.cc
+++ b/src/node/upstream_connection.cc
@@ -27,6 +27,8 @@
 // long.
 constexpr duration kUnreadLimit = std::chrono::seconds(1);
 constexpr duration kUnstatedRelayPause = std::chrono::seconds(1);
+// A request up to this size finds room with any upstream that is there.
+constexpr std::size_t kShortRequest = std::size_t{16} << 10;
 // Around the name and value of a header.
 constexpr std::size_t kHeaderFraming = 4;
 
@@ -161,6 +163,7 @@
   listener_ = &listener;
   request_id_ = request_id;
   expects_body_ = expects_body;
+  if (head_and_body.size() > kShortRequest) AllowPauses();
   if (state_ == state::kConnecting) {
     unsent_.assign(head_and_body);
     return;
@@ -174,6 +177,7 @@
 }
 
 void upstream_connection::SendMore(std::string_view bytes) {
+  AllowPauses();
   if (state_ == state::kConnecting) {
     unsent_.append(bytes);
   } else if (state_ == state::kBusy) {
@@ -181,6 +185,13 @@
   }
 }
 
+void upstream_connection::AllowPauses() {
+  if (std::exchange(allows_pauses_, true) || state_ == state::kConnecting) {
+    return;
+  }
+  SetUnconfirmedLimit(bufferevent_getfd(bytes_), peer_reading::kMayPause);
+}
+
 void upstream_connection::Cancel() {
   listener_ = nullptr;
   state_ = state::kDead;
@@ -248,6 +259,9 @@
   if (state_ != state::kConnecting) return;
   connect_timer_.Disarm();
   if (!IsRelayed()) SetSocketOptions(bufferevent_getfd(bytes_));
+  if (allows_pauses_) {
+    SetUnconfirmedLimit(bufferevent_getfd(bytes_), peer_reading::kMayPause);
+  }
   idle_since_ = MonotonicNow();
   connect_time_ = idle_since_ - created_at_;
   owner_.OnConnectEnd(*this, connect_result::kConnected);
@@ -343,6 +357,9 @@
   if (clean && std::exchange(paused_, false)) {
     bufferevent_enable(bytes_, EV_READ);
   }
+  if (clean && std::exchange(allows_pauses_, false)) {
+    SetUnconfirmedLimit(bufferevent_getfd(bytes_), peer_reading::kAtOnce);
+  }
   idle_since_ = MonotonicNow();
   upstream_call_listener* listener = std::exchange(listener_, nullptr);
   if (!clean) bufferevent_disable(bytes_, EV_READ | EV_WRITE);
--- a/tests/node/scripted_upstream.h
+++ b/tests/node/scripted_upstream.h
@@ -62,6 +62,10 @@
   int Accepted() const { return accepted_; }
   // On connections from now on.
   void StopReading() { reads_ = false; }
+  void ReadOnlyAfter(duration pause) {
+    reads_ = false;
+    pause_ = pause;
+  }
 
  private:
   struct connection {
@@ -108,12 +112,9 @@
       Crash();
       return At(MonotonicNow() + answer.down_time, [this] { Listen(); });
     }
-    const auto found = std::find_if(
-        connections_.begin(), connections_.end(),
-        [number](const auto& held) { return held->number == number; });
-    if (found == connections_.end()) return;
-    bufferevent_write((*found)->bytes, answer.bytes.data(),
-                      answer.bytes.size());
+    connection* found = Find(number);
+    if (found == nullptr) return;
+    bufferevent_write(found->bytes, answer.bytes.data(), answer.bytes.size());
   }
 
   void OnAccept(evutil_socket_t fd) {
@@ -140,6 +141,18 @@
     bufferevent_enable(made->bytes, reads_ ? EV_READ | EV_WRITE : EV_WRITE);
     if (!reads_) bufferevent_disable(made->bytes, EV_READ);
     connections_.push_back(std::move(made));
+    if (reads_ || pause_ == duration::zero()) return;
+    At(MonotonicNow() + pause_, [this, number = accepted_] {
+      connection* paused = Find(number);
+      if (paused != nullptr) bufferevent_enable(paused->bytes, EV_READ);
+    });
+  }
+
+  connection* Find(int number) {
+    const auto found = std::find_if(
+        connections_.begin(), connections_.end(),
+        [number](const auto& held) { return held->number == number; });
+    return found == connections_.end() ? nullptr : found->get();
   }
 
   static void SendOn(connection& c) {
@@ -208,6 +221,7 @@
   std::vector<std::unique_ptr<loop_timer>> timers_;
   int accepted_ = 0;
   bool reads_ = true;
+  duration pause_{};
 };
 
 // A whole good answer to the request.
