Times from outside can't overflow

FromSeconds of 1e300 is undefined: the least value on x86-64, the largest on arm64, and a sum with the latter wraps round. A caller's deadline of 2^63 ms overflowed as well. Seconds are now held to 30 years. base_time_test; ACallerWithoutHasteIsServed (node_proxied_request_test). Neither was run on the code before: the outcome of an overflow is not defined there.

--- a/include/citron/base/time.h
+++ b/include/citron/base/time.h
@@ -3,7 +3,9 @@
 
 #include <time.h>
 
+#include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace citron {
 
@@ -29,9 +31,13 @@
   return std::chrono::duration<double>(d).count();
 }
 
+// Numbers from outside may be any: what is beyond 30 years is taken for that,
+// so that a sum with a time doesn't overflow, and what is no number for 0.
 inline duration FromSeconds(double seconds) {
+  constexpr double kLongest = 1e9;
+  if (std::isnan(seconds)) return duration::zero();
   return std::chrono::duration_cast<duration>(
-      std::chrono::duration<double>(seconds));
+      std::chrono::duration<double>(std::clamp(seconds, -kLongest, kLongest)));
 }
 
 inline duration FromMilliseconds(double ms) { return FromSeconds(ms / 1000.0); }
--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -97,7 +97,8 @@
   const auto asked =
       ReadWhole(HeaderOr(head_.headers, context.names.deadline_ms));
   if (asked && *asked >= 0) {
-    caller_deadline_ = arrived_at_ + std::chrono::milliseconds(*asked);
+    caller_deadline_ =
+        arrived_at_ + FromMilliseconds(static_cast<double>(*asked));
   }
   deadline_ = std::min(caller_deadline_, arrived_at_ + route.timeout);
 }
--- a/tests/node/proxied_request_test.cc
+++ b/tests/node/proxied_request_test.cc
@@ -42,6 +42,18 @@
   BOOST_TEST(std::stoi(HeaderIn(seen, "X-Deadline")) <= 4000);
 }
 
+// Guards against a deadline so far off that it overflows.
+BOOST_AUTO_TEST_CASE(ACallerWithoutHasteIsServed) {
+  AddUpstream("u1", Good);
+  Start();
+  for (const char* ms : {"9223372036854775807", "99999999999999"}) {
+    std::string text = Request("GET", "/look/1");
+    const std::string own = "X-Deadline: 4000";
+    text.replace(text.find(own), own.size(), std::string("X-Deadline: ") + ms);
+    BOOST_TEST(StatusOf(Ask(text)) == "200", ms);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(HeadersOfOneConnectionStayThere) {
   scripted_upstream& upstream = AddUpstream("u1", Good);
   Start();
