Tests that a broken-off answer is never passed on as a whole one

A report of other operators: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body. It can't happen on a VM's own connections: node_broken_answer_test breaks answers with a length, in chunks and without either off after each byte, by a close and by a reset; each is a 502 (but for an answer without a length that is closed behind its head, whose end nobody can tell). It passed at once, on the code as it was.

--- a/tests/node/scripted_upstream.h
+++ b/tests/node/scripted_upstream.h
@@ -40,6 +40,7 @@
   duration after{};      // The work before the answer or the crash.
   duration down_time{};  // Zero: it doesn't crash.
   std::string endless;   // Sent behind `bytes` again and again.
+  bool reset = false;    // Closes with a reset.
 };
 
 // A server that answers each request with bytes of the test's choice and keeps
@@ -191,6 +192,11 @@
       bufferevent_write(c.bytes, answer.bytes.data(), answer.bytes.size());
       c.endless = answer.endless;
       SendOn(c);
+      if (answer.reset) {
+        const linger at_once{1, 0};
+        setsockopt(bufferevent_getfd(c.bytes), SOL_SOCKET, SO_LINGER, &at_once,
+                   sizeof(at_once));
+      }
       if (!answer.close) continue;
       bufferevent_flush(c.bytes, EV_WRITE, BEV_FLUSH);
       // The bytes go out before the end does.
