The end of a relay is not taken for the end of an answer

An answer without a length ends with its connection. In a tunnel that connection is the relay's, and the kernel ends it in order when the relay is killed or stops: the beginning of an answer would have been passed on as a whole one, with 200.

Such an answer now counts as lost in a tunnel. The cost: upstreams that name no length can't be served through another VM while this one reaches none itself. Weighed: a mark behind the last byte (a short answer with a length would take it for its missing bytes), a reset at a planned stop only (a killed relay stays).

upstream_pool_test, TheEndOfARelayIsNoEndOfAnAnswer, failed before.

--- a/src/node/upstream_connection.cc
+++ b/src/node/upstream_connection.cc
@@ -381,8 +381,10 @@
   OnReadable();
   if (state_ != state::kBusy) return;
   // An answer without a length ends with its connection, but not with a reset,
-  // nor where the upstream may have given up a caller that read slowly.
-  if (!reset && !skipping_ && !was_left_unread_ && reader_.CompletesAtEnd()) {
+  // nor with a relay that ends, nor where the upstream may have given up a
+  // caller that read slowly.
+  const bool is_upstreams_end = !reset && !IsRelayed() && !was_left_unread_;
+  if (is_upstreams_end && !skipping_ && reader_.CompletesAtEnd()) {
     stays_open_ = false;
     return Finish();
   }
--- a/tests/node/upstream_pool_test.cc
+++ b/tests/node/upstream_pool_test.cc
@@ -128,6 +128,31 @@
   BOOST_TEST((connection->RelayPause() == std::chrono::seconds(7)));
 }
 
+// Guards against the beginning of an answer without a length that is taken for
+// the whole one as its relay dies.
+BOOST_AUTO_TEST_CASE(TheEndOfARelayIsNoEndOfAnAnswer) {
+  scripted_upstream relay(Loop(), [](const std::string& request) {
+    if (!HeaderIn(request, "X-Id").empty()) {
+      return scripted_answer{"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nthe beginning",
+                             true};
+    }
+    return scripted_answer{MakeTunnelAnswer(kTunnelOpen)};
+  });
+  upstream_pool pool = MakePool(false);
+  connection_path path;
+  path.address = Upstream().Address();
+  path.relay = vm_id("vm2");
+  path.relay_address = relay.Address();
+  std::unique_ptr<upstream_connection> connection =
+      pool.Take(kUpstream, path, std::chrono::seconds(10), duration::zero(),
+                MonotonicNow());
+  Start(*connection);
+  BOOST_REQUIRE(
+      RunUntil([&] { return Listener().Failed() + Listener().Ended() > 0; }));
+  BOOST_TEST(Listener().Ended() == 0);
+  BOOST_TEST((Listener().LastFault() == upstream_fault::kLost));
+}
+
 // A second request to a far upstream waits for a handshake while the first one
 // uses the only connection.
 BOOST_AUTO_TEST_CASE(AnOverlappingRequestFindsAConnection) {
