Idle connections end at their limit again

What the kernel has taken is now no longer counted as unsent. node_caller_connection_test, AnIdleConnectionIsClosedAtItsLimit, failed before.

--- a/src/node/caller_connection.cc
+++ b/src/node/caller_connection.cc
@@ -222,7 +222,10 @@
 bool caller_connection::TakesOn(monotonic_time now) {
   const std::size_t before = std::exchange(untaken_, UntakenBytes());
   if (before == 0 && untaken_ == 0) return false;
-  if (untaken_ < before) give_up_at_ = now + limits_.idle_limit;
+  const bool is_first_look = before == 0;
+  if (is_first_look || untaken_ < before) {
+    give_up_at_ = now + limits_.idle_limit;
+  }
   return now < give_up_at_;
 }
 
@@ -255,10 +258,15 @@
 void caller_connection::OnWritten() {
   UpdateHeld();
   if (PendingBytes() > 0) return;
+  // The kernel has all; it is asked at the next limit what it still holds.
+  untaken_ = 0;
   if (state_ == state::kClosing) {
     shutdown(bufferevent_getfd(bytes_), SHUT_WR);
     return;
   }
+  if (state_ == state::kReading && !request_begun_) {
+    timer_.Arm(MonotonicNow() + limits_.idle_limit);
+  }
   if (state_ == state::kServing && handler_ != nullptr) handler_->OnDrained();
 }
 
--- a/src/node/proxied_request.cc
+++ b/src/node/proxied_request.cc
@@ -212,8 +212,8 @@
                ? Refuse(503, "no_time_left", kRetryWhenBusy)
                : FailMaybeRun(504, "no_time_left");
   }
-  const bool is_new = verdict_ == verdict::kNotRun;
-  if (is_new && !context_.stop.MayPassOn(deadline_, now)) {
+  if (verdict_ == verdict::kNotRun &&
+      !context_.stop.MayPassOn(deadline_, now)) {
     return Refuse(503, "stopping", kRetryElsewhere);
   }
   if (IsPoison(now)) return RefusePoison(now);
--- a/tests/node/caller_connection_test.cc
+++ b/tests/node/caller_connection_test.cc
@@ -88,6 +88,19 @@
   BOOST_TEST(StatusOf(caller.Received().substr(first)) == "200");
 }
 
+// Guards against idle connections that are held for longer than their limit.
+BOOST_AUTO_TEST_CASE(AnIdleConnectionIsClosedAtItsLimit) {
+  routing_.limits.idle_limit = seconds(1);
+  Start();
+  raw_caller caller(settings_.callers);
+  caller.Send(Request("GET", "/none/1"));
+  BOOST_REQUIRE(IsWhole(Wait(caller)));
+  Pass(milliseconds(800));
+  BOOST_TEST(!caller.IsClosed());
+  Pass(milliseconds(700));
+  BOOST_TEST(caller.IsClosed());
+}
+
 // Guards against a limit of the kernel that takes a pausing caller for a dead
 // one.
 BOOST_AUTO_TEST_CASE(ACallerThatPausesKeepsItsAnswer) {
--- a/tests/node/upstream_pool_test.cc
+++ b/tests/node/upstream_pool_test.cc
@@ -63,6 +63,16 @@
                      duration::zero(), now);
   }
 
+  std::unique_ptr<upstream_connection> TakeThrough(
+      const scripted_upstream& relay, upstream_pool& pool) {
+    connection_path path;
+    path.address = upstream_.Address();
+    path.relay = vm_id("vm2");
+    path.relay_address = relay.Address();
+    return pool.Take(kUpstream, path, std::chrono::seconds(10),
+                     duration::zero(), MonotonicNow());
+  }
+
   // One request from its start to its end.
   void Call(upstream_pool& pool, monotonic_time now) {
     std::unique_ptr<upstream_connection> connection = Take(pool, now);
@@ -115,13 +125,7 @@
         MakeTunnelAnswer({kTunnelUpstreamPaused, std::chrono::seconds(7)})};
   });
   upstream_pool pool = MakePool(false);
-  connection_path path;
-  path.address = Upstream().Address();
-  path.relay = vm_id("vm2");
-  path.relay_address = relay.Address();
-  std::unique_ptr<upstream_connection> connection =
-      pool.Take(kUpstream, path, std::chrono::seconds(10), duration::zero(),
-                MonotonicNow());
+  std::unique_ptr<upstream_connection> connection = TakeThrough(relay, pool);
   Start(*connection);
   BOOST_REQUIRE(RunUntil([&] { return Listener().Failed() > 0; }));
   BOOST_TEST((Listener().LastFault() == upstream_fault::kPausedAtRelay));
@@ -139,13 +143,7 @@
     return scripted_answer{MakeTunnelAnswer(kTunnelOpen)};
   });
   upstream_pool pool = MakePool(false);
-  connection_path path;
-  path.address = Upstream().Address();
-  path.relay = vm_id("vm2");
-  path.relay_address = relay.Address();
-  std::unique_ptr<upstream_connection> connection =
-      pool.Take(kUpstream, path, std::chrono::seconds(10), duration::zero(),
-                MonotonicNow());
+  std::unique_ptr<upstream_connection> connection = TakeThrough(relay, pool);
   Start(*connection);
   BOOST_REQUIRE(
       RunUntil([&] { return Listener().Failed() + Listener().Ended() > 0; }));
