The tests' upstream copies a long body once, not at each of its pieces

node_upstream_connection_test failed four of four in the sanitizer build (504): the copies of 4 MB at each piece took longer than the request's 4 s.

--- a/tests/node/scripted_upstream.h
+++ b/tests/node/scripted_upstream.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "citron/base/endpoint.h"
@@ -168,21 +169,24 @@
     evbuffer* input = bufferevent_get_input(c.bytes);
     while (true) {
       const std::size_t size = evbuffer_get_length(input);
-      std::string text(size, '\0');
-      evbuffer_copyout(input, text.data(), size);
-      const std::size_t end = text.find("\r\n\r\n");
-      if (end == std::string::npos) return;
-      std::size_t whole = end + 4;
-      const std::string length = HeaderIn(text, "Content-Length");
+      const evbuffer_ptr end = evbuffer_search(input, "\r\n\r\n", 4, nullptr);
+      if (end.pos < 0) return;
+      // A long body is copied only once it is whole.
+      std::size_t whole = static_cast<std::size_t>(end.pos) + 4;
+      std::string head(whole, '\0');
+      evbuffer_copyout(input, head.data(), whole);
+      const std::string length = HeaderIn(head, "Content-Length");
       if (!length.empty()) whole += std::stoul(length);
-      if (!HeaderIn(text, "Transfer-Encoding").empty()) {
-        const std::size_t last = text.find("\r\n0\r\n\r\n");
-        if (last == std::string::npos) return;
-        whole = last + 7;
+      if (!HeaderIn(head, "Transfer-Encoding").empty()) {
+        const evbuffer_ptr last =
+            evbuffer_search(input, "\r\n0\r\n\r\n", 7, nullptr);
+        if (last.pos < 0) return;
+        whole = static_cast<std::size_t>(last.pos) + 7;
       }
       if (size < whole) return;
-      evbuffer_drain(input, whole);
-      requests_.push_back(text.substr(0, whole));
+      std::string text(whole, '\0');
+      evbuffer_remove(input, text.data(), whole);
+      requests_.push_back(std::move(text));
       const scripted_answer answer = answer_(requests_.back());
       if (answer.after > duration::zero()) {
         At(MonotonicNow() + answer.after,
