One piece puts bytes into the store of the fleet tests

node_odd_entry_test wrote again how node_fleet puts a value; Put now goes through PutBytes, which both use. Test code only, no assertion changed.

--- a/tests/integration/node_fleet.h
+++ b/tests/integration/node_fleet.h
@@ -31,10 +31,12 @@
   static endpoint Callers(int vm) { return At(8206, vm); }
 
   void Put(const std::string& key, const json& value) {
+    PutBytes(key, value.dump());
+  }
+  void PutBytes(const std::string& key, const std::string& bytes) {
     const json call = {
         {"expectedRev", json::array()},
-        {"puts",
-         json::array({{{"key", key}, {"value", ToBase64(value.dump())}}})},
+        {"puts", json::array({{{"key", key}, {"value", ToBase64(bytes)}}})},
         {"remove", json::array()}};
     BOOST_REQUIRE(Caller().PostJson(store_, "/-/kv-txn", call));
   }
--- a/tests/integration/node_odd_entry_test.cc
+++ b/tests/integration/node_odd_entry_test.cc
@@ -54,14 +54,6 @@
  public:
   odd_entry_fixture() { PutDeclaration(1, {"key"}); }
 
-  void PutBytes(const std::string& key, const std::string& bytes) {
-    const json call = {
-        {"expectedRev", json::array()},
-        {"puts", json::array({{{"key", key}, {"value", ToBase64(bytes)}}})},
-        {"remove", json::array()}};
-    BOOST_REQUIRE(Caller().PostJson(store_, "/-/kv-txn", call));
-  }
-
   // A server that is announced now; each VM reaches it alone.
   void NewServerIsReached(int number) {
     const std::string id = fmt::format("u{}", number);
