The kernel delivers what is left of an answer when the process ends

What callers saw: an answer that its upstream had sent whole was cut when the VM ended, if the caller read slowly enough.

Cause: the end of a connection waits for its caller, the end of the process doesn't. What the kernel's send buffer holds at that moment is delivered after it; what is in the process is lost (connection_cut cause=process_end unsent=...). A request that came behind the answer and was not read turned the close into a reset, which takes along the kernel's part, too.

Change: once a stop has begun, the send buffer of a caller's connection grows to what is left of its answer, so that the kernel takes it at once; a streamed answer gets as much room as a held one, as far as the memory limit allows, and the room counts as held. At the end of the process what is left is written, and what has come is read, so that the close is no reset. The last step of a stop runs at its moment and not up to 50 ms later, which at a grace period of 1 s was the moment of the kill.

Weighed: larger buffers always (back pressure would begin a megabyte later for each slow caller, uncounted); a later end (50 ms are left at 1 s).

Evidence, tests that failed before, each alone: AnAnswerOutlivesTheProcess, AnAnswerOutlivesTheProcessThoughItsCallerPauses, AnAnswerOutlivesTheProcessWithARequestBehindIt, ALongAnswerOutlivesTheProcess.

--- a/include/citron/node/caller_connection.h
+++ b/include/citron/node/caller_connection.h
@@ -32,8 +32,14 @@
                     request_handler_factory& handlers, on_end ended);
   ~caller_connection() override;
 
-  // Answers tell the caller from now on that the connection closes.
+  // Answers tell the caller from now on that the connection closes. What the
+  // caller has not taken of them goes to the kernel.
   void StopAfterAnswer();
+  // Leaves to the kernel what it can deliver after the end of the process,
+  // which must follow. Returns whether the caller loses nothing by that end.
+  bool EndWithProcess();
+  // Bytes of answers that this process or the kernel still holds.
+  std::size_t UntakenBytes() const;
   // Closes now if no request is under way or has begun to come in.
   void CloseIfIdle();
   bool IsIdle() const;
@@ -62,6 +68,8 @@
   void OnReadable();
   void OnWritten();
   void UpdateHeld();
+  // Lets the kernel take what is left of an answer.
+  void HandOver();
   // Leaves what comes with the kernel; the caller's end is looked for.
   void StopInput();
   void StartInput();
@@ -70,8 +78,6 @@
   void OnDeadline();
   void OnCloseLimit();
   void OnIdleLimit();
-  // Bytes of answers that this process or the kernel still holds.
-  std::size_t UntakenBytes() const;
   void StartTaking(monotonic_time now);
   // Whether the caller takes on; one that takes nearly nothing for the idle
   // limit is given up.
@@ -88,6 +94,7 @@
 
   event_loop& loop_;
   caller_limits limits_;
+  memory_budget& memory_;
   request_handler_factory& handlers_;
   on_end ended_;
   bufferevent* bytes_ = nullptr;
@@ -107,6 +114,8 @@
   bool answer_has_body_ = true;
   bool answered_ = false;
   std::uint64_t body_bytes_ = 0;
+  // Of answers, beyond the usual size of the kernel's buffer.
+  std::size_t handed_over_ = 0;
   // Behind the last answer, at the last look.
   std::size_t untaken_ = 0;
   monotonic_time looked_at_{};
--- a/src/node/caller_connection.cc
+++ b/src/node/caller_connection.cc
@@ -5,16 +5,16 @@
 #include <event2/event.h>
 #include <event2/util.h>
 #include <fmt/format.h>
-#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <utility>
 
+#include "node/process_end.h"
 #include "node/socket_options.h"
 #include "node/status_text.h"
 
@@ -34,6 +34,9 @@
 constexpr duration kCloseLimit = std::chrono::milliseconds(1500);
 // A caller that takes less holds an answer for as long as it likes.
 constexpr double kLeastTakenPerS = 1000;
+// What the kernel may hold of an answer that goes on as it comes, where the end
+// of the process is near: as much as is held of one that is sent whole.
+constexpr std::size_t kMostHandedOver = std::size_t{1} << 20;
 
 }  // namespace
 
@@ -77,6 +80,7 @@
                                      on_end ended)
     : loop_(loop),
       limits_(limits),
+      memory_(memory),
       handlers_(handlers),
       ended_(std::move(ended)),
       held_(memory),
@@ -108,7 +112,30 @@
   return limits_.max_head_bytes + kMaxWaitingInput;
 }
 
-void caller_connection::StopAfterAnswer() { closing_after_answer_ = true; }
+void caller_connection::StopAfterAnswer() {
+  closing_after_answer_ = true;
+  HandOver();
+}
+
+bool caller_connection::EndWithProcess() {
+  if (state_ == state::kEnded) return true;
+  const bool is_taken = WriteToKernel(bytes_) == 0;
+  DropUnread(bytes_);
+  return is_taken && handler_ == nullptr;
+}
+
+// Where an answer is whole, the VM holds no more than before; one that still
+// comes may grow as far as the memory limit allows.
+void caller_connection::HandOver() {
+  std::size_t bytes = PendingBytes();
+  const bool still_comes = handler_ != nullptr && answered_;
+  if (still_comes) bytes += memory_.Allowance(kMostHandedOver);
+  if (bytes == 0) return;
+  const int descriptor = bufferevent_getfd(bytes_);
+  GrowSendBuffer(descriptor, UnconfirmedBytes(descriptor) + bytes);
+  handed_over_ = std::max(handed_over_, bytes);
+  UpdateHeld();
+}
 
 bool caller_connection::IsIdle() const {
   return state_ == state::kReading && !request_begun_ &&
@@ -242,11 +269,7 @@
 }
 
 std::size_t caller_connection::UntakenBytes() const {
-  int in_kernel = 0;
-  const bool is_known =
-      ioctl(bufferevent_getfd(bytes_), SIOCOUTQ, &in_kernel) == 0;
-  return PendingBytes() +
-         (is_known ? static_cast<std::size_t>(in_kernel) : std::size_t{0});
+  return PendingBytes() + UnconfirmedBytes(bufferevent_getfd(bytes_));
 }
 
 void caller_connection::OnClosed(connection_cut cause) {
@@ -263,7 +286,7 @@
 
 void caller_connection::UpdateHeld() {
   if (state_ == state::kEnded) return;
-  held_.Set(PendingBytes() +
+  held_.Set(std::max(PendingBytes(), handed_over_) +
             evbuffer_get_length(bufferevent_get_input(bytes_)));
 }
 
@@ -319,6 +342,7 @@
                                    std::optional<std::uint64_t> length) {
   answer_chunked_ = !length.has_value();
   WriteHead(status, headers, length);
+  if (closing_after_answer_) HandOver();
 }
 
 void caller_connection::SendBody(std::string_view bytes) {
@@ -409,6 +433,7 @@
   StartTaking(now);
   timer_.Arm(now + kCloseLimit);
   if (PendingBytes() == 0) shutdown(bufferevent_getfd(bytes_), SHUT_WR);
+  if (closing_after_answer_) HandOver();
   StartInput();
   // What has come must be taken, or the close would become a reset that takes
   // the answer with it.
--- a/src/node/node_task.cc
+++ b/src/node/node_task.cc
@@ -290,7 +290,8 @@
                static_cast<double>(memory_.Peak()));
   }
   if (stopped_) OnStopStep(now);
-  tick_.Arm(now + kTick);
+  const bool is_ending = stopped_ && now < stop_.EndsAt();
+  tick_.Arm(is_ending ? std::min(now + kTick, stop_.EndsAt()) : now + kTick);
 }
 
 void node_task::ShowRegionBalance(monotonic_time now) {
@@ -376,9 +377,17 @@
   for (caller_connection* connection : open) connection->CloseIfIdle();
   const bool serves = !connections_.empty() || tunnels_->Open() > 0;
   if (serves && now < stop_.EndsAt()) return;
+  std::size_t cut = 0;
+  std::size_t with_kernel = 0;
+  for (const auto& connection : connections_) {
+    if (!connection->EndWithProcess()) ++cut;
+    with_kernel += connection->UntakenBytes();
+  }
   log_.Write("node", "stopped",
              {{"vm", settings_.vm.Str()},
-              {"cut", connections_.size()},
+              {"connections", connections_.size()},
+              {"cut", cut},
+              {"with_kernel", with_kernel},
               {"tunnels_cut", tunnels_->Open()},
               {"since_stop_ms", ToMilliseconds(now - stop_.BeganAt())}},
              now);
--- a/src/node/socket_options.cc
+++ b/src/node/socket_options.cc
@@ -1,8 +1,11 @@
 #include "node/socket_options.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace citron {
 
@@ -19,6 +22,31 @@
 constexpr int kProbeIntervalS = 1;
 constexpr int kProbes = 2;
 
+int SendBufferBytes(int descriptor) {
+  int bytes = 0;
+  socklen_t size = sizeof(bytes);
+  const bool is_known =
+      getsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &bytes, &size) == 0;
+  // Half of what the kernel reports is for its own overhead.
+  return is_known ? bytes / 2 : 0;
+}
+
+// The kernel cuts larger wishes down to its limit, below what a buffer may have
+// grown to by itself.
+int LargestSendBuffer() {
+  static const int largest = [] {
+    constexpr int kBeyondAnyLimit = 1 << 30;
+    const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (probe < 0) return 0;
+    setsockopt(probe, SOL_SOCKET, SO_SNDBUF, &kBeyondAnyLimit,
+               sizeof(kBeyondAnyLimit));
+    const int bytes = SendBufferBytes(probe);
+    close(probe);
+    return bytes;
+  }();
+  return largest;
+}
+
 }  // namespace
 
 // A failure of any of these leaves a connection that works, with a default.
@@ -47,4 +75,19 @@
   setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
 }
 
+void GrowSendBuffer(int descriptor, std::size_t bytes) {
+  const int largest = LargestSendBuffer();
+  const int wanted = bytes < static_cast<std::size_t>(largest)
+                         ? static_cast<int>(bytes)
+                         : largest;
+  if (wanted <= SendBufferBytes(descriptor)) return;
+  setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &wanted, sizeof(wanted));
+}
+
+std::size_t UnconfirmedBytes(int descriptor) {
+  int bytes = 0;
+  if (ioctl(descriptor, SIOCOUTQ, &bytes) != 0 || bytes < 0) return 0;
+  return static_cast<std::size_t>(bytes);
+}
+
 }  // namespace citron
--- a/src/node/socket_options.h
+++ b/src/node/socket_options.h
@@ -1,6 +1,8 @@
 #ifndef NODE_SOCKET_OPTIONS_H_
 #define NODE_SOCKET_OPTIONS_H_
 
+#include <cstddef>
+
 namespace citron {
 
 // Sends small writes at once, and makes a peer that has vanished without a word
@@ -17,6 +19,13 @@
 // are the owner's to limit.
 void SetCallerSocketOptions(int descriptor);
 
+// Lets the kernel hold that many bytes for the peer, as far as its limit goes;
+// never fewer than before.
+void GrowSendBuffer(int descriptor, std::size_t bytes);
+// Returns the bytes that the kernel holds and the peer has not confirmed, 0 if
+// they aren't known.
+std::size_t UnconfirmedBytes(int descriptor);
+
 }  // namespace citron
 
 #endif  // NODE_SOCKET_OPTIONS_H_
--- a/tests/node/caller_connection_test.cc
+++ b/tests/node/caller_connection_test.cc
@@ -42,6 +42,16 @@
     }
     Wait(caller);
   }
+  // Stops the VM once its upstream has the request, and ends it as the process
+  // does.
+  void StopAndEnd(std::size_t requests = 1) {
+    BOOST_REQUIRE(
+        RunUntil([&] { return upstreams_[0]->Requests().size() >= requests; }));
+    bool stopped = false;
+    node_->Stop([&] { stopped = true; });
+    BOOST_REQUIRE(RunUntil([&] { return stopped; }));
+    node_.reset();
+  }
   void Pass(duration time) {
     const monotonic_time until = MonotonicNow() + time;
     RunUntil([until] { return MonotonicNow() >= until; });
@@ -64,6 +74,61 @@
   BOOST_TEST(RunUntil([&] { return stopped; }));
 }
 
+// Guards against an end of the process that takes whole answers with it.
+BOOST_AUTO_TEST_CASE(AnAnswerOutlivesTheProcess) {
+  settings_.bounds.grace_period = seconds(1);
+  Start();
+  raw_caller caller(settings_.callers, raw_caller::buffers::kSmall);
+  caller.Send(Request("GET", "/look/1"));
+  StopAndEnd();
+  BOOST_TEST(!IsWhole(caller.Received()));
+  ReadSlowly(caller);
+  BOOST_TEST(IsWhole(caller.Received()));
+}
+
+// Guards against an end of the process that takes a caller's pause for its end.
+BOOST_AUTO_TEST_CASE(AnAnswerOutlivesTheProcessThoughItsCallerPauses) {
+  settings_.bounds.grace_period = seconds(1);
+  Start();
+  raw_caller caller(settings_.callers, raw_caller::buffers::kSmall);
+  caller.Send(Request("GET", "/look/1"));
+  StopAndEnd();
+  Pass(kPause);
+  BOOST_TEST(IsWhole(Wait(caller)));
+}
+
+// Guards against a request that nobody reads any more and that turns the end of
+// its connection into a reset, which takes the answer before it.
+BOOST_AUTO_TEST_CASE(AnAnswerOutlivesTheProcessWithARequestBehindIt) {
+  settings_.bounds.grace_period = seconds(1);
+  Start();
+  raw_caller caller(settings_.callers, raw_caller::buffers::kSmall);
+  caller.Send(Request("GET", "/look/1"));
+  caller.Send(Request("POST", "/book/2", "", std::string(200'000, 'b')));
+  StopAndEnd();
+  ReadSlowly(caller);
+  BOOST_TEST(IsWhole(caller.Received()));
+}
+
+// Guards against an answer that is cut behind its upstream's last byte, as it
+// was too long to be held and went on at the pace of its caller.
+BOOST_AUTO_TEST_CASE(ALongAnswerOutlivesTheProcess) {
+  constexpr std::size_t kLongAnswerBytes = 1'500'000;
+  AddRoute("photos", "/photos/", repetition::kDownload);
+  AddUpstream("u1", [](const std::string& request) {
+    return scripted_answer{
+        GoodAnswer(request, std::string(kLongAnswerBytes, 'a'))};
+  });
+  upstreams_.erase(upstreams_.begin());
+  settings_.bounds.grace_period = seconds(2);
+  Start();
+  raw_caller caller(settings_.callers, raw_caller::buffers::kSmall);
+  caller.Send(Request("GET", "/photos/1"));
+  StopAndEnd();
+  ReadSlowly(caller);
+  BOOST_TEST(IsWhole(caller.Received()));
+}
+
 // Guards against a close that doesn't wait for a slow caller.
 BOOST_AUTO_TEST_CASE(ACallerThatAsksToCloseGetsItsWholeAnswer) {
   Start();
