A tunnel closes once the other VM has taken the answer

What callers saw: an answer that came through another VM and ended with its connection could break off, though the upstream had sent all of it.

Cause: a tunnel closed its socket as soon as the last bytes were with the kernel. Bytes that the asking VM still sent then (the rest of a long request whose answer came early) met a closed socket: the kernel answers with a reset and drops what it has not delivered.

A failure to pass the rest of a request on to an upstream that has closed no longer ends the tunnel under its answer.

--- a/src/node/tunnel.cc
+++ b/src/node/tunnel.cc
@@ -21,6 +21,8 @@
 constexpr duration kConnectLimit = std::chrono::milliseconds(350);
 // Bytes on their way to a slow side before the fast one is made to wait.
 constexpr std::size_t kMaxPending = std::size_t{256} << 10;
+// How long the other VM gets to take the last bytes and close its side.
+constexpr duration kCloseLimit = std::chrono::seconds(10);
 
 std::size_t PendingBytes(bufferevent* side) {
   return evbuffer_get_length(bufferevent_get_output(side));
@@ -71,6 +73,9 @@
 
 void tunnel::OnReadable(bufferevent* from) {
   if (state_ == state::kOpen) return Pass(from);
+  const bool takes_no_more =
+      state_ == state::kEnding || state_ == state::kClosing;
+  if (takes_no_more && from == vm_side_) return DropInput();
   if (state_ != state::kReadingHead) return;
   const http1_reader::progress made =
       reader_.Read(bufferevent_get_input(vm_side_));
@@ -124,7 +129,7 @@
 
 void tunnel::OnWritten(bufferevent* to) {
   if (PendingBytes(to) > 0) return;
-  if (state_ == state::kEnding && to == vm_side_) return End();
+  if (state_ == state::kEnding && to == vm_side_) return BeginClose();
   if (state_ == state::kOpen) bufferevent_enable(Other(to), EV_READ);
 }
 
@@ -143,8 +148,10 @@
   if (!is_upstream || state_ != state::kOpen) return End();
   if ((what & BEV_EVENT_ERROR) != 0) return Reset();
   Pass(from);
+  // A failure to send it the rest of a request is no end of its answer.
+  bufferevent_disable(from, EV_READ | EV_WRITE);
   state_ = state::kEnding;
-  if (PendingBytes(vm_side_) == 0) End();
+  if (PendingBytes(vm_side_) == 0) BeginClose();
 }
 
 void tunnel::Refuse(const tunnel_refusal& refusal) {
@@ -161,6 +168,21 @@
   End();
 }
 
+// Closing under bytes that still come would reset the connection.
+void tunnel::BeginClose() {
+  state_ = state::kClosing;
+  const bool is_admitted = !request_.upstream.IsEmpty();
+  timer_.Arm(MonotonicNow() + (is_admitted ? kCloseLimit : kHeadLimit));
+  shutdown(bufferevent_getfd(vm_side_), SHUT_WR);
+  bufferevent_enable(vm_side_, EV_READ);
+  DropInput();
+}
+
+void tunnel::DropInput() {
+  evbuffer* input = bufferevent_get_input(vm_side_);
+  evbuffer_drain(input, evbuffer_get_length(input));
+}
+
 void tunnel::End() {
   if (state_ == state::kEnded) return;
   state_ = state::kEnded;
--- a/src/node/tunnel.h
+++ b/src/node/tunnel.h
@@ -42,7 +42,15 @@
   const upstream_id& Upstream() const { return request_.upstream; }
 
  private:
-  enum class state { kReadingHead, kConnecting, kOpen, kEnding, kEnded };
+  // kClosing: the other VM has all and is to close its side.
+  enum class state {
+    kReadingHead,
+    kConnecting,
+    kOpen,
+    kEnding,
+    kClosing,
+    kEnded
+  };
   struct callbacks;
 
   void OnHead(http1_head head) override;
@@ -58,6 +66,8 @@
   // Answers the other VM and closes once the answer is out.
   void Refuse(const tunnel_refusal& refusal);
   void Reset();
+  void BeginClose();
+  void DropInput();
   void End();
 
   event_loop& loop_;
--- a/tests/node/tunnel_server_test.cc
+++ b/tests/node/tunnel_server_test.cc
@@ -30,6 +30,10 @@
   std::string AskFor(const std::string& upstream, const std::string& secret) {
     return MakeTunnelRequest({upstream_id(upstream), {"127.0.0.1", 9}}, secret);
   }
+  void Pass(duration time) {
+    const monotonic_time until = MonotonicNow() + time;
+    RunUntil([until] { return MonotonicNow() >= until; });
+  }
   bool Receives(raw_caller& caller, const std::string& text) {
     return RunUntil([&] { return caller.Received() == text; });
   }
@@ -129,6 +133,27 @@
   BOOST_TEST(caller.Received().size() == sizeof(kOpen) - 1 + answer.size());
 }
 
+// Guards against a close under bytes of the other VM, which would reset the
+// connection and take along what is left of the answer.
+BOOST_AUTO_TEST_CASE(BytesBehindARequestLeaveItsAnswerWhole) {
+  const std::string answer =
+      "HTTP/1.1 200 OK\r\n\r\n" + std::string(60'000, 'x');
+  scripted_upstream& upstream = StartWithUpstream([&](const std::string&) {
+    return scripted_answer{answer, true};
+  });
+  raw_caller caller(settings_.tunnels, raw_caller::buffers::kSmall);
+  caller.Send(AskFor("u1", Listing().secret));
+  BOOST_REQUIRE(Receives(caller, kOpen));
+  caller.Send("GET / HTTP/1.1\r\nHost: a\r\nX-Id: 1\r\n\r\n");
+  BOOST_REQUIRE(RunUntil([&] {
+    return !upstream.Requests().empty() && upstream.OpenConnections() == 0;
+  }));
+  Pass(std::chrono::milliseconds(100));
+  BOOST_TEST(caller.TrySend("more"));
+  BOOST_REQUIRE(RunUntil([&] { return caller.IsClosed(); }));
+  BOOST_TEST(caller.Received().size() == sizeof(kOpen) - 1 + answer.size());
+}
+
 // Guards against work that goes on after the other VM gave the request up.
 BOOST_AUTO_TEST_CASE(ACloseReachesTheUpstream) {
   scripted_upstream& upstream = StartWithUpstream([](const std::string&) {
