A relay's end takes no bytes of an answer with it

What callers saw: an answer that came through another VM broke off when that VM stopped, though the upstream had sent all of it.

Change: at its end the relay takes what has come from the upstream, up to a megabyte, writes it to the kernel and closes in order.

--- a/include/citron/node/tunnel_server.h
+++ b/include/citron/node/tunnel_server.h
@@ -29,6 +29,9 @@
   // Opens no more tunnels; those that are open go on.
   void Stop() { stopping_ = true; }
   std::size_t Open() const { return tunnels_.size(); }
+  // Leaves to the kernel what has come through the tunnels; the end of the
+  // process must follow. Returns the tunnels that lose bytes by it.
+  std::size_t EndWithProcess();
 
  private:
   class host;
--- a/src/node/node_task.cc
+++ b/src/node/node_task.cc
@@ -388,7 +388,8 @@
               {"connections", connections_.size()},
               {"cut", cut},
               {"with_kernel", with_kernel},
-              {"tunnels_cut", tunnels_->Open()},
+              {"tunnels", tunnels_->Open()},
+              {"tunnels_cut", tunnels_->EndWithProcess()},
               {"since_stop_ms", ToMilliseconds(now - stop_.BeganAt())}},
              now);
   stopped_();
--- a/src/node/process_end.cc
+++ b/src/node/process_end.cc
@@ -32,6 +32,16 @@
   return evbuffer_get_length(output);
 }
 
+void ReadFromKernel(bufferevent* stream, std::size_t most) {
+  evbuffer* input = bufferevent_get_input(stream);
+  // Between its own reads a bufferevent lets nobody add to its input.
+  evbuffer_unfreeze(input, 0);
+  while (evbuffer_get_length(input) < most &&
+         evbuffer_read(input, bufferevent_getfd(stream), -1) > 0) {
+  }
+  evbuffer_freeze(input, 0);
+}
+
 void DropUnread(bufferevent* stream) {
   std::array<char, kReadBytes> dropped;
   for (int i = 0; i < kMostReads; ++i) {
--- a/src/node/tunnel.cc
+++ b/src/node/tunnel.cc
@@ -7,6 +7,7 @@
 
 #include <utility>
 
+#include "node/process_end.h"
 #include "node/socket_address.h"
 #include "node/socket_options.h"
 
@@ -21,6 +22,8 @@
 constexpr duration kConnectLimit = std::chrono::milliseconds(350);
 // Bytes on their way to a slow side before the fast one is made to wait.
 constexpr std::size_t kMaxPending = std::size_t{256} << 10;
+// What is taken at the end of the process of bytes that have come unread.
+constexpr std::size_t kMostAtEnd = std::size_t{1} << 20;
 // How long the other VM gets to take the last bytes and close its side.
 constexpr duration kCloseLimit = std::chrono::seconds(10);
 
@@ -183,6 +186,17 @@
   evbuffer_drain(input, evbuffer_get_length(input));
 }
 
+bool tunnel::EndWithProcess() {
+  if (state_ == state::kEnded) return true;
+  if (state_ == state::kOpen) {
+    ReadFromKernel(upstream_side_, kMostAtEnd);
+    Pass(upstream_side_);
+  }
+  const bool is_taken = WriteToKernel(vm_side_) == 0;
+  DropUnread(vm_side_);
+  return is_taken;
+}
+
 void tunnel::End() {
   if (state_ == state::kEnded) return;
   state_ = state::kEnded;
--- a/src/node/tunnel.h
+++ b/src/node/tunnel.h
@@ -40,6 +40,9 @@
 
   // Empty until a tunnel was asked for.
   const upstream_id& Upstream() const { return request_.upstream; }
+  // Leaves to the kernel what has come of answers; the end of the process must
+  // follow. Returns whether the other VM has all that has come.
+  bool EndWithProcess();
 
  private:
   // kClosing: the other VM has all and is to close its side.
--- a/src/node/tunnel_server.cc
+++ b/src/node/tunnel_server.cc
@@ -127,4 +127,10 @@
       std::make_unique<tunnel>(context_.loop, descriptor, *host_));
 }
 
+std::size_t tunnel_server::EndWithProcess() {
+  return static_cast<std::size_t>(
+      std::count_if(tunnels_.begin(), tunnels_.end(),
+                    [](const auto& open) { return !open->EndWithProcess(); }));
+}
+
 }  // namespace citron
--- a/tests/node/tunnel_server_test.cc
+++ b/tests/node/tunnel_server_test.cc
@@ -34,6 +34,13 @@
     const monotonic_time until = MonotonicNow() + time;
     RunUntil([until] { return MonotonicNow() >= until; });
   }
+  // Stops the VM and ends it as the process does.
+  void EndNode() {
+    bool stopped = false;
+    node_->Stop([&] { stopped = true; });
+    BOOST_REQUIRE(RunUntil([&] { return stopped; }));
+    node_.reset();
+  }
   bool Receives(raw_caller& caller, const std::string& text) {
     return RunUntil([&] { return caller.Received() == text; });
   }
@@ -133,6 +140,22 @@
   BOOST_TEST(caller.Received().size() == sizeof(kOpen) - 1 + answer.size());
 }
 
+// Guards against a relay that ends with bytes of an answer in its memory.
+BOOST_AUTO_TEST_CASE(AnAnswerOutlivesItsRelay) {
+  std::string answer;
+  StartWithUpstream([&](const std::string& request) {
+    answer = GoodAnswer(request, std::string(300'000, 'x'));
+    return scripted_answer{answer};
+  });
+  raw_caller caller(settings_.tunnels, raw_caller::buffers::kSmall);
+  caller.Send(AskFor("u1", Listing().secret));
+  BOOST_REQUIRE(Receives(caller, kOpen));
+  caller.Send("GET / HTTP/1.1\r\nHost: a\r\nX-Id: 1\r\n\r\n");
+  EndNode();
+  BOOST_REQUIRE(RunUntil([&] { return caller.IsClosed(); }));
+  BOOST_TEST(caller.Received().size() == sizeof(kOpen) - 1 + answer.size());
+}
+
 // Guards against a close under bytes of the other VM, which would reset the
 // connection and take along what is left of the answer.
 BOOST_AUTO_TEST_CASE(BytesBehindARequestLeaveItsAnswerWhole) {
