One piece ends the VM of the fixtures, one lets time pass

They stand in the fixture now; the assertions are as they were. Run: tunnel_server_test and node_task_test whole, the AnAnswerOutlives and ALong cases of caller_connection_test, all passed; formatter clean, linter not run.

--- a/tests/node/caller_connection_test.cc
+++ b/tests/node/caller_connection_test.cc
@@ -45,19 +45,11 @@
     }
     Wait(caller);
   }
-  // Stops the VM once its upstream has the request, and ends it as the process
-  // does.
-  void StopAndEnd(std::size_t requests = 1) {
+  // Ends the VM once its upstream has the request.
+  void EndNodeAtWork() {
     BOOST_REQUIRE(
-        RunUntil([&] { return upstreams_[0]->Requests().size() >= requests; }));
-    bool stopped = false;
-    node_->Stop([&] { stopped = true; });
-    BOOST_REQUIRE(RunUntil([&] { return stopped; }));
-    node_.reset();
-  }
-  void Pass(duration time) {
-    const monotonic_time until = MonotonicNow() + time;
-    RunUntil([until] { return MonotonicNow() >= until; });
+        RunUntil([this] { return !upstreams_[0]->Requests().empty(); }));
+    EndNode();
   }
 };
 
@@ -83,7 +75,7 @@
   Start();
   raw_caller caller(settings_.callers, raw_caller::buffers::kSmall);
   caller.Send(Request("GET", "/look/1"));
-  StopAndEnd();
+  EndNodeAtWork();
   BOOST_TEST(!IsWhole(caller.Received()));
   ReadSlowly(caller);
   BOOST_TEST(IsWhole(caller.Received()));
@@ -95,7 +87,7 @@
   Start();
   raw_caller caller(settings_.callers, raw_caller::buffers::kSmall);
   caller.Send(Request("GET", "/look/1"));
-  StopAndEnd();
+  EndNodeAtWork();
   Pass(kPause);
   BOOST_TEST(IsWhole(Wait(caller)));
 }
@@ -108,7 +100,7 @@
   raw_caller caller(settings_.callers, raw_caller::buffers::kSmall);
   caller.Send(Request("GET", "/look/1"));
   caller.Send(Request("POST", "/book/2", "", std::string(200'000, 'b')));
-  StopAndEnd();
+  EndNodeAtWork();
   ReadSlowly(caller);
   BOOST_TEST(IsWhole(caller.Received()));
 }
@@ -127,7 +119,7 @@
   Start();
   raw_caller caller(settings_.callers, raw_caller::buffers::kSmall);
   caller.Send(Request("GET", "/photos/1"));
-  StopAndEnd();
+  EndNodeAtWork();
   ReadSlowly(caller);
   BOOST_TEST(IsWhole(caller.Received()));
 }
--- a/tests/node/node_fixture.h
+++ b/tests/node/node_fixture.h
@@ -214,6 +214,17 @@
     if (at == std::string::npos) return 0;
     return static_cast<std::size_t>(std::stod(page.substr(at + start.size())));
   }
+  void Pass(duration time) {
+    const monotonic_time until = MonotonicNow() + time;
+    RunUntil([until] { return MonotonicNow() >= until; });
+  }
+  // Stops the VM and ends it as the process does.
+  void EndNode() {
+    bool stopped = false;
+    node_->Stop([&] { stopped = true; });
+    BOOST_REQUIRE(RunUntil([&] { return stopped; }));
+    node_.reset();
+  }
   bool HasLine(const std::string& part) const {
     for (const std::string& line : lines_) {
       if (line.find(part) != std::string::npos) return true;
--- a/tests/node/tunnel_server_test.cc
+++ b/tests/node/tunnel_server_test.cc
@@ -30,17 +30,6 @@
   std::string AskFor(const std::string& upstream, const std::string& secret) {
     return MakeTunnelRequest({upstream_id(upstream), {"127.0.0.1", 9}}, secret);
   }
-  void Pass(duration time) {
-    const monotonic_time until = MonotonicNow() + time;
-    RunUntil([until] { return MonotonicNow() >= until; });
-  }
-  // Stops the VM and ends it as the process does.
-  void EndNode() {
-    bool stopped = false;
-    node_->Stop([&] { stopped = true; });
-    BOOST_REQUIRE(RunUntil([&] { return stopped; }));
-    node_.reset();
-  }
   bool Receives(raw_caller& caller, const std::string& text) {
     return RunUntil([&] { return caller.Received() == text; });
   }
