An answer begins with a status line, or it is none

What callers saw: a server in trouble answered with the status 000. Its client got "HTTP/1.1 0 Status" with the server's headers, signature and body. Other lines that are none came out as "HTTP/1.1 20 Status" or as a clean 200.

Cause: http1_reader takes what its library makes of the status line. The library reads digits of any count as a number, skips what stands before the line, takes any version and any byte in the reason; nothing behind it judged the number but "500 or more is a failure".

Evidence: node_malformed_answer_test, a stand-in that sends given bytes and a caller that reads raw ones, each answer to a GET that may be repeated and to a POST that may not.

Why the fix works: the reader holds the first line of every head of an answer, interim ones too, against the grammar of RFC 9112 before it is parsed, and takes the statuses that RFC 9110 defines, 100 to 599. What doesn't fit is a bad answer: it is tried elsewhere if the request may be repeated, else a 502 says that it may have run. Nothing that such a head says is taken as the upstream's word, since the head is never handed on. Own connections, tunnels and the answers of relays use this reader.

--- a/src/net/http1_reader.cc
+++ b/src/net/http1_reader.cc
@@ -5,10 +5,13 @@
 #include <algorithm>
 #include <utility>
 
+#include "citron/net/http1_grammar.h"
+
 namespace citron {
 
 namespace {
 
+constexpr std::string_view kEndOfLine = "\r\n";
 constexpr std::string_view kEndOfHead = "\r\n\r\n";
 
 // Whether each line ends with CRLF, none is folded and no control character
@@ -28,6 +31,12 @@
   return true;
 }
 
+// The library reads any number as a status, and takes much for a version or a
+// reason that is none.
+bool BeginsWithStatusLine(std::string_view head) {
+  return IsStatusLine(head.substr(0, head.find(kEndOfLine)));
+}
+
 int CountHeaders(const http_headers& headers, std::string_view name) {
   return static_cast<int>(std::count_if(
       headers.begin(), headers.end(),
@@ -175,6 +184,9 @@
   const auto* bytes = reinterpret_cast<const char*>(
       evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
   if (!IsPlainHead({bytes, size})) return Fail(http1_fault::kMalformed);
+  if (what_ == direction::kAnswers && !BeginsWithStatusLine({bytes, size})) {
+    return Fail(http1_fault::kMalformed);
+  }
   std::size_t taken = 0;
   if (!Feed(bytes, size, &taken) || state_ == state::kHead) {
     return Fail(http1_fault::kMalformed);
--- /dev/null
+++ b/tests/node/malformed_answer_test.cc
@@ -0,0 +1,138 @@
+#include <fmt/format.h>
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "node/node_fixture.h"
+
+namespace citron {
+namespace {
+
+constexpr char kBody[] = "of the upstream";
+
+// Asks for an answer of the test's bytes, by a request that may be repeated and
+// by one that may not.
+class malformed_answer_fixture : public node_fixture {
+ public:
+  void StartWithUpstream() {
+    AddUpstream("u1", [this](const std::string& request) {
+      scripted_answer answer;
+      answer.bytes = answer_;
+      const std::size_t id = answer.bytes.find("{id}");
+      if (id != std::string::npos) {
+        answer.bytes.replace(id, 4, HeaderIn(request, "X-Id"));
+      }
+      answer.close = true;
+      return answer;
+    });
+    Start();
+  }
+
+  static std::string WithStatusLine(const std::string& line) {
+    return fmt::format(
+        "{}\r\nX-Id: {{id}}\r\nX-Signature: s\r\nContent-Length: {}\r\n\r\n{}",
+        line, sizeof(kBody) - 1, kBody);
+  }
+
+  std::vector<std::string> AnswersTo(const std::string& bytes) {
+    answer_ = bytes;
+    return {Ask(Request("GET", "/look/1")),
+            Ask(Request("POST", "/book/1", "", "order"))};
+  }
+
+  void IsReplaced(const std::string& bytes) {
+    for (const std::string& answer : AnswersTo(bytes)) {
+      BOOST_TEST_CONTEXT(bytes << "\nbecame\n" << answer) {
+        BOOST_TEST(answer.starts_with("HTTP/1.1 502 "));
+        BOOST_TEST(answer.find("may_have_run") != std::string::npos);
+        BOOST_TEST(answer.find("X-Signature") == std::string::npos);
+        BOOST_TEST(answer.find(kBody) == std::string::npos);
+      }
+    }
+  }
+
+  void IsPassedOn(const std::string& bytes) {
+    for (const std::string& answer : AnswersTo(bytes)) {
+      BOOST_TEST_CONTEXT(bytes << "\nbecame\n" << answer) {
+        BOOST_TEST(answer.starts_with("HTTP/1.1 200 "));
+        BOOST_TEST(answer.ends_with(kBody));
+      }
+    }
+  }
+
+  std::string answer_;
+};
+
+BOOST_FIXTURE_TEST_SUITE(malformed_answer, malformed_answer_fixture)
+
+// Guards against a client that gets a status of 000, or another that is none.
+BOOST_AUTO_TEST_CASE(AStatusThatIsNone) {
+  StartWithUpstream();
+  for (const char* status :
+       {"000", "0", "099", "0200", "00200", "20", "2", "2000", "20000", "600",
+        "999", "-200", "+200", "2x0", "0x200", "200.0", "", "OK"}) {
+    IsReplaced(WithStatusLine(fmt::format("HTTP/1.1 {} X", status)));
+    IsReplaced(WithStatusLine(fmt::format("HTTP/1.1 {}", status)));
+  }
+}
+
+// Guards against a status line that isn't one and reads like a success.
+BOOST_AUTO_TEST_CASE(AStatusLineThatIsNone) {
+  StartWithUpstream();
+  const std::vector<std::string> lines = {"HTTP/1.1  200 OK",
+                                          "HTTP/1.1\t200 OK",
+                                          "HTTP/1.1 200\tOK",
+                                          "HTTP/1.1 200OK",
+                                          " HTTP/1.1 200 OK",
+                                          "\r\nHTTP/1.1 200 OK",
+                                          "HTTP/1.1 200 O\x01K",
+                                          std::string("HTTP/1.1 200 O\0K", 16),
+                                          "HTTP/1.1 200 OK\x7f",
+                                          "HTTP/1.1 200 \x1b[1mOK",
+                                          "HTTP/1.1 200 OK\rX",
+                                          "http/1.1 200 OK",
+                                          "HTTP/2.0 200 OK",
+                                          "HTTP/2 200 OK",
+                                          "HTTP/0.9 200 OK",
+                                          "HTTP/1 200 OK",
+                                          "HTTP/1. 200 OK",
+                                          "HTTP/1.10 200 OK",
+                                          "HTTP/01.1 200 OK",
+                                          "HTTP/1.1.1 200 OK",
+                                          "HTTP /1.1 200 OK",
+                                          "ICY 200 OK",
+                                          "200 OK"};
+  for (const std::string& line : lines) {
+    IsReplaced(WithStatusLine(line));
+  }
+}
+
+// Guards against a malformed interim answer that hides before a success.
+BOOST_AUTO_TEST_CASE(AnInterimAnswerThatIsNone) {
+  StartWithUpstream();
+  for (const char* line :
+       {"HTTP/1.1 000 X", "HTTP/1.1 10 X", "HTTP/1.1 0100 Continue",
+        "HTTP/1.1 100 Con\x01tinue", "HTTP/2.0 100 Continue"}) {
+    IsReplaced(fmt::format("{}\r\n\r\n", line) +
+               WithStatusLine("HTTP/1.1 200 OK"));
+  }
+}
+
+// Guards against a check that refuses what sound servers send.
+BOOST_AUTO_TEST_CASE(AStatusLineOfASoundServer) {
+  StartWithUpstream();
+  for (const char* line :
+       {"HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 200 OK", "HTTP/1.1 200 O K",
+        "HTTP/1.1 200  OK", "HTTP/1.1 200 O\tK", "HTTP/1.1 200 d\xc3\xa9j\xe0",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK",
+        "HTTP/1.1 103\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK"}) {
+    IsPassedOn(WithStatusLine(line));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace citron
