--- a/tests/node/malformed_answer_test.cc
+++ b/tests/node/malformed_answer_test.cc
@@ -35,6 +35,9 @@
         "{}\r\nX-Id: {{id}}\r\nX-Signature: s\r\nContent-Length: {}\r\n\r\n{}",
         line, sizeof(kBody) - 1, kBody);
   }
+  static std::string WithHeader(const std::string& line) {
+    return WithStatusLine("HTTP/1.1 200 OK\r\n" + line);
+  }
 
   std::vector<std::string> AnswersTo(const std::string& bytes) {
     answer_ = bytes;
@@ -132,6 +135,29 @@
   }
 }
 
+// Guards against a header whose name is none: it is passed on, or hides what
+// frames the body.
+BOOST_AUTO_TEST_CASE(AHeaderWhoseNameIsNone) {
+  StartWithUpstream();
+  std::string bytes = "\"(),/;<=>?@[\\]{}\x7f\x80\xff";
+  for (char control = 0; control <= ' '; ++control) bytes += control;
+  for (const char byte : bytes) {
+    // Two of these end a line.
+    if (byte == '\r' || byte == '\n') continue;
+    const std::string bad(1, byte);
+    IsReplaced(WithHeader("X-A" + bad + ": b"));
+    IsReplaced(WithHeader(bad + "X-A: b"));
+    IsReplaced(WithHeader("X-" + bad + "A: b"));
+    IsReplaced(WithHeader("Transfer-Encoding" + bad + ": chunked"));
+    IsReplaced("HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length" + bad +
+               ": 3\r\n\r\n" + kBody);
+  }
+  IsReplaced(WithHeader(": b"));
+  IsReplaced(WithHeader("X-A"));
+  IsReplaced(WithHeader("X-A: b\r\n c"));
+  IsReplaced(WithHeader("X-A: b\x01"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
