A body in chunks ends where its grammar says, or it is none

What callers saw: an answer whose chunks are malformed (a blank or more behind a size, a control byte in an extension, a blank in the name of a trailer, lines that end with a line feed alone) came as a whole 200.

Cause: the library passes over all that stands behind a size, and over most of a trailer; the reader checked heads alone. The same bytes read by the grammar are no body, and by another reader end elsewhere.

What sound servers send (extensions, also quoted, blanks around "=" and ";", leading zeros, trailers) passes before and after: ChunksOfASoundServer. A tab right behind a size, which the grammar allows before ";", is refused by the library before and after.

Why the fix works: chunk_framing reads the body's bytes by the grammar of RFC 9112, section 7.1, before the library does, so that a body passes only if both agree. It holds for requests as well, whose bodies the same reader takes.

--- a/include/citron/net/http1_reader.h
+++ b/include/citron/net/http1_reader.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "citron/net/chunk_framing.h"
 #include "citron/net/http_types.h"
 
 struct evbuffer;
@@ -92,6 +93,7 @@
   state state_ = state::kHead;
   http1_fault fault_ = http1_fault::kNone;
   http1_head head_;
+  std::optional<chunk_framing> chunks_;  // Of a body in chunks.
   bool value_began_ = false;
   bool no_body_ = false;
   std::size_t body_bytes_ = 0;  // Of the piece that is read now.
--- a/src/net/http1_reader.cc
+++ b/src/net/http1_reader.cc
@@ -140,6 +140,7 @@
   head_ = {};
   value_began_ = false;
   no_body_ = false;
+  chunks_.reset();
 }
 
 http1_reader::progress http1_reader::Read(evbuffer* input) {
@@ -211,6 +212,7 @@
   }
   head_.keep_alive = http_should_keep_alive(&parser_) != 0;
   head_.chunked = FindHeader(head_.headers, "Transfer-Encoding").has_value();
+  if (head_.chunked) chunks_.emplace();
   // The parser has counted a body that is complete with its head as read.
   const bool has_length =
       FindHeader(head_.headers, "Content-Length").has_value();
@@ -228,6 +230,10 @@
     if (count == 0) return progress::kNeedsMore;
     const auto* bytes = reinterpret_cast<const char*>(
         evbuffer_pullup(input, static_cast<ev_ssize_t>(count)));
+    // The library takes what it likes behind a size and in trailers.
+    if (chunks_ && !chunks_->Read({bytes, count})) {
+      return Fail(http1_fault::kMalformed);
+    }
     std::size_t taken = 0;
     body_bytes_ = 0;
     const bool fed = Feed(bytes, count, &taken);
--- a/tests/node/malformed_answer_test.cc
+++ b/tests/node/malformed_answer_test.cc
@@ -38,6 +38,11 @@
   static std::string WithHeader(const std::string& line) {
     return WithStatusLine("HTTP/1.1 200 OK\r\n" + line);
   }
+  static std::string InChunks(const std::string& chunks) {
+    return "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Signature: s\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n" +
+           chunks;
+  }
 
   std::vector<std::string> AnswersTo(const std::string& bytes) {
     answer_ = bytes;
@@ -158,6 +163,52 @@
   IsReplaced(WithHeader("X-A: b\x01"));
 }
 
+// Guards against a body whose end another reader would see elsewhere.
+BOOST_AUTO_TEST_CASE(AChunkThatIsNone) {
+  StartWithUpstream();
+  const std::string size = fmt::format("{:x}", sizeof(kBody) - 1);
+  const std::string data = std::string("\r\n") + kBody + "\r\n";
+  const std::string end = "0\r\n\r\n";
+  for (const char* suffix :
+       {" ", "\t", " x", ";", ";=b", ";a=", ";a b", ";a\x01=b", ";a=\x7f",
+        ";a=\"b", ";a=\"\x01\"", ";a ", ";a=b ", "g"}) {
+    IsReplaced(InChunks(size + suffix + data + end));
+  }
+  for (const char* prefix : {" ", "0x", "+", "-", "1000000000000000"}) {
+    IsReplaced(InChunks(prefix + size + data + end));
+  }
+  for (const char* line : {"", "x", ";a"}) {
+    IsReplaced(InChunks(line + data + end));
+  }
+  IsReplaced(InChunks(size + "\n" + kBody + "\r\n" + end));
+  IsReplaced(InChunks(size + "\r\n" + kBody + "\n" + end));
+  IsReplaced(InChunks(size + "\r\n" + kBody + "XX" + end));
+  for (const char* trailers :
+       {"X-T : b\r\n", " X-T: b\r\n", "X T: b\r\n", "X-T\x01: b\r\n",
+        "X-T\x7f: b\r\n", "X-T: \x01\r\n", "X-T\r\n", ": b\r\n", "X-T: b\n",
+        "X-T: b\r\n c\r\n", "X-T: b\rX-U: c\r\n"}) {
+    IsReplaced(InChunks(size + data + fmt::format("0\r\n{}\r\n", trailers)));
+  }
+  IsReplaced(InChunks(size + data + "0 \r\n\r\n"));
+  IsReplaced(InChunks(size + data + "0\r\n\n"));
+}
+
+// Guards against a check that refuses chunks that sound servers send.
+BOOST_AUTO_TEST_CASE(ChunksOfASoundServer) {
+  StartWithUpstream();
+  const std::string size = fmt::format("{:X}", sizeof(kBody) - 1);
+  const std::string data = std::string("\r\n") + kBody + "\r\n";
+  IsPassedOn(InChunks("000" + size + data + "0\r\n\r\n"));
+  for (const char* extension : {"", ";a", ";a=b;c", " ; a = b", ";\ta\t=\tb",
+                                ";a=\"b;\\\"c\"", ";a=\"\" ;b"}) {
+    IsPassedOn(InChunks(size + extension + data + "0\r\n\r\n"));
+  }
+  for (const char* trailers : {"X-T: b\r\n", "X-T:\r\n", "X-T: b c\xe9 \r\n"}) {
+    IsPassedOn(
+        InChunks(size + data + fmt::format("000;a\r\n{}\r\n", trailers)));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
