A test that trailers without end fill no memory

The issue's report of bytes without end: behind a body of 4 MB the bounds of an answer allow 64 MB of trailers, and the reader keeps each as a header. It can't happen: the library ends a trailer section at 80 KB.

--- a/tests/node/endless_answer_test.cc
+++ b/tests/node/endless_answer_test.cc
@@ -1,3 +1,6 @@
+#include <malloc.h>
+
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <string>
@@ -10,6 +13,12 @@
 
 constexpr char kSigned[] = "HTTP/1.1 200 OK\r\nX-Signature: s\r\n";
 
+// What the process has allocated; 0 where a sanitizer allocates.
+std::size_t HeldBytes() {
+  const auto state = mallinfo2();
+  return state.uordblks + state.hblkhd;
+}
+
 class endless_fixture : public node_fixture {
  public:
   // Answers bookings without end and look-ups well.
@@ -70,6 +79,30 @@
                "X-T: y\r\n", "endless_framing");
 }
 
+// Guards against a VM that keeps trailers: behind a long body many are allowed,
+// and each takes several times its bytes.
+BOOST_AUTO_TEST_CASE(TrailersFillNoMemory) {
+  constexpr std::size_t kLongBody = std::size_t{4} << 20;
+  constexpr std::size_t kMostHeld = std::size_t{32} << 20;
+  const std::string head =
+      std::string(kSigned) + "Transfer-Encoding: chunked\r\n\r\n";
+  AddUpstream("u1", Endless(fmt::format("{}{:x}\r\n{}\r\n0\r\n", head,
+                                        kLongBody, std::string(kLongBody, 'b')),
+                            "X-T: y\r\n"));
+  Start();
+  raw_caller caller(settings_.callers);
+  caller.Send(Request("POST", "/book/1", "", "order"));
+  const std::size_t before = HeldBytes();
+  std::size_t most = before;
+  BOOST_TEST(RunUntil([&] {
+    most = std::max(most, HeldBytes());
+    caller.Received();
+    return caller.IsClosed();
+  }));
+  BOOST_TEST(most - before < kMostHeld);
+  BOOST_TEST(HasLine("event=try_failed"));
+}
+
 // Guards against a body without an end in an answer that isn't the upstream's.
 BOOST_AUTO_TEST_CASE(AForgedBodyIsCut) {
   BookingIsCut("HTTP/1.1 200 OK\r\n\r\n", "false", "endless_unused");
