Calls to the store, other VMs and daemons take nothing that is no answer

What callers saw: by the older daemons, a malformed answer of a server came through as a success, as on the VMs before; the calls to the platform's store, between VMs, of citronctl and of the load tool took such an answer for an answer too. A final answer was taken from an interim one with a length.

Cause: http_client leaves answers to libevent, which reads the status with atoi, takes any byte in a name, and blanks, signs and prefixes around a chunk's size. Nothing behind it looked at the bytes.

Evidence: net_http_client_answer_test, a stand-in that sends given bytes.

Why the fix works: answer_check has the bytes read by http1_reader, the reader of the VMs, before the library sees them; with the first byte that can't belong to an answer the call fails as a lost connection, which is not used again. One reader judges every answer that the product reads.

Left as it was: libevent itself refuses chunk extensions and takes each interim answer but 100 for the last one, so that such calls fail.

--- a/include/citron/net/http_client.h
+++ b/include/citron/net/http_client.h
@@ -12,10 +12,12 @@
 
 #include "citron/base/endpoint.h"
 #include "citron/base/time.h"
+#include "citron/net/answer_check.h"
 #include "citron/net/event_loop.h"
 #include "citron/net/http_types.h"
 
 struct bufferevent;
+struct evbuffer;
 struct evhttp_connection;
 struct evhttp_request;
 
@@ -96,6 +98,7 @@
   void OnBodyReceived(evhttp_request* request);
   void OnComplete(evhttp_request* request);
   bool MaySendNow();
+  void OnBadAnswer(evbuffer* input);
   void Fail(call_problem problem);
 
   event_loop& loop_;
@@ -104,6 +107,8 @@
   evhttp_connection* connection_ = nullptr;
   evhttp_request* request_ = nullptr;
   http_call_handler* handler_ = nullptr;
+  // The library takes much that is no answer, and chunk sizes without end.
+  answer_check check_;
   send_check may_send_;
   bool stopped_ = false;  // By the check; nothing may leave.
   loop_timer deadline_timer_;
--- /dev/null
+++ b/src/net/answer_check.cc
@@ -0,0 +1,46 @@
+#include "citron/net/answer_check.h"
+
+#include <event2/buffer.h>
+
+#include <vector>
+
+namespace citron {
+
+namespace {
+
+// Copies what stands behind `start`.
+void AppendRest(evbuffer* from, std::size_t start, evbuffer* to) {
+  evbuffer_ptr position;
+  if (evbuffer_ptr_set(from, &position, start, EVBUFFER_PTR_SET) != 0) return;
+  const int count = evbuffer_peek(from, -1, &position, nullptr, 0);
+  std::vector<evbuffer_iovec> pieces(static_cast<std::size_t>(count));
+  evbuffer_peek(from, -1, &position, pieces.data(), count);
+  for (const evbuffer_iovec& piece : pieces) {
+    evbuffer_add(to, piece.iov_base, piece.iov_len);
+  }
+}
+
+}  // namespace
+
+answer_check::answer_check(std::size_t max_head_bytes)
+    : reader_(http1_reader::direction::kAnswers, max_head_bytes, *this),
+      unread_(evbuffer_new(), &evbuffer_free) {}
+
+void answer_check::Begin(bool expects_body) {
+  reader_.Reset();
+  if (!expects_body) reader_.ExpectNoBody();
+  evbuffer_drain(unread_.get(), evbuffer_get_length(unread_.get()));
+}
+
+bool answer_check::Take(evbuffer* input, std::size_t start) {
+  if (reader_.IsComplete()) return true;
+  AppendRest(input, start, unread_.get());
+  const http1_reader::progress made = reader_.Read(unread_.get());
+  return made != http1_reader::progress::kFault;
+}
+
+void answer_check::OnHead(http1_head /*head*/) {}
+
+void answer_check::OnBody(std::string_view /*bytes*/) {}
+
+}  // namespace citron
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -24,6 +24,7 @@
 // libevent's own timeout must never come before a call's deadline.
 constexpr int kLibraryTimeoutSeconds = 24 * 3600;
 constexpr std::size_t kMaxAnswerHeaderBytes = std::size_t{64} << 10;
+constexpr int kFirstFinalStatus = 200;
 
 evhttp_cmd_type Command(const std::string& method) {
   if (method == "POST") return EVHTTP_REQ_POST;
@@ -42,8 +43,10 @@
   return head;
 }
 
-// Whether the end of the body can be told from a lost connection.
+// Whether the end of the body can be told from a lost connection. The library
+// takes an interim answer for the one that counts.
 bool IsDelimited(const http_response_head& head) {
+  if (head.status < kFirstFinalStatus) return false;
   return head.status == 204 || head.status == 304 ||
          FindHeader(head.headers, "Content-Length").has_value() ||
          FindHeader(head.headers, "Transfer-Encoding").has_value();
@@ -86,6 +89,11 @@
   static void Complete(evhttp_request* request, void* self) {
     static_cast<http_connection*>(self)->OnComplete(request);
   }
+  static void Input(evbuffer* input, const evbuffer_cb_info* info, void* self) {
+    auto* that = static_cast<http_connection*>(self);
+    if (info->n_added == 0 || that->handler_ == nullptr) return;
+    if (!that->check_.Take(input, info->orig_size)) that->OnBadAnswer(input);
+  }
   static void Output(evbuffer* output, const evbuffer_cb_info* info,
                      void* self) {
     auto* that = static_cast<http_connection*>(self);
@@ -104,6 +112,7 @@
     : loop_(loop),
       server_(server),
       host_(server.Str()),
+      check_(kMaxAnswerHeaderBytes),
       deadline_timer_(loop, [this] { Fail(timer_problem_); }) {
   const endpoint& to = dial.IsEmpty() ? server_ : dial;
   connection_ = evhttp_connection_base_new(loop_.Base(), nullptr,
@@ -112,9 +121,9 @@
   evhttp_connection_set_retries(connection_, 0);
   evhttp_connection_set_max_headers_size(
       connection_, static_cast<ev_ssize_t>(kMaxAnswerHeaderBytes));
-  evbuffer_add_cb(
-      bufferevent_get_output(evhttp_connection_get_bufferevent(connection_)),
-      callbacks::Output, this);
+  bufferevent* bytes = evhttp_connection_get_bufferevent(connection_);
+  evbuffer_add_cb(bufferevent_get_input(bytes), callbacks::Input, this);
+  evbuffer_add_cb(bufferevent_get_output(bytes), callbacks::Output, this);
 }
 
 http_connection::~http_connection() {
@@ -142,6 +151,7 @@
   timer_problem_ = call_problem::kTimedOut;
   head_seen_ = false;
   body_is_delimited_ = false;
+  check_.Begin(request.from.method != "HEAD");
   bytes_out_at_start_ = bytes_out_;
   request_ = evhttp_request_new(callbacks::Complete, this);
   evhttp_request_set_header_cb(request_, callbacks::Head);
@@ -183,6 +193,13 @@
   return false;
 }
 
+// Taken out at once, not a byte of it reaches the library.
+void http_connection::OnBadAnswer(evbuffer* input) {
+  evbuffer_drain(input, evbuffer_get_length(input));
+  timer_problem_ = call_problem::kConnectionLost;
+  deadline_timer_.Fire();
+}
+
 void http_connection::Cancel() {
   deadline_timer_.Disarm();
   if (handler_ == nullptr) return;
