Tests of malformed and endless answers through a relay

Two more places of the issue that read answers: what comes through a tunnel of another VM, and a relay's own answer. Both use the reader of a VM's own connections.

--- a/tests/node/endless_answer_test.cc
+++ b/tests/node/endless_answer_test.cc
@@ -1,11 +1,10 @@
-#include <malloc.h>
-
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "net/held_bytes.h"
 #include "node/node_fixture.h"
 
 namespace citron {
@@ -13,12 +12,6 @@
 
 constexpr char kSigned[] = "HTTP/1.1 200 OK\r\nX-Signature: s\r\n";
 
-// What the process has allocated; 0 where a sanitizer allocates.
-std::size_t HeldBytes() {
-  const auto state = mallinfo2();
-  return state.uordblks + state.hblkhd;
-}
-
 class endless_fixture : public node_fixture {
  public:
   // Answers bookings without end and look-ups well.
--- a/tests/node/tunnel_server_test.cc
+++ b/tests/node/tunnel_server_test.cc
@@ -5,6 +5,7 @@
 
 #include "citron/node/tunnel_messages.h"
 #include "citron/node/vm_listing.h"
+#include "net/held_bytes.h"
 #include "node/node_fixture.h"
 
 namespace citron {
@@ -166,6 +167,24 @@
   BOOST_TEST(caller.Received().size() == sizeof(kOpen) - 1 + answer.size());
 }
 
+// Guards against a relay that keeps an answer without end for a VM that reads
+// nothing of it.
+BOOST_AUTO_TEST_CASE(AnAnswerWithoutEndFillsNoMemory) {
+  constexpr std::size_t kMostHeld = std::size_t{8} << 20;
+  StartWithUpstream([](const std::string&) {
+    scripted_answer answer{"HTTP/1.1 200 OK\r\n\r\n"};
+    answer.endless = std::string(1000, 'x');
+    return answer;
+  });
+  raw_caller caller(settings_.tunnels, raw_caller::buffers::kSmall);
+  caller.Send(AskFor("u1", Listing().secret));
+  BOOST_REQUIRE(Receives(caller, kOpen));
+  const std::size_t before = HeldBytes();
+  caller.Send("GET / HTTP/1.1\r\nHost: a\r\nX-Id: 1\r\n\r\n");
+  Pass(std::chrono::milliseconds(500));
+  BOOST_TEST(HeldBytes() < before + kMostHeld);
+}
+
 // Guards against work that goes on after the other VM gave the request up.
 BOOST_AUTO_TEST_CASE(ACloseReachesTheUpstream) {
   scripted_upstream& upstream = StartWithUpstream([](const std::string&) {
--- a/tests/node/upstream_pool_test.cc
+++ b/tests/node/upstream_pool_test.cc
@@ -82,6 +82,25 @@
     pool.Give(kUpstream, std::move(connection), now);
   }
 
+  // How a request ends whose relay opens a tunnel and then sends the bytes.
+  upstream_fault FaultThroughARelay(const std::string& tunnel_answer,
+                                    const scripted_answer& answer) {
+    scripted_upstream relay(Loop(), [&](const std::string& request) {
+      return HeaderIn(request, "X-Id").empty() ? scripted_answer{tunnel_answer}
+                                               : answer;
+    });
+    upstream_pool pool = MakePool(false);
+    std::unique_ptr<upstream_connection> connection = TakeThrough(relay, pool);
+    Start(*connection);
+    const int ended = listener_.Ended();
+    const int failed = listener_.Failed();
+    BOOST_REQUIRE(RunUntil([&] {
+      return listener_.Failed() > failed || listener_.Ended() > ended;
+    }));
+    BOOST_TEST(listener_.Ended() == ended);
+    return listener_.LastFault();
+  }
+
   void Start(upstream_connection& connection) {
     connection.Start("GET / HTTP/1.1\r\nHost: a\r\nX-Id: 1\r\n\r\n", true, "1",
                      listener_);
@@ -151,6 +170,36 @@
   BOOST_TEST((Listener().LastFault() == upstream_fault::kLost));
 }
 
+// Guards against an answer that is none and comes through a relay.
+BOOST_AUTO_TEST_CASE(AMalformedAnswerFailsThroughARelay) {
+  const std::string open = MakeTunnelAnswer(kTunnelOpen);
+  const std::string rest = "X-Id: 1\r\nContent-Length: 2\r\n\r\nok";
+  for (const char* line : {"HTTP/1.1 000 X\r\n", "HTTP/1.1 200\tOK\r\n",
+                           "HTTP/1.1 200 OK\r\nX A: b\r\n"}) {
+    BOOST_TEST((FaultThroughARelay(open, {line + rest}) ==
+                upstream_fault::kBadAnswer));
+  }
+}
+
+// Guards against an answer without end that comes through a relay.
+BOOST_AUTO_TEST_CASE(AnEndlessAnswerFailsThroughARelay) {
+  const std::string open = MakeTunnelAnswer(kTunnelOpen);
+  scripted_answer answer{"HTTP/1.1 200 OK\r\n"};
+  answer.endless = "X-A: b\r\n";
+  BOOST_TEST(
+      (FaultThroughARelay(open, answer) == upstream_fault::kEndlessHeads));
+  answer = {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;"};
+  answer.endless = "a";
+  BOOST_TEST(
+      (FaultThroughARelay(open, answer) == upstream_fault::kEndlessFraming));
+}
+
+// Guards against a relay whose answer is none and that counts as open.
+BOOST_AUTO_TEST_CASE(AMalformedAnswerOfARelayOpensNoTunnel) {
+  BOOST_TEST((FaultThroughARelay("HTTP/1.1 0200 OK\r\n\r\n", {}) ==
+              upstream_fault::kRelayFailed));
+}
+
 // A second request to a far upstream waits for a handshake while the first one
 // uses the only connection.
 BOOST_AUTO_TEST_CASE(AnOverlappingRequestFindsAConnection) {
