A call ends once its answer has no end

What is seen: a server in trouble sends interim answers, or a body without a length, without end. The call to it (of a daemon to an upstream at work or at a probe, to the store, between VMs) reads on until its deadline, with a core; one whose chunk size has no end kept all of it besides.

Cause: libevent bounds a head and nothing around the body, and a body that ends with its connection was read to that end, though its call fails in any case.

Evidence: net_http_client_answer_test, EndlessAnswersFailSoon, twelve kinds of bytes without end.

Why the fix works: answer_check holds the answer to the bounds of answer_guard, as the VMs do, and a call fails at the head of an answer whose end it could not tell.

--- a/include/citron/net/answer_check.h
+++ b/include/citron/net/answer_check.h
@@ -6,13 +6,14 @@
 #include <string_view>
 
 #include "citron/net/http1_reader.h"
+#include "citron/policy/answer_guard.h"
 
 struct evbuffer;
 
 namespace citron {
 
 // Reads the bytes of an answer beside a parser that takes more than HTTP/1.1
-// allows.
+// allows or waits without end.
 class answer_check : private http1_listener {
  public:
   explicit answer_check(std::size_t max_head_bytes);
@@ -27,8 +28,12 @@
  private:
   void OnHead(http1_head head) override;
   void OnBody(std::string_view bytes) override;
+  void OnInterimHead(std::size_t bytes) override;
+  void OnFraming(std::size_t bytes) override;
 
   http1_reader reader_;
+  answer_guard guard_;
+  bool is_within_bounds_ = true;
   std::unique_ptr<evbuffer, void (*)(evbuffer*)> unread_;
 };
 
--- a/include/citron/net/http_client.h
+++ b/include/citron/net/http_client.h
@@ -115,7 +115,6 @@
   std::uint64_t bytes_out_ = 0;
   std::uint64_t bytes_out_at_start_ = 0;
   bool head_seen_ = false;
-  bool body_is_delimited_ = false;
   bool paused_ = false;
   bool broken_ = false;
   bool in_head_callback_ = false;
--- a/src/net/answer_check.cc
+++ b/src/net/answer_check.cc
@@ -29,6 +29,8 @@
 void answer_check::Begin(bool expects_body) {
   reader_.Reset();
   if (!expects_body) reader_.ExpectNoBody();
+  guard_.Reset();
+  is_within_bounds_ = true;
   evbuffer_drain(unread_.get(), evbuffer_get_length(unread_.get()));
 }
 
@@ -36,11 +38,22 @@
   if (reader_.IsComplete()) return true;
   AppendRest(input, start, unread_.get());
   const http1_reader::progress made = reader_.Read(unread_.get());
-  return made != http1_reader::progress::kFault;
+  return is_within_bounds_ && made != http1_reader::progress::kFault;
 }
 
 void answer_check::OnHead(http1_head /*head*/) {}
 
-void answer_check::OnBody(std::string_view /*bytes*/) {}
+// Whoever takes the body bounds it.
+void answer_check::OnBody(std::string_view bytes) {
+  guard_.OnBodyBytes(bytes.size(), true);
+}
+
+void answer_check::OnInterimHead(std::size_t bytes) {
+  if (!guard_.OnInterimBytes(bytes)) is_within_bounds_ = false;
+}
+
+void answer_check::OnFraming(std::size_t bytes) {
+  if (!guard_.OnFramingBytes(bytes)) is_within_bounds_ = false;
+}
 
 }  // namespace citron
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -24,6 +24,8 @@
 // libevent's own timeout must never come before a call's deadline.
 constexpr int kLibraryTimeoutSeconds = 24 * 3600;
 constexpr std::size_t kMaxAnswerHeaderBytes = std::size_t{64} << 10;
+// The only interim answer that the library passes over.
+constexpr int kContinue = 100;
 constexpr int kFirstFinalStatus = 200;
 
 evhttp_cmd_type Command(const std::string& method) {
@@ -43,8 +45,7 @@
   return head;
 }
 
-// Whether the end of the body can be told from a lost connection. The library
-// takes an interim answer for the one that counts.
+// Whether the end of the body can be told from a lost connection.
 bool IsDelimited(const http_response_head& head) {
   if (head.status < kFirstFinalStatus) return false;
   return head.status == 204 || head.status == 304 ||
@@ -150,7 +151,6 @@
   stopped_ = false;
   timer_problem_ = call_problem::kTimedOut;
   head_seen_ = false;
-  body_is_delimited_ = false;
   check_.Begin(request.from.method != "HEAD");
   bytes_out_at_start_ = bytes_out_;
   request_ = evhttp_request_new(callbacks::Complete, this);
@@ -228,13 +228,15 @@
 void http_connection::OnHeadReceived(evhttp_request* request) {
   if (handler_ == nullptr) return;
   const http_response_head head = CopyHead(request);
+  if (head.status == kContinue) return;
+  // Such a body ends with the connection, and a cut one looks whole.
+  if (!IsDelimited(head)) return Fail(call_problem::kIncomplete);
   head_seen_ = true;
-  body_is_delimited_ = IsDelimited(head);
-  if (body_is_delimited_) handler_->OnHead(head);
+  handler_->OnHead(head);
 }
 
 void http_connection::OnBodyReceived(evhttp_request* request) {
-  if (handler_ == nullptr || !body_is_delimited_) return;
+  if (handler_ == nullptr) return;
   evbuffer* input = evhttp_request_get_input_buffer(request);
   const std::size_t size = evbuffer_get_length(input);
   if (size == 0) return;
@@ -256,11 +258,6 @@
     }
     return;
   }
-  if (!body_is_delimited_) {
-    // Such a body ends with the connection, and a cut one looks whole.
-    Fail(call_problem::kIncomplete);
-    return;
-  }
   deadline_timer_.Disarm();
   idle_since_ = MonotonicNow();
   std::exchange(handler_, nullptr)->OnDone();
--- a/tests/net/http_client_answer_test.cc
+++ b/tests/net/http_client_answer_test.cc
@@ -1,10 +1,12 @@
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <optional>
 #include <string>
 
 #include "citron/net/http_client.h"
+#include "net/held_bytes.h"
 #include "net/loop_fixture.h"
 #include "node/scripted_upstream.h"
 
@@ -39,7 +41,13 @@
                    done = true;
                    if (response != nullptr) got = *response;
                  });
-    BOOST_TEST(RunUntil([&] { return done; }));
+    const std::size_t before = HeldBytes();
+    BOOST_TEST(RunUntil([&] {
+      if (HeldBytes() > before) {
+        held_ = std::max(held_, HeldBytes() - before);
+      }
+      return done;
+    }));
     BOOST_TEST(ToSeconds(MonotonicNow() - start) < ToSeconds(kDeadline) / 2);
     return got;
   }
@@ -61,8 +69,11 @@
   }
 
   static constexpr duration kDeadline = std::chrono::seconds(10);
+  // More than the longest answer that a client takes, and its copies.
+  static constexpr std::size_t kMostHeld = 4 * kDefaultMaxAnswerBytes;
 
   scripted_answer answer_;
+  std::size_t held_ = 0;
   scripted_upstream server_{Loop(),
                             [this](const std::string&) { return answer_; }};
   http_client client_{Loop()};
@@ -112,6 +123,41 @@
   Fails(InChunks(size + data + "0\r\nX T: b\r\n\r\n"));
 }
 
+// Guards against a server whose bytes go on without end: the caller would wait
+// for its deadline, or keep them until its memory is full.
+BOOST_AUTO_TEST_CASE(EndlessAnswersFailSoon) {
+  struct endless_answer {
+    const char* begin;
+    const char* repeated;
+  };
+  const endless_answer answers[] = {
+      {"", "\r\n"},
+      {"HTTP/1.1 200 ", "a"},
+      {"HTTP/1.1 200 OK\r\nX-A: ", "a"},
+      {"HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "a"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+       "X-T: b\r\n"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+       "8\r\n12345678\r\n"},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "12345678"},
+      {"HTTP/1.1 200 OK\r\n\r\n", "12345678"},
+  };
+  for (const endless_answer& answer : answers) {
+    BOOST_TEST_CONTEXT(answer.begin << answer.repeated) {
+      scripted_answer endless{answer.begin};
+      endless.endless = answer.repeated;
+      held_ = 0;
+      BOOST_TEST(!Call(endless).has_value());
+      BOOST_TEST(held_ < kMostHeld);
+      BOOST_TEST(RunUntil([this] { return server_.OpenConnections() == 0; }));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(SoundAnswersSucceed) {
   const std::string size = fmt::format("{:x}", sizeof(kBody) - 1);
   const std::string data = std::string("\r\n") + kBody + "\r\n";
