Heads of many headers fill no memory

What is seen: a server in trouble sends heads within the bound of 64 KB that consist of headers of a few bytes. A VM keeps about 1 MB of each for as long as its answer lasts; hundreds at once are more than its memory (260 MB), and all requests there end with the process.

Cause: a head is bounded by its bytes, and each header takes 64 bytes beside its text, twice that while the list grows.

Why the fix works: the reader counts the list of headers of an answer as HTTP/2 does (32 bytes for each header besides its text) against the same bound, so that no head takes more than about twice the bound. What callers may send stays bounded by bytes alone, as their limits say.

--- a/include/citron/net/http1_reader.h
+++ b/include/citron/net/http1_reader.h
@@ -56,6 +56,7 @@
   enum class direction { kRequests, kAnswers };
   enum class progress { kNeedsMore, kMessageComplete, kFault };
 
+  // `max_head_bytes` bounds a head, and the list of headers of an answer.
   http1_reader(direction what, std::size_t max_head_bytes,
                http1_listener& listener);
   http1_reader(const http1_reader&) = delete;
--- a/src/net/http1_reader.cc
+++ b/src/net/http1_reader.cc
@@ -13,6 +13,8 @@
 
 constexpr std::string_view kEndOfLine = "\r\n";
 constexpr std::string_view kEndOfHead = "\r\n\r\n";
+// What a header counts beside its text, as in HTTP/2 (RFC 9113, section 6.5.2).
+constexpr std::size_t kHeaderOverhead = 32;
 
 // Whether each line ends with CRLF, none is folded and no control character
 // stands in it. A reader before or behind this one could see other headers, or
@@ -43,6 +45,14 @@
       [&](const http_header& h) { return HeaderNameIs(h.name, name); }));
 }
 
+std::size_t ListSize(const http_headers& headers) {
+  std::size_t size = 0;
+  for (const http_header& header : headers) {
+    size += header.name.size() + header.value.size() + kHeaderOverhead;
+  }
+  return size;
+}
+
 // A blank before the colon: some readers drop the header, others take it.
 bool HasBlankInName(const http_headers& headers) {
   return std::any_of(headers.begin(), headers.end(), [](const http_header& h) {
@@ -193,6 +203,11 @@
     return Fail(http1_fault::kMalformed);
   }
   evbuffer_drain(input, size);
+  // What callers may send is told to them in bytes.
+  if (what_ == direction::kAnswers &&
+      ListSize(head_.headers) > max_head_bytes_) {
+    return Fail(http1_fault::kHeadTooLarge);
+  }
   if (!IsFramedOnce(head_.headers) || HasBlankInName(head_.headers)) {
     return Fail(http1_fault::kMalformed);
   }
--- a/tests/net/http1_reader_test.cc
+++ b/tests/net/http1_reader_test.cc
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace citron {
@@ -152,6 +153,21 @@
   BOOST_TEST(seen_.heads[0].status == 204);
 }
 
+// Guards against a head that is short in bytes and long in memory.
+BOOST_AUTO_TEST_CASE(RefusesAHeadOfTooManyHeaders) {
+  const auto read = [](int headers) {
+    std::string head = "HTTP/1.1 204 No Content\r\n";
+    for (int i = 0; i < headers; ++i) head += "a: b\r\n";
+    answer_fixture other;
+    const progress made = other.Read(head + "\r\n");
+    return std::pair(made, other.reader_.Fault());
+  };
+  BOOST_CHECK(read(30) ==
+              std::pair(progress::kMessageComplete, http1_fault::kNone));
+  BOOST_CHECK(read(31) ==
+              std::pair(progress::kFault, http1_fault::kHeadTooLarge));
+}
+
 BOOST_AUTO_TEST_CASE(TheAnswerToHeadHasNoBody) {
   reader_.ExpectNoBody();
   BOOST_CHECK(Read("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n") ==
--- a/tests/node/endless_answer_test.cc
+++ b/tests/node/endless_answer_test.cc
@@ -96,6 +96,36 @@
   BOOST_TEST(HasLine("event=try_failed"));
 }
 
+// Guards against heads of many headers: each takes far more memory than its
+// bytes, for as long as its answer lasts.
+BOOST_AUTO_TEST_CASE(HeadsOfManyHeadersFillNoMemory) {
+  constexpr int kRequests = 200;
+  constexpr std::size_t kHeadBytes = std::size_t{60} << 10;
+  constexpr std::size_t kMostHeld = std::size_t{64} << 20;
+  std::string head = kSigned;
+  while (head.size() < kHeadBytes) head += "a:\r\n";
+  AddUpstream("u1", [&](const std::string&) {
+    return scripted_answer{head + "Content-Length: 9\r\n\r\nbegin"};
+  });
+  codec_.upstreams["u1"].slots = kRequests;
+  Start();
+  std::vector<std::unique_ptr<raw_caller>> callers;
+  const std::size_t before = HeldBytes();
+  for (int i = 0; i < kRequests; ++i) {
+    callers.push_back(std::make_unique<raw_caller>(settings_.callers));
+    callers.back()->Send(Request("POST", "/book/1", "", "order"));
+  }
+  std::size_t most = before;
+  BOOST_TEST(RunUntil([&] {
+    most = std::max(most, HeldBytes());
+    return std::all_of(callers.begin(), callers.end(), [](const auto& caller) {
+      return IsWhole(caller->Received());
+    });
+  }));
+  BOOST_TEST(most - before < kMostHeld);
+  BOOST_TEST(HasLine("cause=endless_heads"));
+}
+
 // Guards against a body without an end in an answer that isn't the upstream's.
 BOOST_AUTO_TEST_CASE(AForgedBodyIsCut) {
   BookingIsCut("HTTP/1.1 200 OK\r\n\r\n", "false", "endless_unused");
