--- a/tests/integration/node_planned_stop_test.cc
+++ b/tests/integration/node_planned_stop_test.cc
@@ -36,7 +36,9 @@
   int broken_promises = 0;
 };
 
-// One VM that is stopped under a steady load of requests that may run once.
+enum class request_kind { kOnce, kRepeatable };
+
+// One VM that is stopped under a steady load of requests.
 class planned_stop_fixture : public node_fleet {
  public:
   planned_stop_fixture() {
@@ -54,7 +56,11 @@
   }
 
   // Sends requests until some time after the signal's grace period.
-  void RunStop(const std::vector<int>& signals, duration gap) {
+  void RunStop(const std::vector<int>& signals, duration gap,
+               request_kind kind = request_kind::kOnce) {
+    const bool may_repeat = kind == request_kind::kRepeatable;
+    const std::string method = may_repeat ? "GET" : "POST";
+    const std::string path = may_repeat ? "/look/" : "/book/";
     const monotonic_time start = MonotonicNow();
     stopped_at_ = start + std::chrono::seconds(1);
     const monotonic_time killed_at =
@@ -70,7 +76,7 @@
       if (now >= due) {
         due += kInterval;
         calls_.push_back(Caller().Start(
-            Callers(1), Request("key", "POST", fmt::format("/book/{}", id_))));
+            Callers(1), Request("key", method, path + std::to_string(id_))));
         ids_.push_back(std::to_string(id_));
       }
       Caller().WaitFor([&] { return MonotonicNow() >= due; });
@@ -136,6 +142,16 @@
   BOOST_TEST(seen.broken_promises == 0);
 }
 
+// The same for requests that may be repeated.
+BOOST_AUTO_TEST_CASE(ALateRequestThatMayBeRepeatedIsNotCut) {
+  RunStop({SIGTERM}, {}, request_kind::kRepeatable);
+  const tally seen = Judge();
+  BOOST_TEST(seen.whole > 0);
+  BOOST_TEST(seen.not_run > 0);
+  BOOST_TEST(seen.lost == 0);
+  BOOST_TEST(seen.broken_promises == 0);
+}
+
 // Guards against a second SIGTERM that cuts what the first one lets end.
 BOOST_AUTO_TEST_CASE(ARepeatedStopSignalCutsNothing) {
   RunStop({SIGTERM, SIGTERM, SIGTERM}, milliseconds(800));
