--- a/include/citron/net/answer_check.h
+++ b/include/citron/net/answer_check.h
@@ -12,8 +12,8 @@
 
 namespace citron {
 
-// Reads the bytes of an answer beside a parser that takes more than HTTP/1.1
-// allows or waits without end.
+// Checks the bytes of an answer for a parser that accepts malformed or endless
+// ones.
 class answer_check : private http1_listener {
  public:
   explicit answer_check(std::size_t max_head_bytes);
--- a/include/citron/net/chunk_framing.h
+++ b/include/citron/net/chunk_framing.h
@@ -11,8 +11,8 @@
 // section. Lines end with CRLF; none is folded.
 class chunk_framing {
  public:
-  // Takes the next bytes of the body and returns whether they fit. What follows
-  // the end of the body is not looked at.
+  // Takes the next bytes of the body and returns whether it is still well
+  // formed. Ignores what follows the end of the body.
   bool Read(std::string_view bytes);
 
  private:
--- a/include/citron/net/http1_grammar.h
+++ b/include/citron/net/http1_grammar.h
@@ -12,9 +12,9 @@
 // character but the tab.
 bool IsTextByte(unsigned char byte);
 
-// Whether the line, without its end, begins an answer of HTTP/1 (RFC 9112,
-// section 4) with a status that is defined (RFC 9110, section 15). As most
-// clients do, it takes a status without the blank that has to follow it.
+// Whether the line, without its CRLF, is a status line of HTTP/1 (RFC 9112,
+// section 4) with a status from 100 to 599 (RFC 9110, section 15). The blank
+// before an empty reason may be missing, as many servers leave it out.
 bool IsStatusLine(std::string_view line);
 
 }  // namespace citron
--- a/include/citron/net/http_client.h
+++ b/include/citron/net/http_client.h
@@ -107,7 +107,7 @@
   evhttp_connection* connection_ = nullptr;
   evhttp_request* request_ = nullptr;
   http_call_handler* handler_ = nullptr;
-  // The library takes much that is no answer, and chunk sizes without end.
+  // The library accepts malformed answers, and chunk sizes without end.
   answer_check check_;
   send_check may_send_;
   bool stopped_ = false;  // By the check; nothing may leave.
--- a/src/net/answer_check.cc
+++ b/src/net/answer_check.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-// Copies what stands behind `start`.
+// Copies the bytes from `start` on.
 void AppendRest(evbuffer* from, std::size_t start, evbuffer* to) {
   evbuffer_ptr position;
   if (evbuffer_ptr_set(from, &position, start, EVBUFFER_PTR_SET) != 0) return;
@@ -43,7 +43,7 @@
 
 void answer_check::OnHead(http1_head /*head*/) {}
 
-// Whoever takes the body bounds it.
+// The size of the body is the caller's to bound.
 void answer_check::OnBody(std::string_view bytes) {
   guard_.OnBodyBytes(bytes.size(), true);
 }
--- a/src/net/http1_reader.cc
+++ b/src/net/http1_reader.cc
@@ -13,7 +13,7 @@
 
 constexpr std::string_view kEndOfLine = "\r\n";
 constexpr std::string_view kEndOfHead = "\r\n\r\n";
-// What a header counts beside its text, as in HTTP/2 (RFC 9113, section 6.5.2).
+// What a header counts beside its text; as in HTTP/2 (RFC 9113, 6.5.2).
 constexpr std::size_t kHeaderOverhead = 32;
 
 // Whether each line ends with CRLF, none is folded and no control character
@@ -33,8 +33,8 @@
   return true;
 }
 
-// The library reads any number as a status, and takes much for a version or a
-// reason that is none.
+// The library accepts any number as a status, any version and control
+// characters in a reason.
 bool BeginsWithStatusLine(std::string_view head) {
   return IsStatusLine(head.substr(0, head.find(kEndOfLine)));
 }
@@ -203,7 +203,7 @@
     return Fail(http1_fault::kMalformed);
   }
   evbuffer_drain(input, size);
-  // What callers may send is told to them in bytes.
+  // What callers may send is bounded by bytes alone.
   if (what_ == direction::kAnswers &&
       ListSize(head_.headers) > max_head_bytes_) {
     return Fail(http1_fault::kHeadTooLarge);
@@ -245,7 +245,7 @@
     if (count == 0) return progress::kNeedsMore;
     const auto* bytes = reinterpret_cast<const char*>(
         evbuffer_pullup(input, static_cast<ev_ssize_t>(count)));
-    // The library takes what it likes behind a size and in trailers.
+    // The library checks neither chunk extensions nor the names of trailers.
     if (chunks_ && !chunks_->Read({bytes, count})) {
       return Fail(http1_fault::kMalformed);
     }
--- a/tests/net/http_client_answer_test.cc
+++ b/tests/net/http_client_answer_test.cc
@@ -81,7 +81,7 @@
 
 BOOST_FIXTURE_TEST_SUITE(answers, answer_fixture)
 
-// Guards against a status line that is none and is taken for an answer.
+// Guards against a malformed status line that is taken for an answer.
 BOOST_AUTO_TEST_CASE(MalformedStatusLinesFail) {
   for (const char* line :
        {"HTTP/1.1 000 X",   "HTTP/1.1 0 X",        "HTTP/1.1 20 X",
@@ -95,8 +95,8 @@
   }
 }
 
-// Guards against a header that is none and is passed on, or hides what frames
-// the body.
+// Guards against a malformed header that is passed on, or that hides the
+// framing of the body.
 BOOST_AUTO_TEST_CASE(MalformedHeadersFail) {
   for (const char* line :
        {"X A: b", "X-A : b", "X-A\t: b", "X-A\x01: b", "X-A\x7f: b",
@@ -109,7 +109,7 @@
   Fails(std::string("HTTP/1.1 200 OK\nContent-Length: 2\n\nok"));
 }
 
-// Guards against a body whose end another reader would see elsewhere.
+// Guards against a body that another reader would end elsewhere.
 BOOST_AUTO_TEST_CASE(MalformedChunksFail) {
   const std::string size = fmt::format("{:x}", sizeof(kBody) - 1);
   const std::string data = std::string("\r\n") + kBody + "\r\n";
@@ -158,7 +158,7 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(SoundAnswersSucceed) {
+BOOST_AUTO_TEST_CASE(WellFormedAnswersSucceed) {
   const std::string size = fmt::format("{:x}", sizeof(kBody) - 1);
   const std::string data = std::string("\r\n") + kBody + "\r\n";
   for (int i = 0; i < 2; ++i) {
--- a/tests/node/malformed_answer_test.cc
+++ b/tests/node/malformed_answer_test.cc
@@ -2,7 +2,6 @@
 
 #include <boost/test/unit_test.hpp>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "node/node_fixture.h"
@@ -75,8 +74,8 @@
 
 BOOST_FIXTURE_TEST_SUITE(malformed_answer, malformed_answer_fixture)
 
-// Guards against a client that gets a status of 000, or another that is none.
-BOOST_AUTO_TEST_CASE(AStatusThatIsNone) {
+// Guards against a client that gets a status of 000 or another invalid one.
+BOOST_AUTO_TEST_CASE(InvalidStatusesAreReplaced) {
   StartWithUpstream();
   for (const char* status :
        {"000", "0", "099", "0200", "00200", "20", "2", "2000", "20000", "600",
@@ -86,8 +85,8 @@
   }
 }
 
-// Guards against a status line that isn't one and reads like a success.
-BOOST_AUTO_TEST_CASE(AStatusLineThatIsNone) {
+// Guards against a malformed status line that becomes a success.
+BOOST_AUTO_TEST_CASE(MalformedStatusLinesAreReplaced) {
   StartWithUpstream();
   const std::vector<std::string> lines = {"HTTP/1.1  200 OK",
                                           "HTTP/1.1\t200 OK",
@@ -117,8 +116,8 @@
   }
 }
 
-// Guards against a malformed interim answer that hides before a success.
-BOOST_AUTO_TEST_CASE(AnInterimAnswerThatIsNone) {
+// Guards against a malformed interim answer that is skipped.
+BOOST_AUTO_TEST_CASE(MalformedInterimAnswersAreReplaced) {
   StartWithUpstream();
   for (const char* line :
        {"HTTP/1.1 000 X", "HTTP/1.1 10 X", "HTTP/1.1 0100 Continue",
@@ -128,8 +127,8 @@
   }
 }
 
-// Guards against a check that refuses what sound servers send.
-BOOST_AUTO_TEST_CASE(AStatusLineOfASoundServer) {
+// Guards against a check that rejects what servers in the field send.
+BOOST_AUTO_TEST_CASE(UsualStatusLinesArePassedOn) {
   StartWithUpstream();
   for (const char* line :
        {"HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 200 OK", "HTTP/1.1 200 O K",
@@ -140,14 +139,14 @@
   }
 }
 
-// Guards against a header whose name is none: it is passed on, or hides what
-// frames the body.
-BOOST_AUTO_TEST_CASE(AHeaderWhoseNameIsNone) {
+// Guards against a malformed header that is passed on, or that hides the
+// framing of the body.
+BOOST_AUTO_TEST_CASE(MalformedHeadersAreReplaced) {
   StartWithUpstream();
   std::string bytes = "\"(),/;<=>?@[\\]{}\x7f\x80\xff";
   for (char control = 0; control <= ' '; ++control) bytes += control;
   for (const char byte : bytes) {
-    // Two of these end a line.
+    // These end a line.
     if (byte == '\r' || byte == '\n') continue;
     const std::string bad(1, byte);
     IsReplaced(WithHeader("X-A" + bad + ": b"));
@@ -163,8 +162,8 @@
   IsReplaced(WithHeader("X-A: b\x01"));
 }
 
-// Guards against a body whose end another reader would see elsewhere.
-BOOST_AUTO_TEST_CASE(AChunkThatIsNone) {
+// Guards against a body that another reader would end elsewhere.
+BOOST_AUTO_TEST_CASE(MalformedChunksAreReplaced) {
   StartWithUpstream();
   const std::string size = fmt::format("{:x}", sizeof(kBody) - 1);
   const std::string data = std::string("\r\n") + kBody + "\r\n";
@@ -193,8 +192,8 @@
   IsReplaced(InChunks(size + data + "0\r\n\n"));
 }
 
-// Guards against a check that refuses chunks that sound servers send.
-BOOST_AUTO_TEST_CASE(ChunksOfASoundServer) {
+// Guards against a check that rejects well-formed chunks.
+BOOST_AUTO_TEST_CASE(WellFormedChunksArePassedOn) {
   StartWithUpstream();
   const std::string size = fmt::format("{:X}", sizeof(kBody) - 1);
   const std::string data = std::string("\r\n") + kBody + "\r\n";
--- a/tests/node/upstream_pool_test.cc
+++ b/tests/node/upstream_pool_test.cc
@@ -82,7 +82,7 @@
     pool.Give(kUpstream, std::move(connection), now);
   }
 
-  // How a request ends whose relay opens a tunnel and then sends the bytes.
+  // How a request fails whose relay sends these two answers in turn.
   upstream_fault FaultThroughARelay(const std::string& tunnel_answer,
                                     const scripted_answer& answer) {
     scripted_upstream relay(Loop(), [&](const std::string& request) {
@@ -170,7 +170,7 @@
   BOOST_TEST((Listener().LastFault() == upstream_fault::kLost));
 }
 
-// Guards against an answer that is none and comes through a relay.
+// Guards against a malformed answer that passes through a relay.
 BOOST_AUTO_TEST_CASE(AMalformedAnswerFailsThroughARelay) {
   const std::string open = MakeTunnelAnswer(kTunnelOpen);
   const std::string rest = "X-Id: 1\r\nContent-Length: 2\r\n\r\nok";
@@ -194,7 +194,7 @@
       (FaultThroughARelay(open, answer) == upstream_fault::kEndlessFraming));
 }
 
-// Guards against a relay whose answer is none and that counts as open.
+// Guards against a relay's malformed answer that counts as an open tunnel.
 BOOST_AUTO_TEST_CASE(AMalformedAnswerOfARelayOpensNoTunnel) {
   BOOST_TEST((FaultThroughARelay("HTTP/1.1 0200 OK\r\n\r\n", {}) ==
               upstream_fault::kRelayFailed));
