An answer that has no body brings none

What callers saw: behind a 204 or a 304 of a server in trouble came a body, with a length. By HTTP/1.1 both end with their head, so that a caller that keeps its connection takes the body for the beginning of its next answer. Besides, a 304 that rightly names the length of what it leaves out became a 502.

Cause: the library reads a body wherever a length or chunks are announced, and what was read was passed on.

Why the fix works: the reader ends a 204 and a 304 with its head. Bytes behind it close the upstream's connection, as behind any answer. A 204 that announces a body contradicts itself (RFC 9110, 8.6; RFC 9112, 6.1) and is malformed.

--- a/src/net/http1_reader.cc
+++ b/src/net/http1_reader.cc
@@ -15,6 +15,8 @@
 constexpr std::string_view kEndOfHead = "\r\n\r\n";
 // What a header counts beside its text; as in HTTP/2 (RFC 9113, 6.5.2).
 constexpr std::size_t kHeaderOverhead = 32;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
 
 // Whether each line ends with CRLF, none is folded and no control character
 // stands in it. A reader before or behind this one could see other headers, or
@@ -69,6 +71,21 @@
   return !encoding || HeaderNameIs(*encoding, "chunked");
 }
 
+// The answer ends with its head, whatever its headers say (RFC 9112, section
+// 6.3).
+bool HasNoBody(int status) {
+  return status == kNoContent || status == kNotModified;
+}
+
+// Unlike a 304, a 204 may not say how long a body would be.
+bool AnnouncesABody(const http_headers& headers) {
+  const auto length = FindHeader(headers, "Content-Length");
+  if (length && length->find_first_not_of("0 \t") != std::string::npos) {
+    return true;
+  }
+  return FindHeader(headers, "Transfer-Encoding").has_value();
+}
+
 }  // namespace
 
 struct http1_reader::callbacks {
@@ -104,7 +121,8 @@
     self.state_ = state::kBody;
     // No other protocol is spoken here; the request is served as it stands.
     parser->upgrade = 0;
-    return self.no_body_ ? 1 : 0;
+    const int status = static_cast<int>(parser->status_code);
+    return self.no_body_ || HasNoBody(status) ? 1 : 0;
   }
 
   static int OnBody(http_parser* parser, const char* at, std::size_t length) {
@@ -215,6 +233,9 @@
     head_.method = http_method_str(static_cast<http_method>(parser_.method));
   } else {
     head_.status = parser_.status_code;
+    if (head_.status == kNoContent && AnnouncesABody(head_.headers)) {
+      return Fail(http1_fault::kMalformed);
+    }
   }
   const bool informational = head_.status >= 100 && head_.status < 200;
   if (informational) {
--- a/tests/node/malformed_answer_test.cc
+++ b/tests/node/malformed_answer_test.cc
@@ -69,6 +69,17 @@
     }
   }
 
+  void IsPassedOnWithoutABody(const std::string& bytes) {
+    const std::string status = bytes.substr(0, sizeof("HTTP/1.1 200"));
+    for (const std::string& answer : AnswersTo(bytes)) {
+      BOOST_TEST_CONTEXT(bytes << "\nbecame\n" << answer) {
+        BOOST_TEST(answer.starts_with(status));
+        BOOST_TEST(answer.ends_with("\r\n\r\n"));
+        BOOST_TEST(answer.find(kBody) == std::string::npos);
+      }
+    }
+  }
+
   std::string answer_;
 };
 
@@ -162,6 +173,28 @@
   IsReplaced(WithHeader("X-A: b\x01"));
 }
 
+// Guards against a body behind an answer that has none: its caller would take
+// it for the next answer.
+BOOST_AUTO_TEST_CASE(ABodyOfAnAnswerWithoutOneIsNotPassedOn) {
+  StartWithUpstream();
+  const std::string signed_by = "\r\nX-Signature: s\r\n";
+  const std::string length = "Content-Length: 15\r\n\r\n";
+  const std::string chunks =
+      "Transfer-Encoding: chunked\r\n\r\nf\r\nof the upstream\r\n0\r\n\r\n";
+  const std::string no_content = "HTTP/1.1 204 No Content" + signed_by;
+  IsReplaced(no_content + length + kBody);
+  IsReplaced(no_content + length);
+  IsReplaced(no_content + chunks);
+  IsPassedOnWithoutABody(no_content + "\r\n");
+  IsPassedOnWithoutABody(no_content + "Content-Length: 0\r\n\r\n");
+  IsPassedOnWithoutABody(no_content + "\r\n" + kBody);
+  const std::string not_modified = "HTTP/1.1 304 Not Modified" + signed_by;
+  IsPassedOnWithoutABody(not_modified + "\r\n");
+  IsPassedOnWithoutABody(not_modified + length);
+  IsPassedOnWithoutABody(not_modified + length + kBody);
+  IsPassedOnWithoutABody(not_modified + chunks);
+}
+
 // Guards against a body that another reader would end elsewhere.
 BOOST_AUTO_TEST_CASE(MalformedChunksAreReplaced) {
   StartWithUpstream();
