Bytes behind a switch of protocols are no answer

What callers saw: a server in trouble answers 101, though no other protocol was asked for (a VM passes no Upgrade on); an answer that followed was passed on. By HTTP/1.1 those bytes are of another protocol.

Cause: the reader passes over each status from 100 to 199 as an interim answer.

Why the fix works: an answer of 101 is malformed where nobody asked for it.

--- a/src/net/http1_reader.cc
+++ b/src/net/http1_reader.cc
@@ -15,6 +15,7 @@
 constexpr std::string_view kEndOfHead = "\r\n\r\n";
 // What a header counts beside its text; as in HTTP/2 (RFC 9113, 6.5.2).
 constexpr std::size_t kHeaderOverhead = 32;
+constexpr int kSwitchingProtocols = 101;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
@@ -236,6 +237,10 @@
     if (head_.status == kNoContent && AnnouncesABody(head_.headers)) {
       return Fail(http1_fault::kMalformed);
     }
+    // Nobody asked for another protocol, and what follows is of that one.
+    if (head_.status == kSwitchingProtocols) {
+      return Fail(http1_fault::kMalformed);
+    }
   }
   const bool informational = head_.status >= 100 && head_.status < 200;
   if (informational) {
--- a/tests/node/malformed_answer_test.cc
+++ b/tests/node/malformed_answer_test.cc
@@ -138,6 +138,16 @@
   }
 }
 
+// Guards against bytes of another protocol that are taken for an answer.
+BOOST_AUTO_TEST_CASE(ASwitchOfProtocolsIsReplaced) {
+  StartWithUpstream();
+  for (const char* headers :
+       {"", "Upgrade: h2c\r\nConnection: Upgrade\r\n", "Upgrade: h2c\r\n"}) {
+    IsReplaced(fmt::format("HTTP/1.1 101 Switching Protocols\r\n{}\r\n{}",
+                           headers, WithStatusLine("HTTP/1.1 200 OK")));
+  }
+}
+
 // Guards against a check that rejects what servers in the field send.
 BOOST_AUTO_TEST_CASE(UsualStatusLinesArePassedOn) {
   StartWithUpstream();
