Endless answers of the client's test come in larger pieces

Cause: the call ends at 16 MB, which is two million such chunks, each sent by the stand-in and read by the client in one instrumented thread. No check and no bound changed: an answer without end still has to fail within half of its deadline.

--- a/tests/net/http_client_answer_test.cc
+++ b/tests/net/http_client_answer_test.cc
@@ -127,9 +127,10 @@
 // for its deadline, or keep them until its memory is full.
 BOOST_AUTO_TEST_CASE(EndlessAnswersFailSoon) {
   struct endless_answer {
-    const char* begin;
-    const char* repeated;
+    std::string begin;
+    std::string repeated;
   };
+  const std::string piece(1024, 'x');
   const endless_answer answers[] = {
       {"", "\r\n"},
       {"HTTP/1.1 200 ", "a"},
@@ -142,9 +143,9 @@
       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
        "X-T: b\r\n"},
       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
-       "8\r\n12345678\r\n"},
-      {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "12345678"},
-      {"HTTP/1.1 200 OK\r\n\r\n", "12345678"},
+       "400\r\n" + piece + "\r\n"},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", piece},
+      {"HTTP/1.1 200 OK\r\n\r\n", piece},
   };
   for (const endless_answer& answer : answers) {
     BOOST_TEST_CONTEXT(answer.begin << answer.repeated) {
