--- a/review/kit-2/play.cc
+++ b/review/kit-2/play.cc
@@ -157,6 +157,20 @@
   return true;
 }
 
+bool connection::SendWithin(const std::string& bytes, double limit_s) {
+  std::size_t sent = 0;
+  while (sent < bytes.size()) {
+    pollfd look{descriptor_, POLLOUT, 0};
+    if (poll(&look, 1, static_cast<int>(limit_s * 1000)) <= 0) return false;
+    const ssize_t count =
+        send(descriptor_, bytes.data() + sent, bytes.size() - sent,
+             MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (count <= 0 && errno != EAGAIN) return false;
+    if (count > 0) sent += static_cast<std::size_t>(count);
+  }
+  return true;
+}
+
 bool connection::Receive(double limit_s, std::size_t most) {
   pollfd look{descriptor_, POLLIN, 0};
   if (poll(&look, 1, static_cast<int>(limit_s * 1000)) <= 0) return false;
--- a/review/kit-2/play.h
+++ b/review/kit-2/play.h
@@ -44,6 +44,8 @@
   static int Dial(int port, int receive_buffer = 0);
 
   bool Send(const std::string& bytes);
+  // False if the peer takes nothing for `limit_s`, too.
+  bool SendWithin(const std::string& bytes, double limit_s);
   // Appends what comes; false at the end or after `limit_s` without a byte.
   bool Receive(double limit_s, std::size_t most = 65536);
   std::string& Input() { return input_; }
