--- a/review/kit-2/play.cc
+++ b/review/kit-2/play.cc
@@ -187,26 +187,15 @@
   descriptor_ = -1;
 }
 
-message ReadMessage(connection& from, bool is_answer, double limit_s,
-                    const std::function<void(std::size_t)>& before_read) {
+message ReadHead(connection& from, double limit_s) {
   message read;
   std::string& input = from.Input();
-  std::size_t got = 0;
-  const auto more = [&] {
-    if (before_read) before_read(got);
-    const std::size_t before = input.size();
-    const double asked_at = Now();
-    if (from.Receive(limit_s)) {
-      got += input.size() - before;
-      return true;
-    }
-    const bool silent = Now() - asked_at >= limit_s * 0.98;
-    read.end = from.WasReset() ? "reset" : (silent ? "silent" : "cut");
-    return false;
-  };
   std::size_t end = 0;
   while ((end = input.find("\r\n\r\n")) == std::string::npos) {
-    if (!more()) return read;
+    if (!from.Receive(limit_s)) {
+      read.end = from.WasReset() ? "reset" : "cut";
+      return read;
+    }
   }
   std::stringstream head(input.substr(0, end));
   input.erase(0, end + 4);
@@ -222,6 +211,28 @@
     while (!value.empty() && value.back() == '\r') value.pop_back();
     read.fields[Lower(line.substr(0, colon))] = value;
   }
+  read.end = "whole";
+  return read;
+}
+
+message ReadMessage(connection& from, bool is_answer, double limit_s,
+                    const std::function<void(std::size_t)>& before_read) {
+  message read = ReadHead(from, limit_s);
+  if (read.end != "whole") return read;
+  std::string& input = from.Input();
+  std::size_t got = 0;
+  const auto more = [&] {
+    if (before_read) before_read(got);
+    const std::size_t before = input.size();
+    const double asked_at = Now();
+    if (from.Receive(limit_s)) {
+      got += input.size() - before;
+      return true;
+    }
+    const bool silent = Now() - asked_at >= limit_s * 0.98;
+    read.end = from.WasReset() ? "reset" : (silent ? "silent" : "cut");
+    return false;
+  };
   const auto length = read.fields.find("content-length");
   if (read.fields.contains("transfer-encoding")) {
     for (;;) {
@@ -503,15 +514,20 @@
   beats_.join();
 }
 
+void WriteEntry(store& registry, const std::string& id,
+                const std::string& service, const std::string& zone, int port,
+                int seq) {
+  registry.Put("servers/" + id,
+               "{\"address\":\"127.0.0.1:" + std::to_string(port) +
+                   "\",\"info\":{\"service\":\"" + service +
+                   "\",\"version\":\"v1\",\"zone\":\"" + zone +
+                   "\",\"slots\":8},\"status\":{\"state\":\"ready\",\"seq\":" +
+                   std::to_string(seq) + ",\"coldRemainingS\":0}}");
+}
+
 void server::Beat() {
   for (int seq = 1; !ends_; ++seq) {
-    registry_.Put("servers/" + id_,
-                  "{\"address\":\"127.0.0.1:" + std::to_string(Port()) +
-                      "\",\"info\":{\"service\":\"" + service_ +
-                      "\",\"version\":\"v1\",\"zone\":\"" + zone_ +
-                      "\",\"slots\":8},\"status\":{\"state\":\"ready\","
-                      "\"seq\":" +
-                      std::to_string(seq) + ",\"coldRemainingS\":0}}");
+    WriteEntry(registry_, id_, service_, zone_, Port(), seq);
     for (double slept = 0; slept < kHeartbeatS && !ends_; slept += 0.1) {
       Sleep(0.1);
     }
--- a/review/kit-2/play.h
+++ b/review/kit-2/play.h
@@ -66,6 +66,9 @@
   std::string end;
 };
 
+// Reads the head of a message; its body stays in the input.
+message ReadHead(connection& from, double limit_s);
+
 // Reads one message with a length, in chunks or, as an answer, up to the end of
 // the connection.
 message ReadMessage(connection& from, bool is_answer, double limit_s,
@@ -138,6 +141,11 @@
   std::unique_ptr<listener> listener_;
 };
 
+// Writes the entry of a server that is ready.
+void WriteEntry(store& registry, const std::string& id,
+                const std::string& service, const std::string& zone, int port,
+                int seq);
+
 // A server of a service; `answer` writes the whole answer to a request.
 class server {
  public:
