--- a/review/kit-2/play.cc
+++ b/review/kit-2/play.cc
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -26,6 +27,8 @@
 constexpr char kBase64[] =
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 constexpr double kHeartbeatS = 1.5;
+// A script ends by then, and the program with it.
+constexpr unsigned int kLongestS = 110;
 
 sockaddr_in Loopback(int port) {
   sockaddr_in address{};
@@ -590,8 +593,10 @@
   settings.close();
   const std::string log = folder + "/" + name + ".log";
   const std::string variable = "CITRONWALL_SETTINGS=" + file;
+  alarm(kLongestS);
   pid_ = fork();
   if (pid_ != 0) return;
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
   const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
   dup2(out, 1);
   dup2(out, 2);
