--- a/review/kit-2/play.cc
+++ b/review/kit-2/play.cc
@@ -633,6 +633,14 @@
 
 bool node::Runs() const { return waitpid(pid_, nullptr, WNOHANG) == 0; }
 
+long node::ResidentKb() const {
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.rfind("VmRSS:", 0) == 0) return std::atol(line.c_str() + 6);
+  }
+  return 0;
+}
+
 std::string Config(int version, const std::vector<route>& routes) {
   std::string rows;
   std::string services;
--- a/review/kit-2/play.h
+++ b/review/kit-2/play.h
@@ -178,6 +178,7 @@
   bool IsReady(double within_s) const;
   void Signal(int number) const;
   bool Runs() const;
+  long ResidentKb() const;
 
  private:
   int pid_ = -1;
