--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,5 +7,5 @@
   number=$(basename "$(dirname "$case")")
   [ "$number" -ge 6 ] || continue
   g++ -std=c++20 -O1 -pthread -o "build-review-2/case-$number" \
-    "$case" review/kit-2/play.cc
+    "$case" review/play-2.cc
 done
--- a/review/kit-2/play.cc
+++ b/review/play-2.cc
@@ -1,4 +1,4 @@
-#include "play.h"
+#include "play-2.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -132,6 +132,19 @@
   out_ << at << text << std::endl;
 }
 
+bool dose::Take() {
+  const std::lock_guard lock(mutex_);
+  if (taken_ + 1 > most_ * answers_) return false;
+  ++taken_;
+  return true;
+}
+
+std::string dose::Text() const {
+  const std::lock_guard lock(mutex_);
+  return std::to_string(taken_) + " of " + std::to_string(answers_) +
+         " answers of the faulty servers touched";
+}
+
 int connection::Dial(int port, int receive_buffer) {
   const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (receive_buffer > 0) {
--- a/review/kit-2/play.h
+++ b/review/play-2.h
@@ -1,5 +1,5 @@
-#ifndef REVIEW_KIT_2_PLAY_H_
-#define REVIEW_KIT_2_PLAY_H_
+#ifndef REVIEW_PLAY_2_H_
+#define REVIEW_PLAY_2_H_
 
 #include <atomic>
 #include <chrono>
@@ -34,6 +34,22 @@
   std::ofstream out_;
 };
 
+// Says which of the answers of faulty servers are touched: at the most so large
+// a part of those that they have made.
+class dose {
+ public:
+  explicit dose(double most) : most_(most) {}
+  void OnAnswer() { ++answers_; }
+  bool Take();
+  std::string Text() const;
+
+ private:
+  const double most_;
+  mutable std::mutex mutex_;
+  std::atomic<int> answers_{0};
+  int taken_ = 0;
+};
+
 // A connected socket, closed with the object.
 class connection {
  public:
@@ -203,4 +219,4 @@
 
 }  // namespace play
 
-#endif  // REVIEW_KIT_2_PLAY_H_
+#endif  // REVIEW_PLAY_2_H_
